--- /dev/null
+++ b/cmd/appraiser/main.go
@@ -0,0 +1,12 @@
+// Program appraiser is placement under a lease: what every worker holds, and how the tail is spread.
+package main
+
+import (
+	"pebbleloom/internal/appraiser"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/settings"
+)
+
+func main() {
+	daemon.Main("appraiser", "placement under a lease: what every worker holds, and how the tail is spread", settings.Need{Seeds: true, Core: true}, appraiser.Start)
+}
--- /dev/null
+++ b/cmd/archive/main.go
@@ -0,0 +1,12 @@
+// Program archive is the control node: parts of the control state, agreed on by majority and kept on disk.
+package main
+
+import (
+	"pebbleloom/internal/archive"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/settings"
+)
+
+func main() {
+	daemon.Main("archive", "the control node: parts of the control state, agreed on by majority and kept on disk", settings.Need{Seeds: true, Core: true, Data: true, Operator: true}, archive.Start)
+}
--- /dev/null
+++ b/cmd/catalogue/main.go
@@ -0,0 +1,12 @@
+// Program catalogue is an index node: who holds each prefix, and how hot it is.
+package main
+
+import (
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/settings"
+)
+
+func main() {
+	daemon.Main("catalogue", "an index node: who holds each prefix, and how hot it is", settings.Need{Seeds: true, Runner: true}, catalogue.Start)
+}
--- /dev/null
+++ b/cmd/depot/main.go
@@ -0,0 +1,12 @@
+// Program depot is the stand-in for the prompt store.
+package main
+
+import (
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/depot"
+	"pebbleloom/internal/settings"
+)
+
+func main() {
+	daemon.Main("depot", "the stand-in for the prompt store", settings.Need{Public: true}, depot.Start)
+}
--- /dev/null
+++ b/cmd/dispatcher/main.go
@@ -0,0 +1,12 @@
+// Program dispatcher is the edge proxy: one function carries a request to a worker and its sealed stream back.
+package main
+
+import (
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/dispatcher"
+	"pebbleloom/internal/settings"
+)
+
+func main() {
+	daemon.Main("dispatcher", "the edge proxy: one function carries a request to a worker and its sealed stream back", settings.Need{Public: true, Runner: true}, dispatcher.Start)
+}
--- /dev/null
+++ b/cmd/rank/main.go
@@ -0,0 +1,12 @@
+// Program rank is the stand-in for the platform that lists workers and probes edge nodes.
+package main
+
+import (
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/rank"
+	"pebbleloom/internal/settings"
+)
+
+func main() {
+	daemon.Main("rank", "the stand-in for the platform that lists workers and probes edge nodes", settings.Need{Public: true}, rank.Start)
+}
--- /dev/null
+++ b/internal/appraiser/appraiser.go
@@ -0,0 +1,267 @@
+package appraiser
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"reflect"
+	"time"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/placement"
+	"pebbleloom/internal/roster"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+// Appraiser stands on a core machine; for each service one of them holds the lease.
+type Appraiser struct {
+	life   *daemon.Life
+	clk    clock.Clock
+	ros    *roster.Member
+	calls  *daemon.Calls
+	ctl    *link.Control
+	be     *contract.Backends
+	holder string
+	duties map[string]*duty
+	fol    *feed.Follower
+}
+
+type duty struct {
+	lease *link.Lease
+	doc   *wire.Doc
+	last  *placement.Placement
+	full  time.Duration // when the whole was last recomputed
+	fence uint64
+}
+
+// Start runs the appraiser.
+//
+// Example: daemon.Main("appraiser", "placement under a lease", need, appraiser.Start)
+func Start(l *daemon.Life) error {
+	a := &Appraiser{life: l, clk: clock.Boot(), calls: daemon.NewCalls(), be: contract.NewBackends(), duties: map[string]*duty{}}
+	a.holder = fmt.Sprintf("%s/%x", l.Place.Name, a.clk.Now())
+	a.ros = roster.Start(l.Ctx, l.Place, "appraiser", a.clk, l.Log, a.calls.Roster, nil)
+	view := func() roster.View { return a.ros.View() }
+	a.ctl = link.New(l.Place.Core, view, a.calls, l.Place.Bounds)
+	a.fol = feed.Follow(l.Ctx, a.clk, l.Log, a.runner, l.Place.Bounds.Heal(1.0/12), nil, nil)
+	mux := http.NewServeMux()
+	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(a.ros))
+	if err := l.Serve(l.Place.Listen, mux); err != nil {
+		return err
+	}
+	l.Every(l.Place.Bounds.Heal(1.0/24), a.turn)
+	l.Ready.Store(true)
+	return nil
+}
+
+// runner gives any living runner: workers are seen through it.
+func (a *Appraiser) runner() wire.Runner {
+	for _, n := range a.ros.View().Role("runner") {
+		if n.State == roster.Alive {
+			return a.calls.Runner(n.Addr)
+		}
+	}
+	return nil
+}
+
+// turn is one step of every duty.
+func (a *Appraiser) turn() {
+	s := a.fol.Now()
+	if s == nil || s.Setup == nil {
+		return
+	}
+	for name, svc := range s.Setup.Services {
+		d := a.duties[name]
+		if d == nil {
+			ttl := a.life.Place.Bounds.Heal(0.25)
+			d = &duty{lease: link.NewLease(a.ctl, a.clk, "appraise/"+name, link.PartOf(name), a.holder, ttl)}
+			a.duties[name] = d
+		}
+		if err := d.lease.Renew(a.life.Ctx); err != nil {
+			a.life.Log.Debug("no lease", "service", name, "error", err)
+		}
+		fence, ok := d.lease.Held()
+		if !ok {
+			d.doc = nil
+			continue
+		}
+		if fence != d.fence {
+			a.life.Log.Info("duty taken", "service", name, "fence", fence)
+			d.fence, d.doc = fence, nil
+		}
+		var b errs.Batch
+		b.Note("roll out weights", a.rollOut(d, s, name, svc))
+		b.Note("place", a.place(d, s, name, svc))
+		if err := b.Look(); err != nil {
+			a.life.Log.Warn("duty step failed", "service", name, "error", errs.Text(err))
+		}
+	}
+}
+
+func workersOf(s *feed.Snapshot, name string) []*wire.Worker {
+	var l []*wire.Worker
+	for _, w := range s.Workers {
+		if w.Service == name && w.Kind == "lm" && w.State < feed.WorkerDraining {
+			l = append(l, w)
+		}
+	}
+	return l
+}
+
+// rollOut orders few workers at a time to the named weights; the lease is looked at right
+// before each order, and the order carries its fence.
+func (a *Appraiser) rollOut(d *duty, s *feed.Snapshot, name string, svc setup.Service) error {
+	ws := workersOf(s, name)
+	seen := s.WeightsAt[svc.Model]
+	span := time.Duration(float64(a.life.Place.Bounds.WeightsMs) * 0.4 * float64(time.Millisecond))
+	var b errs.Batch
+	for _, w := range RollOut(ws, seen.Weights, a.clk.Now()-seen.First, span) {
+		fence, ok := d.lease.Held()
+		if !ok {
+			break
+		}
+		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/24))
+		b.Note("order "+w.Name, a.be.Order(ctx, w.Addr, contract.Order{Fence: fence, Kind: "weights", Weights: seen.Weights}))
+		end()
+	}
+	return b.Look()
+}
+
+func (a *Appraiser) place(d *duty, s *feed.Snapshot, name string, svc setup.Service) error {
+	now := a.clk.Now()
+	b := a.life.Place.Bounds
+	if d.doc == nil { // new to the duty: go on from what is in force
+		t, err := a.ctl.Read(a.life.Ctx, &wire.ReadAsk{Part: link.PartOf(name), Key: "placement/" + name})
+		if err != nil {
+			return errs.Wrap(err, "read placement")
+		}
+		d.doc, d.last, d.full = &wire.Doc{}, nil, 0
+		if len(t.Docs) > 0 {
+			d.doc = t.Docs[0]
+			if d.last, err = placement.Read(d.doc.Body, d.doc.Epoch); err != nil {
+				return errs.Wrap(err, "placement in force")
+			}
+		}
+	}
+	ws := workersOf(s, name)
+	if len(ws) == 0 {
+		return nil
+	}
+	hot := a.hot(name)
+	var p *placement.Placement
+	changed := true
+	if names := namesOf(ws); d.last == nil || now-d.full > b.Heal(0.5) || !reflect.DeepEqual(names, d.last.Workers) || d.last.Mode != mode(svc) {
+		f := Facts{Service: name, Mode: mode(svc), Alpha: svc.Alpha, Workers: names, Hot: hot, Curve: placement.Default(), Links: a.links()}
+		if f.Alpha == 0 {
+			f.Alpha = 1
+		}
+		for _, w := range ws {
+			if f.Room == 0 || int(w.KvRoom) < f.Room {
+				f.Room = int(w.KvRoom)
+			}
+		}
+		p = Choose(f, d.last)
+		d.full = now
+		changed = d.last == nil || !reflect.DeepEqual(p.Replicated, d.last.Replicated) || !reflect.DeepEqual(p.Workers, d.last.Workers) || p.Mode != d.last.Mode
+	} else {
+		p, changed = Swap(d.last, hot)
+	}
+	if !changed {
+		return nil
+	}
+	return a.publish(d, name, p)
+}
+
+func (a *Appraiser) publish(d *duty, name string, p *placement.Placement) error {
+	fence, ok := d.lease.Held()
+	if !ok {
+		return nil // the lease ran out while this was thought over
+	}
+	p.Fence = fence
+	body, err := json.Marshal(p)
+	if err != nil {
+		return errs.Wrap(err, "write placement")
+	}
+	put := &wire.Put{Key: "placement/" + name, Body: body, IfEpoch: d.doc.Epoch, Duty: d.lease.Duty, Fence: fence, Holder: a.holder}
+	t, err := a.ctl.Change(a.life.Ctx, &wire.ChangeAsk{Part: link.PartOf(name), Command: &wire.Command{Kind: &wire.Command_Put{Put: put}}})
+	if err != nil {
+		d.doc = nil // read it again before the next try
+		return errs.Wrap(err, "publish placement")
+	}
+	p.Epoch = t.Epoch
+	d.doc, d.last = &wire.Doc{Body: body, Epoch: t.Epoch}, p
+	a.life.Log.Info("placement", "service", name, "epoch", t.Epoch, "fence", fence, "replicated", len(p.Replicated),
+		"entries", p.Entries, "r_max", p.RMax, "b", p.B, "why", p.Why)
+	return nil
+}
+
+func mode(s setup.Service) string {
+	if s.Placement == "" {
+		return "hrcs"
+	}
+	return s.Placement
+}
+
+func namesOf(ws []*wire.Worker) []string {
+	l := make([]string, 0, len(ws))
+	for _, w := range ws {
+		l = append(l, w.Name)
+	}
+	return l
+}
+
+// hot gathers the hottest entries of all index nodes; two hold each, the higher count is used.
+func (a *Appraiser) hot(service string) []*wire.Hot {
+	all := map[string]*wire.Hot{}
+	for _, n := range a.ros.View().Role("catalogue") {
+		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
+		t, err := a.calls.Catalogue(n.Addr).Hottest(ctx, &wire.HotAsk{Service: service, Limit: 1000})
+		end()
+		if err != nil {
+			continue // the other holder has it
+		}
+		for _, h := range t.Hot {
+			if o := all[string(h.Key)]; o == nil || o.Hotness < h.Hotness {
+				all[string(h.Key)] = h
+			}
+		}
+	}
+	l := make([]*wire.Hot, 0, len(all))
+	for _, h := range all {
+		l = append(l, h)
+	}
+	return l
+}
+
+// links adds up what all dispatchers have seen of fetches.
+func (a *Appraiser) links() []*wire.LinkSeen {
+	sum := map[string]*wire.LinkSeen{}
+	for _, n := range a.ros.View().Role("runner") {
+		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
+		t, err := a.calls.Runner(n.Addr).Feed(ctx, &wire.FeedAsk{})
+		end()
+		if err != nil {
+			continue
+		}
+		for _, l := range t.Links {
+			s := sum[l.Class]
+			if s == nil {
+				s = &wire.LinkSeen{Class: l.Class}
+				sum[l.Class] = s
+			}
+			s.Tokens, s.Ns = s.Tokens+l.Tokens, s.Ns+l.Ns
+		}
+	}
+	l := make([]*wire.LinkSeen, 0, len(sum))
+	for _, s := range sum {
+		l = append(l, s)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/appservice/appservice.go
@@ -0,0 +1,61 @@
+// Package appservice is the stand-in for a site's small application service: it answers
+// like a worker without a cache, in few pieces.
+package appservice
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+)
+
+// Start runs the application service.
+//
+// Example: daemon.Main("appservice", "stand-in for the application service", need, appservice.Start)
+func Start(l *daemon.Life) error {
+	slots := make(chan struct{}, 8)
+	inc := fmt.Sprintf("%s/%x", l.Place.Name, time.Now().UnixNano())
+	tell := func(w http.ResponseWriter, code int, v any) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(code)
+		_ = json.NewEncoder(w).Encode(v) // a caller that hung up can't be told
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, _ *http.Request) {
+		tell(w, 200, contract.State{Name: l.Place.Name, Incarnation: inc, Service: l.Place.Word("service", ""), Model: l.Place.Word("model", ""),
+			District: l.Place.District, Weights: 1, Slots: cap(slots), Busy: len(slots)})
+	})
+	mux.HandleFunc("POST /v1/start", func(w http.ResponseWriter, r *http.Request) {
+		var s contract.Start
+		if err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&s); err != nil || s.RequestID == "" {
+			tell(w, 400, contract.Refusal{NotRun: true, Reason: "bad"})
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		default:
+			tell(w, 409, contract.Refusal{NotRun: true, Reason: "full"})
+			return
+		}
+		w.Header().Set("Content-Type", "application/x-ndjson")
+		enc, seal := json.NewEncoder(w), contract.NewSeal(s.RequestID, l.Place.Name)
+		for n := range s.Pieces {
+			t := contract.Text(s.RequestID, s.Weights, n)
+			seal.Add(n, t)
+			if enc.Encode(contract.Piece{R: s.RequestID, N: n, T: t}) != nil {
+				return
+			}
+		}
+		_ = enc.Encode(contract.Piece{R: s.RequestID, N: s.Pieces, Seal: seal.Close(), Worker: l.Place.Name, Weights: s.Weights})
+	})
+	if err := l.Serve(l.Place.Public, mux); err != nil {
+		return err
+	}
+	l.Ready.Store(true)
+	return nil
+}
--- /dev/null
+++ b/internal/archive/node.go
@@ -0,0 +1,188 @@
+package archive
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/frontdesk"
+	"pebbleloom/internal/ledger"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/queue"
+	"pebbleloom/internal/roster"
+	"pebbleloom/internal/shelf"
+	"pebbleloom/internal/wire"
+)
+
+// Node is a control node: its parts, and the letters between it and its colleagues.
+type Node struct {
+	life  *daemon.Life
+	parts map[uint32]*part
+	out   map[string]*queue.Ring[*wire.Letter]
+	ros   *roster.Member
+	calls *daemon.Calls
+}
+
+// Start runs a control node.
+//
+// Example: daemon.Main("archive", "control node", need, archive.Start)
+func Start(l *daemon.Life) error {
+	n := &Node{life: l, parts: map[uint32]*part{}, out: map[string]*queue.Ring[*wire.Letter]{}, calls: daemon.NewCalls()}
+	clk := clock.Boot()
+	core := append([]string(nil), l.Place.Core...)
+	sort.Strings(core)
+	inc, err := incarnation(l.Place.Data, l.Place.Name)
+	if err != nil {
+		return err
+	}
+	n.ros = roster.Start(l.Ctx, l.Place, "archive", clk, l.Log, n.calls.Roster, nil)
+	for _, m := range core {
+		if m != l.Place.Name {
+			r := queue.NewRing[*wire.Letter](1024)
+			n.out[m] = r
+			l.Go(func() { n.carry(m, r) })
+		}
+	}
+	tick := l.Place.Bounds.Heal(1.0 / 240)
+	for i := range uint32(link.Parts) {
+		ms := link.Members(i, core)
+		cfg := ledger.Config{Part: i, Self: l.Place.Name, Members: ms, BeatTicks: 2, ElectTicks: 12, MaxBytes: 256 << 10,
+			Rand: rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(i)+queue.Hash(l.Place.Name)))}
+		if !contains(ms, l.Place.Name) {
+			continue
+		}
+		p, err := openPart(l.Ctx, cfg, shelf.Folder(filepath.Join(l.Place.Data, fmt.Sprintf("part-%d", i))), inc, clk, l.Log, n.post)
+		if err != nil {
+			// One part's bad disk doesn't take the others out.
+			l.Log.Error("part stays closed", "part", i, "error", errs.Text(err))
+			continue
+		}
+		n.parts[i] = p
+		l.Go(func() { p.run(tick) })
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wire.ArchivePathPrefix, wire.NewArchiveServer(n))
+	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(n.ros))
+	if err := l.Serve(l.Place.Listen, mux); err != nil {
+		return err
+	}
+	ctl := link.New(core, func() roster.View { return n.ros.View() }, n.calls, l.Place.Bounds)
+	if err := frontdesk.Serve(l, ctl, func() roster.View { return n.ros.View() }, n.calls); err != nil {
+		return err
+	}
+	l.Ready.Store(true)
+	l.Log.Info("serving", "parts", len(n.parts), "incarnation", inc)
+	return nil
+}
+
+func contains(l []string, s string) bool {
+	for _, x := range l {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// incarnation names this life of the data folder: a lost disk gets a new one.
+func incarnation(dir, name string) (string, error) {
+	d := shelf.Folder(dir)
+	b, there, err := d.Read("incarnation")
+	if err != nil {
+		return "", errs.As(err, errs.DiskBad, "read incarnation")
+	}
+	if there && len(b) > 0 {
+		return string(b), nil
+	}
+	inc := fmt.Sprintf("%s/%016x", name, rand.Uint64())
+	return inc, errs.As(d.Write("incarnation", []byte(inc)), errs.DiskBad, "write incarnation")
+}
+
+// post hands a letter to the thread that carries letters to its colleague. A full ring
+// drops it: letters may be lost.
+func (n *Node) post(l *wire.Letter) {
+	if r := n.out[l.To]; r != nil {
+		r.Offer(l)
+	}
+}
+
+func (n *Node) carry(to string, r *queue.Ring[*wire.Letter]) {
+	for {
+		select {
+		case <-n.life.Ctx.Done():
+			return
+		case l := <-r.Out():
+			ls := append([]*wire.Letter{l}, r.Drain(127)...)
+			addr, ok := n.ros.View().Addr("archive/" + to)
+			if !ok {
+				continue
+			}
+			ctx, end := context.WithTimeout(n.life.Ctx, n.life.Place.Bounds.Heal(1.0/24))
+			_, err := n.calls.Archive(addr).Post(ctx, &wire.Parcel{Epoch: 1, Letters: ls})
+			end()
+			if err != nil {
+				n.life.Log.Debug("letters lost", "to", to, "letters", len(ls), "error", err)
+			}
+		}
+	}
+}
+
+// Post takes letters from a colleague.
+//
+// Example: wire.NewArchiveProtobufClient(url, h).Post(ctx, parcel)
+func (n *Node) Post(_ context.Context, p *wire.Parcel) (*wire.Receipt, error) {
+	if p.Epoch != 1 {
+		return nil, twirp.InvalidArgumentError("epoch", "this node reads epoch 1: bring both programs to one release")
+	}
+	for _, l := range p.Letters {
+		if pt := n.parts[l.Part]; pt != nil {
+			pt.in.Offer(func() {
+				if pt.bad == nil {
+					pt.core.Take(l)
+				}
+			})
+		}
+	}
+	return &wire.Receipt{Epoch: 1}, nil
+}
+
+// Change carries out a change where this node owns the part; elsewhere it names the owner.
+//
+// Example: t, err := a.Change(ctx, &wire.ChangeAsk{Part: 0, Command: cmd})
+func (n *Node) Change(ctx context.Context, a *wire.ChangeAsk) (*wire.ChangeTell, error) {
+	if p := n.parts[a.Part]; p != nil {
+		return p.change(ctx, a), nil
+	}
+	return &wire.ChangeTell{Outcome: "not-owner"}, nil
+}
+
+// Read reads what was acknowledged, where this node owns the part.
+//
+// Example: t, err := a.Read(ctx, &wire.ReadAsk{Part: 0, Key: "setup"})
+func (n *Node) Read(ctx context.Context, a *wire.ReadAsk) (*wire.ReadTell, error) {
+	if p := n.parts[a.Part]; p != nil {
+		return p.read(ctx, a), nil
+	}
+	return &wire.ReadTell{Outcome: "not-owner"}, nil
+}
+
+// News answers a long poll: news, or the vouch that there was none.
+//
+// Example: t, err := a.News(ctx, &wire.NewsAsk{Key: "setup", Have: 7, HoldNs: 3e8})
+func (n *Node) News(ctx context.Context, a *wire.NewsAsk) (*wire.NewsTell, error) {
+	if p := n.parts[a.Part]; p != nil {
+		a.HoldNs = min(a.HoldNs, uint64(time.Minute))
+		return p.tellNews(ctx, a, n.life.Place.Name), nil
+	}
+	return &wire.NewsTell{Outcome: "cant-say", Member: n.life.Place.Name}, nil
+}
--- /dev/null
+++ b/internal/archive/part.go
@@ -0,0 +1,387 @@
+package archive
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/ledger"
+	"pebbleloom/internal/queue"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/shelf"
+	"pebbleloom/internal/wire"
+)
+
+// SetupKey is the document that holds the site's setup, in part 0.
+const SetupKey = "setup"
+
+type pend struct {
+	term uint64
+	tell chan *wire.ChangeTell
+}
+
+// part runs one member of one part: one thread owns core, state and shelf.
+type part struct {
+	n       uint32
+	core    *ledger.Core
+	st      *state
+	sh      *shelf.Shelf
+	clk     clock.Clock
+	log     hclog.Logger
+	post    func(*wire.Letter)
+	in      *queue.Ring[func()]
+	pending map[uint64]pend
+	reads   map[uint64]chan bool
+	news    map[chan struct{}]bool
+	turnAt  int // the log is turned into a slot when it is longer than this
+	bad     error
+	ctx     context.Context
+}
+
+// openPart reads the shelf and makes the member; an empty disk begins blank under a new
+// incarnation.
+func openPart(ctx context.Context, cfg ledger.Config, d shelf.Disk, inc string, clk clock.Clock, log hclog.Logger, post func(*wire.Letter)) (*part, error) {
+	sh, l, err := shelf.Open(d)
+	if err != nil {
+		return nil, errs.Wrap(err, "open part")
+	}
+	p := &part{n: cfg.Part, st: newState(), sh: sh, clk: clk, log: log.With("part", cfg.Part), post: post, ctx: ctx,
+		in: queue.NewRing[func()](512), pending: map[uint64]pend{}, reads: map[uint64]chan bool{},
+		news: map[chan struct{}]bool{}, turnAt: 1 << 20}
+	if l.Slot == nil {
+		l.Slot = ledger.First(inc)
+		if err := sh.Turn(l.Slot, nil); err != nil {
+			return nil, errs.Wrap(err, "first slot")
+		}
+		p.log.Info("empty disk: blank until caught up from both others", "incarnation", inc)
+	}
+	if l.Torn > 0 {
+		p.log.Warn("torn tail cut off", "bytes", l.Torn)
+	}
+	if l.Slot.Epoch != 1 {
+		return nil, errs.New(errs.DiskBad, "slot of epoch %d: this program reads epoch 1: start the newer program", l.Slot.Epoch)
+	}
+	if err := p.st.load(l.Slot.State, clk.Now()); err != nil {
+		return nil, errs.As(err, errs.DiskBad, "read slot state")
+	}
+	p.core = ledger.New(cfg, l.Slot, l.Records)
+	return p, nil
+}
+
+func (p *part) run(tick time.Duration) {
+	t := clock.Every(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-t.C:
+			if p.bad == nil {
+				p.core.Tick()
+			}
+		case f := <-p.in.Out():
+			f()
+			for _, g := range p.in.Drain(63) {
+				g()
+			}
+		}
+		p.step()
+	}
+}
+
+// step persists, then sends, then applies what the core asks for. A failed sync takes the
+// member out: it acknowledges and sends nothing more.
+func (p *part) step() {
+	if p.bad != nil {
+		return
+	}
+	o := p.core.Flush()
+	var b errs.Batch
+	if o.Install != nil {
+		b.Note("install", p.sh.Turn(o.Install, o.Records))
+		if b.Look() == nil {
+			b.Note("load", p.st.load(o.Install.State, p.clk.Now()))
+			p.wake()
+		}
+	} else {
+		b.Note("persist", p.sh.Append(o.Records))
+	}
+	if err := b.Look(); err != nil {
+		p.fail(err)
+		return
+	}
+	for _, l := range o.Letters {
+		p.post(l)
+	}
+	for _, e := range o.Commits {
+		p.commit(e)
+	}
+	for _, id := range o.Reads {
+		p.answer(id, true)
+	}
+	for _, id := range o.Lost {
+		p.answer(id, false)
+	}
+	if p.sh.Size() > p.turnAt && len(o.Commits) > 0 {
+		body, err := p.st.save()
+		if err == nil {
+			err = p.sh.Turn(p.core.Compact(body))
+		}
+		if err != nil {
+			p.fail(err)
+		}
+	}
+}
+
+func (p *part) answer(id uint64, ok bool) {
+	if c := p.reads[id]; c != nil {
+		c <- ok
+		delete(p.reads, id)
+	}
+}
+
+func (p *part) fail(err error) {
+	p.bad = err
+	p.log.Error("member is out", "error", errs.Text(err))
+	for id := range p.reads {
+		p.answer(id, false)
+	}
+	p.wake()
+}
+
+func (p *part) wake() {
+	for c := range p.news {
+		close(c)
+	}
+	clear(p.news)
+}
+
+func (p *part) commit(e *wire.Entry) {
+	tell := &wire.ChangeTell{Outcome: "done"}
+	if len(e.Body) > 0 {
+		c := &wire.Command{}
+		if err := proto.Unmarshal(e.Body, c); err != nil {
+			p.fail(errs.As(err, errs.DiskBad, "read committed entry"))
+			return
+		}
+		tell = p.st.apply(c, p.clk.Now())
+	}
+	p.wake()
+	if w, ok := p.pending[e.Index]; ok {
+		delete(p.pending, e.Index)
+		if w.term != e.Term {
+			tell = &wire.ChangeTell{Outcome: "not-owner"} // another entry took its place: it never ran
+		}
+		w.tell <- tell
+	}
+}
+
+// ask runs f on the part's thread; false when the part is too busy or ending.
+func (p *part) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	if !p.in.Offer(func() { f(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-p.ctx.Done():
+		return false
+	}
+}
+
+// change proposes a command where this member owns the part, and waits for its outcome.
+func (p *part) change(ctx context.Context, a *wire.ChangeAsk) *wire.ChangeTell {
+	var tell *wire.ChangeTell
+	w := pend{tell: make(chan *wire.ChangeTell, 1)}
+	ok := p.ask(ctx, func() {
+		s := p.core.Stands()
+		if p.bad != nil || !s.Owns {
+			tell = &wire.ChangeTell{Outcome: "not-owner", Owner: s.Owner}
+			return
+		}
+		cmd := proto.Clone(a.Command).(*wire.Command)
+		if tell = p.prepare(cmd, a); tell != nil {
+			return
+		}
+		body, err := proto.Marshal(cmd)
+		if err != nil || len(body) > setup.MaxBytes*2 {
+			tell = &wire.ChangeTell{Outcome: "too-big", Faults: []string{"command can't be written"}}
+			return
+		}
+		if len(p.pending) >= 256 {
+			tell = &wire.ChangeTell{Outcome: "overloaded"}
+			return
+		}
+		i, term, _ := p.core.Propose(body) // it owns the part, so it takes it
+		w.term = term
+		p.pending[i] = w
+	})
+	if !ok {
+		return &wire.ChangeTell{Outcome: "cant-say"}
+	}
+	if tell != nil {
+		return tell
+	}
+	select {
+	case tell = <-w.tell:
+		return tell
+	case <-ctx.Done():
+		return &wire.ChangeTell{Outcome: "cant-say"}
+	case <-p.ctx.Done():
+		return &wire.ChangeTell{Outcome: "cant-say"}
+	}
+}
+
+// prepare checks a command against the applied state, and merges and validates setups.
+// Nil means: propose it.
+func (p *part) prepare(cmd *wire.Command, a *wire.ChangeAsk) *wire.ChangeTell {
+	if g := cmd.GetGrant(); g != nil {
+		// While a grant may be under way nobody else gets the duty.
+		if h := p.st.leases[g.Duty]; h != nil && h.Holder != g.Holder && len(p.core.Unsettled()) > 0 {
+			return &wire.ChangeTell{Outcome: "overloaded"}
+		}
+		if !p.st.free(g, p.clk.Now()) {
+			l := p.st.leases[g.Duty]
+			return &wire.ChangeTell{Outcome: "epoch-conflict", Fence: l.GetFence(), Owner: l.GetHolder()}
+		}
+		return nil
+	}
+	u := cmd.GetPut()
+	if u == nil || u.Key == "" || len(u.Key) > 256 {
+		return &wire.ChangeTell{Outcome: "bad-input", Faults: []string{"no command: give a put or a grant"}}
+	}
+	u.Sum = sumOf(u, a.Patch)
+	if t := p.st.again(u); t != nil {
+		return t
+	}
+	old := p.st.docs[u.Key]
+	if u.Key == SetupKey {
+		var err error
+		if a.Patch {
+			u.Body, err = setup.Merge(old.GetBody(), u.Body)
+			if u.AnyEpoch { // it was merged onto this epoch, so it holds for this epoch alone
+				u.AnyEpoch, u.IfEpoch = false, old.GetEpoch()
+			}
+		} else {
+			u.Body, err = setup.Merge(nil, u.Body)
+		}
+		if err != nil {
+			return &wire.ChangeTell{Outcome: errs.KindOf(err).Name, Epoch: old.GetEpoch(), Faults: []string{err.Error()}}
+		}
+	}
+	if !u.AnyEpoch && u.IfEpoch != old.GetEpoch() {
+		return &wire.ChangeTell{Outcome: "epoch-conflict", Epoch: old.GetEpoch()}
+	}
+	if a.Dry {
+		return &wire.ChangeTell{Outcome: "valid", Epoch: old.GetEpoch()}
+	}
+	return nil
+}
+
+// read answers from the applied state, once a majority confirms that this member owns the part.
+func (p *part) read(ctx context.Context, a *wire.ReadAsk) *wire.ReadTell {
+	w := make(chan bool, 1)
+	t := &wire.ReadTell{Outcome: "not-owner"}
+	var id uint64
+	ok := p.ask(ctx, func() {
+		s := p.core.Stands()
+		if t.Owner = s.Owner; p.bad != nil || !s.Owns {
+			w <- false
+		} else if i, ok := p.core.Read(); ok {
+			id = i
+			p.reads[i] = w
+		} else {
+			w <- false
+		}
+	})
+	if !ok {
+		return &wire.ReadTell{Outcome: "cant-say"}
+	}
+	select {
+	case ok = <-w:
+	case <-ctx.Done():
+		p.in.Offer(func() { delete(p.reads, id) })
+		return &wire.ReadTell{Outcome: "cant-say"}
+	}
+	if !ok {
+		return t
+	}
+	if !p.ask(ctx, func() { t.Outcome = "done"; t.Docs, t.Leases = p.pick(a) }) {
+		return &wire.ReadTell{Outcome: "cant-say"}
+	}
+	return t
+}
+
+func (p *part) pick(a *wire.ReadAsk) ([]*wire.Doc, []*wire.Lease) {
+	var ds []*wire.Doc
+	var ls []*wire.Lease
+	for _, k := range order(p.st.docs) {
+		if k == a.Key || a.Prefix && len(k) >= len(a.Key) && k[:len(a.Key)] == a.Key {
+			ds = append(ds, p.st.docs[k])
+		}
+	}
+	for _, k := range order(p.st.leases) {
+		ls = append(ls, p.st.leases[k])
+	}
+	return ds, ls
+}
+
+// settled tells whether this member can vouch that nothing newer of a key than what it
+// has applied was ever acknowledged with its help.
+func (p *part) settled(key string) bool {
+	s := p.core.Stands()
+	if p.bad != nil || s.Blank {
+		return false
+	}
+	for _, e := range p.core.Unsettled() {
+		c := &wire.Command{}
+		if len(e.Body) > 0 && (proto.Unmarshal(e.Body, c) != nil || c.GetPut().GetKey() == key) {
+			return false
+		}
+	}
+	return true
+}
+
+// tellNews holds the question until there is news or its time is over. "same" is a vouch:
+// this member's disk has nothing newer.
+func (p *part) tellNews(ctx context.Context, a *wire.NewsAsk, member string) *wire.NewsTell {
+	t := &wire.NewsTell{Outcome: "cant-say", Member: member}
+	end := time.NewTimer(time.Duration(a.HoldNs))
+	defer end.Stop()
+	for over := false; ; {
+		var c chan struct{}
+		ok := p.ask(ctx, func() {
+			d := p.st.docs[a.Key]
+			switch {
+			case p.bad == nil && d.GetEpoch() > a.Have:
+				t.Outcome, t.Doc = "news", d
+			case over && p.settled(a.Key) && d.GetEpoch() == a.Have:
+				t.Outcome = "same"
+			case over || p.bad != nil || len(p.news) >= 1024:
+			default:
+				c = make(chan struct{})
+				p.news[c] = true
+			}
+		})
+		if !ok || c == nil {
+			return t
+		}
+		select {
+		case <-c:
+		case <-end.C:
+			over = true
+		case <-ctx.Done():
+			over = true
+		case <-p.ctx.Done():
+			return t
+		}
+		p.in.Offer(func() { delete(p.news, c) })
+	}
+}
--- /dev/null
+++ b/internal/cab/cab.go
@@ -0,0 +1,271 @@
+package cab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+)
+
+// Speed is how fast a stand-in works.
+type Speed struct {
+	FixedUs float64 // a prefill's fixed cost
+	TokenUs float64 // a token
+	SquarUs float64 // a token squared
+	PieceUs float64 // a decoded piece
+	LinkTok float64 // tokens a second from another worker or the store
+	FarTok  float64 // the same from another district
+}
+
+// Prefill is how long so many tokens take.
+//
+// Example: sp.Prefill(4000)
+func (s Speed) Prefill(tokens int) time.Duration {
+	n := float64(tokens)
+	return time.Duration((s.FixedUs + s.TokenUs*n + s.SquarUs*n*n) * 1000)
+}
+
+// Run is one line of a worker's journal of what it ran.
+type Run struct {
+	RequestID string `json:"request_id"`
+	Once      bool   `json:"once"`
+	Weights   uint64 `json:"weights"`
+	AtMs      int64  `json:"at_ms"`
+	Ended     string `json:"ended"` // "", sealed, broken
+	Hit       int    `json:"hit"`
+	Fetched   int    `json:"fetched"`
+	Prefilled int    `json:"prefilled"`
+}
+
+const (
+	maxRuns = 100000
+	maxBody = 4 << 20
+)
+
+// Cab is one worker.
+type Cab struct {
+	life    *daemon.Life
+	inc     string
+	kv      *KV
+	sp      Speed
+	slots   chan struct{}
+	prefill chan struct{}
+	waiting int
+	room    int
+	mu      sync.Mutex
+	weights uint64
+	fence   uint64
+	drain   bool
+	runs    []*Run
+	rnd     *rand.Rand
+	drop    float64
+	mute    bool
+	h       *http.Client
+}
+
+func num(l *daemon.Life, key string, or float64) float64 {
+	v, err := strconv.ParseFloat(l.Place.Word(key, ""), 64)
+	if err != nil {
+		return or
+	}
+	return v
+}
+
+// Start runs a worker.
+//
+// Example: daemon.Main("cab", "stand-in for a language-model worker", need, cab.Start)
+func Start(l *daemon.Life) error {
+	seed := queue64(l.Place.Name)
+	c := &Cab{life: l, inc: fmt.Sprintf("%s/%x", l.Place.Name, time.Now().UnixNano()), kv: NewKV(int(num(l, "kv", 40000))),
+		sp: Speed{num(l, "fixed_us", 2000), num(l, "token_us", 40), num(l, "square_us", 0.004), num(l, "piece_us", 3000),
+			num(l, "link", 100000), num(l, "far", 60000)},
+		slots: make(chan struct{}, int(num(l, "slots", 4))), prefill: make(chan struct{}, 1), room: int(num(l, "room", 12)),
+		weights: uint64(num(l, "weights", 1)), drop: num(l, "drop", 0), mute: l.Place.Word("mute", "") == "yes",
+		rnd: rand.New(rand.NewPCG(seed, 7)), h: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4,
+			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/state", c.state)
+	mux.HandleFunc("POST /v1/start", c.start)
+	mux.HandleFunc("GET /v1/kept", c.kept)
+	mux.HandleFunc("POST /v1/order", c.order)
+	mux.HandleFunc("GET /v1/runs", c.journal)
+	mux.HandleFunc("GET /kv/{key}", c.give)
+	mux.HandleFunc("PUT /kv/{key}", c.take)
+	l.Every(time.Duration(num(l, "report_ms", 500))*time.Millisecond, func() {
+		c.mu.Lock()
+		drop := c.rnd.Float64() < c.drop
+		c.mu.Unlock()
+		c.kv.Turn(drop)
+	})
+	l.Go(func() { <-l.Draining; c.mu.Lock(); c.drain = true; c.mu.Unlock() })
+	if err := l.Serve(l.Place.Public, mux); err != nil {
+		return err
+	}
+	l.Ready.Store(true)
+	return nil
+}
+
+func queue64(s string) uint64 {
+	var x uint64 = 1469598103934665603
+	for _, b := range []byte(s) {
+		x = (x ^ uint64(b)) * 1099511628211
+	}
+	return x
+}
+
+func tell(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	// A caller that hung up can't be told anything.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (c *Cab) now() contract.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	used, room := c.kv.Used()
+	return contract.State{Name: c.life.Place.Name, Incarnation: c.inc, Service: c.life.Place.Word("service", ""),
+		Model: c.life.Place.Word("model", ""), District: c.life.Place.District, Weights: c.weights, Slots: cap(c.slots),
+		Busy: len(c.slots), Queued: c.waiting, Draining: c.drain, Fence: c.fence, KvTokens: used, KvRoom: room}
+}
+
+func (c *Cab) state(w http.ResponseWriter, _ *http.Request) { tell(w, 200, c.now()) }
+
+func (c *Cab) kept(w http.ResponseWriter, r *http.Request) {
+	if c.mute {
+		tell(w, 503, map[string]string{"error": "no reports today"})
+		return
+	}
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	rep := c.kv.Reports(after, r.URL.Query().Get("whole") == "true")
+	rep.Incarnation = c.inc
+	tell(w, 200, rep)
+}
+
+func (c *Cab) journal(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	l := make([]Run, 0, len(c.runs))
+	for _, r := range c.runs {
+		l = append(l, *r)
+	}
+	c.mu.Unlock()
+	tell(w, 200, l)
+}
+
+// order obeys the latest fence alone.
+func (c *Cab) order(w http.ResponseWriter, r *http.Request) {
+	var o contract.Order
+	if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&o); err != nil {
+		tell(w, 400, contract.Refusal{NotRun: true, Reason: "bad"})
+		return
+	}
+	c.mu.Lock()
+	if o.Fence < c.fence {
+		f := c.fence
+		c.mu.Unlock()
+		tell(w, 409, contract.Refusal{NotRun: true, Reason: "fence", Fence: f})
+		return
+	}
+	c.fence = o.Fence
+	if o.Kind == "weights" && o.Weights > c.weights {
+		c.weights = o.Weights
+		c.kv.Clear()
+		c.life.Log.Info("weights loaded", "weights", o.Weights)
+	}
+	c.mu.Unlock()
+	tell(w, 200, c.now())
+}
+
+func (c *Cab) give(w http.ResponseWriter, r *http.Request) {
+	n, ok := c.kv.Has(r.PathValue("key"))
+	if !ok {
+		tell(w, 404, map[string]string{"error": "not held"})
+		return
+	}
+	tell(w, 200, contract.Kept{Key: r.PathValue("key"), Tokens: n})
+}
+
+func (c *Cab) take(w http.ResponseWriter, r *http.Request) {
+	var k contract.Kept
+	if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&k); err != nil || k.Key != r.PathValue("key") || k.Tokens <= 0 {
+		tell(w, 400, map[string]string{"error": "give k and n"})
+		return
+	}
+	c.kv.Keep(k.Key, k.Tokens)
+	tell(w, 200, k)
+}
+
+// start is one go, from refusal to seal.
+func (c *Cab) start(w http.ResponseWriter, r *http.Request) {
+	var s contract.Start
+	refuse := func(code int, why string) { tell(w, code, contract.Refusal{NotRun: true, Reason: why}) }
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&s); err != nil || len(s.Parts) == 0 || s.RequestID == "" {
+		refuse(400, "bad")
+		return
+	}
+	c.mu.Lock()
+	switch {
+	case c.drain:
+		c.mu.Unlock()
+		refuse(409, "draining")
+		return
+	case s.Model != c.life.Place.Word("model", ""):
+		c.mu.Unlock()
+		refuse(409, "model")
+		return
+	case s.Weights != c.weights:
+		c.mu.Unlock()
+		refuse(409, "weights")
+		return
+	case c.waiting >= c.room:
+		c.mu.Unlock()
+		refuse(409, "full")
+		return
+	}
+	c.waiting++
+	c.mu.Unlock()
+	end := time.NewTimer(time.Duration(s.WaitMs) * time.Millisecond)
+	defer end.Stop()
+	got := false
+	select {
+	case c.slots <- struct{}{}:
+		got = true
+	case <-r.Context().Done():
+	case <-end.C:
+	}
+	c.mu.Lock()
+	c.waiting--
+	stale := s.Weights != c.weights
+	var run *Run
+	if got && !stale && r.Context().Err() == nil {
+		run = &Run{RequestID: s.RequestID, Once: s.Once, Weights: s.Weights, AtMs: time.Now().UnixMilli()}
+		if c.runs = append(c.runs, run); len(c.runs) > maxRuns {
+			c.runs = c.runs[1:]
+		}
+	}
+	c.mu.Unlock()
+	if got {
+		defer func() { <-c.slots }()
+	}
+	if run == nil {
+		if stale {
+			refuse(409, "weights")
+		} else {
+			refuse(409, "full")
+		}
+		return
+	}
+	c.run(w, r, s, run)
+}
+
--- /dev/null
+++ b/internal/cab/run.go
@@ -0,0 +1,145 @@
+package cab
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/prefix"
+)
+
+// run is a go that has started: what is missing is fetched or prefilled, the pieces are
+// streamed, the seal closes them.
+func (c *Cab) run(w http.ResponseWriter, r *http.Request, s contract.Start, run *Run) {
+	es := prefix.Chain(s.Domain, s.Model, s.Weights, s.Parts)
+	last := contract.Piece{R: s.RequestID, Worker: c.life.Place.Name, Weights: s.Weights}
+	hints := contract.Hints(r.Header.Get(contract.FetchFrom))
+	i, t0 := 0, time.Now()
+	for ; i < len(es); i++ {
+		if n, ok := c.kv.Has(es[i].Key.String()); ok {
+			last.Hit += n
+		} else if a := hints[i]; a != "" && c.fetch(r, a, es[i].Key.String()) {
+			last.Fetched += es[i].Tokens
+			last.FetchAddr = a
+			last.FetchUs += time.Since(t0).Microseconds()
+		} else {
+			break
+		}
+		t0 = time.Now()
+	}
+	for _, e := range es[i:] {
+		last.Prefilled += e.Tokens
+	}
+	if last.Prefilled > 0 && c.hold(r, c.prefill) {
+		c.sleep(r, c.sp.Prefill(last.Prefilled))
+		<-c.prefill
+	}
+	c.mu.Lock()
+	same := c.weights == s.Weights // KV made under other weights than the cache's isn't kept
+	run.Hit, run.Fetched, run.Prefilled = last.Hit, last.Fetched, last.Prefilled
+	if same {
+		for _, e := range es {
+			c.kv.Keep(e.Key.String(), e.Tokens)
+		}
+	}
+	c.mu.Unlock()
+	ended := "broken"
+	defer func() { c.mu.Lock(); run.Ended = ended; c.mu.Unlock() }()
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(200)
+	seal, key := contract.NewSeal(s.RequestID, c.life.Place.Name), es[len(es)-1].Key.String()
+	enc := json.NewEncoder(w)
+	for n := range s.Pieces {
+		c.sleep(r, time.Duration(c.sp.PieceUs)*time.Microsecond)
+		text := contract.Text(key, s.Weights, n)
+		seal.Add(n, text)
+		if r.Context().Err() != nil || enc.Encode(contract.Piece{R: s.RequestID, N: n, T: text}) != nil {
+			return
+		}
+		http.NewResponseController(w).Flush()
+	}
+	last.N, last.Seal = s.Pieces, seal.Close()
+	if enc.Encode(last) == nil {
+		ended = "sealed"
+	}
+	if same {
+		c.save(r.Header.Get(contract.SaveTo), r.Header.Get(contract.SaveUpto), es)
+	}
+}
+
+func (c *Cab) hold(r *http.Request, ch chan struct{}) bool {
+	select {
+	case ch <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (c *Cab) sleep(r *http.Request, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
+// fetch reads a prefix from a colleague or the store at the link's speed.
+func (c *Cab) fetch(r *http.Request, addr, key string) bool {
+	q, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+addr+"/kv/"+key, nil)
+	if err != nil {
+		return false
+	}
+	a, err := c.h.Do(q)
+	if err != nil {
+		return false
+	}
+	defer a.Body.Close()
+	var k contract.Kept
+	if a.StatusCode != 200 || json.NewDecoder(io.LimitReader(a.Body, 4096)).Decode(&k) != nil {
+		return false
+	}
+	rate := c.sp.LinkTok
+	if far(addr, c.life.Place.Public) {
+		rate = c.sp.FarTok
+	}
+	c.sleep(r, time.Duration(float64(k.Tokens)/rate*float64(time.Second)))
+	return true
+}
+
+// far tells whether two addresses stand in different districts: the third byte says.
+func far(a, b string) bool {
+	x, y := strings.Split(a, "."), strings.Split(b, ".")
+	return len(x) > 2 && len(y) > 2 && x[2] != y[2]
+}
+
+func (c *Cab) save(to, upto string, es []prefix.Entry) {
+	n, err := strconv.Atoi(upto)
+	if err != nil || n > len(es) {
+		n = len(es)
+	}
+	for _, a := range strings.Split(to, ",") {
+		if a == "" {
+			continue
+		}
+		c.life.Go(func() {
+			for _, e := range es[:n] {
+				raw, _ := json.Marshal(contract.Kept{Key: e.Key.String(), Tokens: e.Tokens}) // plain fields: can't fail
+				q, err := http.NewRequestWithContext(c.life.Ctx, http.MethodPut, "http://"+a+"/kv/"+e.Key.String(), strings.NewReader(string(raw)))
+				if err != nil {
+					return
+				}
+				r, err := c.h.Do(q)
+				if err != nil {
+					return // the receiver is gone: a save is only an offer
+				}
+				r.Body.Close()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/catalogue/node.go
@@ -0,0 +1,134 @@
+package catalogue
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/queue"
+	"pebbleloom/internal/roster"
+	"pebbleloom/internal/wire"
+)
+
+// Node is an index node: one thread owns the tables; others poll workers and serve.
+type Node struct {
+	life *daemon.Life
+	desk *queue.Desk[Core]
+	clk  clock.Clock
+	sh   atomic.Pointer[Shards]
+	name string
+	be   *contract.Backends
+	fol  *feed.Follower
+	busy map[string]bool // workers whose poll is under way; the desk's
+	seen map[string]bool
+}
+
+// Start runs an index node.
+//
+// Example: daemon.Main("catalogue", "index node", need, catalogue.Start)
+func Start(l *daemon.Life) error {
+	n := &Node{life: l, clk: clock.Boot(), name: "catalogue/" + l.Place.Name, be: contract.NewBackends(),
+		busy: map[string]bool{}, seen: map[string]bool{}}
+	n.desk = queue.NewDesk(New(l.Place.Bounds, func(k prefix.Key) bool {
+		s := n.sh.Load()
+		return s != nil && s.Mine(n.name, k)
+	}), 1024)
+	calls := daemon.NewCalls()
+	ros := roster.Start(l.Ctx, l.Place, "catalogue", n.clk, l.Log, calls.Roster, func(v roster.View) { n.reshard(v.Nodes) })
+	n.fol = feed.Follow(l.Ctx, n.clk, l.Log, func() wire.Runner { return calls.Runner(l.Place.Runner) }, l.Place.Bounds.Heal(1.0/24), nil, nil)
+	l.Every(l.Place.Bounds.Heal(1.0/12), n.poll)
+	mux := http.NewServeMux()
+	mux.Handle(wire.CataloguePathPrefix, wire.NewCatalogueServer(n))
+	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(ros))
+	if err := l.Serve(l.Place.Listen, mux); err != nil {
+		return err
+	}
+	l.Ready.Store(true)
+	return nil
+}
+
+func (n *Node) reshard(nodes []*wire.Node) {
+	s := NewShards(nodes)
+	if old := n.sh.Swap(s); !s.Same(old, n.name) {
+		n.desk.Tell(func(c *Core) { c.Reshard() })
+	}
+}
+
+// poll asks every listed worker, and the store, for what it has kept.
+func (n *Node) poll() {
+	s := n.fol.Now()
+	if s == nil {
+		return
+	}
+	n.desk.Ask(func(c *Core) {
+		here := map[string]bool{}
+		for _, w := range s.Workers {
+			if w.State == feed.WorkerGone || w.Kind == "app" {
+				continue
+			}
+			here[w.Name] = true
+			if n.busy[w.Name] {
+				continue
+			}
+			n.busy[w.Name] = true
+			after, whole := c.Want(w.Name)
+			go n.ask(w, after, whole)
+		}
+		for name := range n.seen {
+			if !here[name] {
+				c.Leave(name)
+			}
+		}
+		n.seen = here
+	})
+}
+
+func (n *Node) ask(w *wire.Worker, after uint64, whole bool) {
+	ctx, end := context.WithTimeout(n.life.Ctx, n.life.Place.Bounds.Heal(1.0/6))
+	defer end()
+	r, err := n.be.Kept(ctx, w.Addr, after, whole)
+	n.desk.Ask(func(c *Core) {
+		delete(n.busy, w.Name)
+		if err == nil {
+			c.Report(w.Name, w.Service, r, n.clk.Now())
+		}
+	})
+}
+
+// Seek answers look-ups.
+//
+// Example: wire.NewCatalogueProtobufClient(url, h).Seek(ctx, ask)
+func (n *Node) Seek(_ context.Context, a *wire.LookAsk) (*wire.LookTell, error) {
+	t := &wire.LookTell{}
+	ks := make([]prefix.Key, 0, len(a.Keys))
+	for _, k := range a.Keys {
+		if len(k) == len(prefix.Key{}) {
+			ks = append(ks, prefix.Key(k))
+		}
+	}
+	n.desk.Ask(func(c *Core) { t.Found = c.Seek(ks, n.clk.Now()) })
+	return t, nil
+}
+
+// Count takes accesses.
+//
+// Example: wire.NewCatalogueProtobufClient(url, h).Count(ctx, ask)
+func (n *Node) Count(_ context.Context, a *wire.CountAsk) (*wire.CountTell, error) {
+	t := &wire.CountTell{}
+	n.desk.Ask(func(c *Core) { t = c.Count(a, n.clk.Now()) })
+	return t, nil
+}
+
+// Hottest lists hot entries.
+//
+// Example: wire.NewCatalogueProtobufClient(url, h).Hottest(ctx, ask)
+func (n *Node) Hottest(_ context.Context, a *wire.HotAsk) (*wire.HotTell, error) {
+	t := &wire.HotTell{}
+	n.desk.Ask(func(c *Core) { t = c.Hottest(a.Service, int(a.Limit), n.clk.Now()) })
+	return t, nil
+}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,50 @@
+// Package clock gives the instants that decisions are made by: a clock that counts sleep
+// and never jumps. The wall clock decides nothing in pebbleloom.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock tells instants as the time since an origin of its own.
+type Clock interface{ Now() time.Duration }
+
+type boot struct{}
+
+func (boot) Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Linux has had it since 2.6.39; without it no bound can be kept.
+		panic("clock: CLOCK_BOOTTIME can't be read: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
+
+// Boot is the machine's clock since it booted, sleep included.
+//
+// Example: t0 := clock.Boot().Now()
+func Boot() Clock { return boot{} }
+
+// Hand is a clock moved by hand, for tests and simulators.
+type Hand struct{ T time.Duration }
+
+// Now tells where the hand stands.
+//
+// Example: (&clock.Hand{T: time.Second}).Now() == time.Second
+func (h *Hand) Now() time.Duration { return h.T }
+
+type origin struct{ t time.Time }
+
+func (o origin) Now() time.Duration { return time.Since(o.t) }
+
+// Since is a clock over time.Now, which testing/synctest drives in tests.
+//
+// Example: c := clock.Since(time.Now())
+func Since(t time.Time) Clock { return origin{t} }
+
+// Every is a clock event that comes again and again.
+//
+// Example: t := clock.Every(time.Second); defer t.Stop(); <-t.C
+func Every(d time.Duration) *time.Ticker { return time.NewTicker(max(d, time.Millisecond)) }
--- /dev/null
+++ b/internal/contract/backend.go
@@ -0,0 +1,164 @@
+package contract
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"pebbleloom/internal/errs"
+)
+
+// Backends is the adapter to all back ends.
+type Backends struct{ h *http.Client }
+
+// NewBackends makes the adapter with its own pool of connections.
+//
+// Example: be := contract.NewBackends()
+func NewBackends() *Backends {
+	return &Backends{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxConnsPerHost: 128,
+		IdleConnTimeout: 30 * time.Second, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+}
+
+func (b *Backends) get(ctx context.Context, url string, v any) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errs.Wrap(err, "ask "+url)
+	}
+	return b.do(q, v)
+}
+
+func (b *Backends) do(q *http.Request, v any) error {
+	r, err := b.h.Do(q)
+	if err != nil {
+		return errs.Wrap(err, "ask")
+	}
+	defer r.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(r.Body, 32<<20))
+	if err != nil {
+		return errs.Wrap(err, "read answer")
+	}
+	if r.StatusCode != http.StatusOK {
+		return errs.New(errs.Inside, "answer %d: %.200s", r.StatusCode, raw)
+	}
+	return errs.Wrap(json.Unmarshal(raw, v), "read answer")
+}
+
+// State asks a worker for its state: the probe.
+//
+// Example: s, err := be.State(ctx, addr)
+func (b *Backends) State(ctx context.Context, addr string) (State, error) {
+	var s State
+	return s, b.get(ctx, "http://"+addr+"/v1/state", &s)
+}
+
+// List asks the platform for its list of back ends.
+//
+// Example: l, err := be.List(ctx, place.Rank)
+func (b *Backends) List(ctx context.Context, addr string) ([]Listed, error) {
+	var l []Listed
+	return l, b.get(ctx, "http://"+addr+"/v1/workers", &l)
+}
+
+// Kept asks a worker what it has kept since a report, or for all of it.
+//
+// Example: r, err := be.Kept(ctx, addr, 41, false)
+func (b *Backends) Kept(ctx context.Context, addr string, after uint64, whole bool) (Reports, error) {
+	var r Reports
+	return r, b.get(ctx, fmt.Sprintf("http://%s/v1/kept?after=%d&whole=%v", addr, after, whole), &r)
+}
+
+// Order commands a worker under a fence. A worker that has seen a later fence refuses.
+//
+// Example: err := be.Order(ctx, addr, contract.Order{Fence: 7, Kind: "weights", Weights: 4})
+func (b *Backends) Order(ctx context.Context, addr string, o Order) error {
+	raw, err := json.Marshal(o)
+	if err != nil {
+		return errs.Wrap(err, "write order")
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/order", bytes.NewReader(raw))
+	if err != nil {
+		return errs.Wrap(err, "order")
+	}
+	var s State
+	return b.do(q, &s)
+}
+
+// Go is how one go began.
+type Go struct {
+	Body    io.ReadCloser // the stream, when it started
+	Refused *Refusal      // the worker's word that it never started
+	Err     error
+	Unsent  bool // nothing was sent: proof enough that it never started
+}
+
+// NotRun tells whether it is proved that the go never started.
+//
+// Example: if g.NotRun() { tryElsewhere() }
+func (g Go) NotRun() bool { return g.Unsent || g.Refused != nil && g.Refused.NotRun }
+
+// Begin starts a go. The hints are the X-Kv- headers.
+//
+// Example: g := be.Begin(ctx, addr, start, map[string]string{contract.FetchFrom: "0=127.10.2.1:9000"})
+func (b *Backends) Begin(ctx context.Context, addr string, s Start, hints map[string]string) Go {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return Go{Err: errs.Wrap(err, "write start"), Unsent: true}
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/start", bytes.NewReader(raw))
+	if err != nil {
+		return Go{Err: errs.Wrap(err, "start"), Unsent: true}
+	}
+	// No GetBody: net/http must never send a start a second time by itself.
+	q.GetBody = nil
+	for k, v := range hints {
+		q.Header.Set(k, v)
+	}
+	r, err := b.h.Do(q)
+	if err != nil {
+		return Go{Err: errs.Wrap(err, "start"), Unsent: unsent(err)}
+	}
+	if r.StatusCode == http.StatusOK {
+		return Go{Body: r.Body}
+	}
+	defer r.Body.Close()
+	var f Refusal
+	raw, err = io.ReadAll(io.LimitReader(r.Body, 4096))
+	if err == nil {
+		err = json.Unmarshal(raw, &f)
+	}
+	if err != nil || !f.NotRun {
+		return Go{Err: errs.New(errs.Inside, "worker answered %d: %.200s", r.StatusCode, raw)}
+	}
+	return Go{Refused: &f, Err: errs.New(errs.NotRun, "worker refused: %s", f.Reason)}
+}
+
+// unsent tells whether a failed call surely never reached the worker: its connection was
+// never made.
+func unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// Hints reads the X-Kv-Fetch-From header.
+//
+// Example: contract.Hints("0=127.10.2.1:9000,1=127.10.2.1:9000")[0]
+func Hints(h string) map[int]string {
+	m := map[int]string{}
+	for _, x := range strings.Split(h, ",") {
+		if i, a, ok := strings.Cut(x, "="); ok {
+			n := -1
+			if _, err := fmt.Sscan(i, &n); err == nil && n >= 0 {
+				m[n] = a
+			}
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/contract/contract.go
@@ -0,0 +1,186 @@
+// Package contract is the one place that knows what back ends and pebbleloom have agreed
+// on: how a go is started, streamed, sealed and refused, what a worker reports of the parts
+// it keeps, and how it is ordered about. docs/contract.md says it in words.
+package contract
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+)
+
+// The headers by which a placement takes effect.
+const (
+	FetchFrom = "X-Kv-Fetch-From" // "index=address,…": where the worker may read each missing prefix
+	SaveTo    = "X-Kv-Save-To"    // "address,…": whom the worker hands the prompt's prefixes to
+	SaveUpto  = "X-Kv-Save-Upto"  // how many of the prompt's parts are worth saving
+	FenceHead = "X-Fence"
+)
+
+// MaxLine bounds one line of a stream.
+const MaxLine = 64 << 10
+
+// Start is one go at a request.
+type Start struct {
+	RequestID string   `json:"request_id"`
+	Tenant    string   `json:"tenant"`
+	Domain    string   `json:"domain"`
+	Model     string   `json:"model"`
+	Weights   uint64   `json:"weights"`
+	Parts     []string `json:"parts"`
+	Pieces    int      `json:"pieces"`
+	WaitMs    int      `json:"wait_ms"`
+	Once      bool     `json:"once"`
+}
+
+// Piece is one line of a stream. The last one carries the seal.
+type Piece struct {
+	R         string `json:"r"`
+	N         int    `json:"n"`
+	T         string `json:"t,omitempty"`
+	Seal      string `json:"seal,omitempty"`
+	Worker    string `json:"worker,omitempty"`
+	Weights   uint64 `json:"weights,omitempty"`
+	Hit       int    `json:"hit"`
+	Fetched   int    `json:"fetched"`
+	Prefilled int    `json:"prefilled"`
+	FetchUs   int64  `json:"fetch_us"`
+	FetchAddr string `json:"fetch_addr,omitempty"`
+}
+
+// Refusal is a worker's proof that a go never started.
+type Refusal struct {
+	NotRun bool   `json:"not_run"`
+	Reason string `json:"reason"` // weights, draining, full, model, bad
+	Fence  uint64 `json:"fence,omitempty"`
+}
+
+// State is what a worker says of itself.
+type State struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Service     string `json:"service"`
+	Model       string `json:"model"`
+	District    string `json:"district"`
+	Weights     uint64 `json:"weights"`
+	Slots       int    `json:"slots"`
+	Busy        int    `json:"busy"`
+	Queued      int    `json:"queued"`
+	Draining    bool   `json:"draining"`
+	Fence       uint64 `json:"fence"`
+	KvTokens    int    `json:"kv_tokens"`
+	KvRoom      int    `json:"kv_room"`
+}
+
+// Kept is one prefix that a worker holds.
+type Kept struct {
+	Key    string `json:"k"`
+	Tokens int    `json:"n"`
+}
+
+// Report is one numbered change of what a worker keeps.
+type Report struct {
+	Number uint64   `json:"number"`
+	Added  []Kept   `json:"added,omitempty"`
+	Gone   []string `json:"gone,omitempty"`
+}
+
+// Reports is the answer to "what came after number N"; Whole when all was asked for.
+type Reports struct {
+	Incarnation string   `json:"incarnation"`
+	Number      uint64   `json:"number"`
+	Whole       bool     `json:"whole"`
+	Held        []Kept   `json:"held,omitempty"`
+	List        []Report `json:"list,omitempty"`
+}
+
+// Order is a command to a worker; it carries the lease's fence.
+type Order struct {
+	Fence   uint64 `json:"fence"`
+	Kind    string `json:"kind"` // weights
+	Weights uint64 `json:"weights,omitempty"`
+}
+
+// Listed is one back end in the platform's list.
+type Listed struct {
+	Name     string `json:"name"`
+	Addr     string `json:"addr"`
+	Kind     string `json:"kind"` // lm, app, store
+	Service  string `json:"service"`
+	District string `json:"district"`
+	Draining bool   `json:"draining"`
+}
+
+// Seal adds up a stream: whoever reads the pieces can check that none is lost, doubled,
+// swapped or another's.
+type Seal struct{ sum [32]byte }
+
+// NewSeal begins a stream of one request under one worker.
+//
+// Example: s := contract.NewSeal("req-1", "cab-3")
+func NewSeal(requestID, worker string) *Seal {
+	return &Seal{sha256.Sum256([]byte(requestID + "\x00" + worker))}
+}
+
+// Add takes the next piece.
+//
+// Example: s.Add(0, "La primera")
+func (s *Seal) Add(n int, text string) {
+	s.sum = sha256.Sum256(fmt.Appendf(s.sum[:], "%d\x00%s", n, text))
+}
+
+// Close gives the seal over all pieces.
+//
+// Example: line.Seal = s.Close()
+func (s *Seal) Close() string { return hex.EncodeToString(s.sum[:]) }
+
+// Check follows a stream line by line.
+type Check struct {
+	id   string
+	next int
+	seal *Seal
+	Last *Piece // the sealed line, once it came and fits
+}
+
+// NewCheck begins to check the stream of a request from a worker.
+//
+// Example: c := contract.NewCheck("req-1", "cab-3")
+func NewCheck(requestID, worker string) *Check {
+	return &Check{id: requestID, seal: NewSeal(requestID, worker)}
+}
+
+// Line takes the next line; what it says is wrong with the stream, or "".
+//
+// Example: if w := c.Line(raw); w != "" { abort(w) }
+func (c *Check) Line(raw []byte) string {
+	var p Piece
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return "a line that isn't JSON"
+	}
+	switch {
+	case c.Last != nil:
+		return "a line after the seal"
+	case p.R != c.id:
+		return "a piece of another answer"
+	case p.N != c.next:
+		return fmt.Sprintf("piece %d where %d was due", p.N, c.next)
+	case p.Seal != "":
+		if p.Seal != c.seal.Close() {
+			return "a seal that doesn't fit the pieces"
+		}
+		c.Last = &p
+	default:
+		c.seal.Add(p.N, p.T)
+		c.next++
+	}
+	return ""
+}
+
+// Text is piece n of the answer to a prompt: the stand-in's model, known to those who check.
+//
+// Example: contract.Text(lastKey, 3, 0)
+func Text(key string, weights uint64, n int) string {
+	h := sha256.Sum256(fmt.Appendf(nil, "%s %d %d", key, weights, n))
+	return hex.EncodeToString(h[:12])
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,186 @@
+// Package daemon is what all programs share: start, logs, listening, health, stopping.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+// Life is one running program.
+type Life struct {
+	Ctx   context.Context // ends when the program stops
+	Log   hclog.Logger
+	Place settings.Place
+	Ready atomic.Bool
+	// Draining is closed when SIGTERM came: finish what runs, take nothing new.
+	Draining chan struct{}
+	end      context.CancelFunc
+	wg       sync.WaitGroup
+	servers  []*http.Server
+	mu       sync.Mutex
+}
+
+// Main reads the place, starts the program and waits for its end. Faults in the settings
+// are listed at once, and the exit code is 2.
+//
+// Example: daemon.Main("runner", "the agent on a machine", settings.Need{Seeds: true}, runner.Start)
+func Main(prog, about string, need settings.Need, start func(*Life) error) {
+	p, err := settings.Read(prog, about, os.Args[1:], need)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, prog+": "+errs.Text(err))
+		os.Exit(errs.BadInput.Exit)
+	}
+	l := New(prog, p)
+	sig := make(chan os.Signal, 2)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+	if err := start(l); err != nil {
+		l.Log.Error("start failed", "error", errs.Text(err))
+		os.Exit(errs.KindOf(err).Exit)
+	}
+	<-sig
+	l.Stop(p.Bounds.Leave(1))
+}
+
+// New makes a life without signals, as tests use it.
+//
+// Example: l := daemon.New("runner", place)
+func New(prog string, p settings.Place) *Life {
+	l := &Life{Place: p, Draining: make(chan struct{})}
+	l.Log = hclog.New(&hclog.LoggerOptions{Name: prog, JSONFormat: true, Output: os.Stderr, Level: hclog.LevelFromString(p.Word("log", "info"))}).With("machine", p.Name)
+	l.Ctx, l.end = context.WithCancel(context.Background())
+	return l
+}
+
+// Stop drains, then ends.
+//
+// Example: l.Stop(3 * time.Second)
+func (l *Life) Stop(grace time.Duration) {
+	l.Ready.Store(false)
+	close(l.Draining)
+	l.Log.Info("draining")
+	ctx, c := context.WithTimeout(context.Background(), grace)
+	defer c()
+	l.mu.Lock()
+	ss := l.servers
+	l.mu.Unlock()
+	// The first server listed is the one towards downstreams: it ends first.
+	for _, s := range ss {
+		if err := s.Shutdown(ctx); err != nil {
+			s.Close()
+		}
+	}
+	l.end()
+	l.wg.Wait()
+	l.Log.Info("stopped")
+}
+
+// Go runs a duty on its own thread; Stop waits for it.
+//
+// Example: l.Go(func() { poll(l.Ctx) })
+func (l *Life) Go(f func()) {
+	l.wg.Add(1)
+	go func() { defer l.wg.Done(); f() }()
+}
+
+// Every runs a duty again and again until the program stops.
+//
+// Example: l.Every(time.Second, beat)
+func (l *Life) Every(d time.Duration, f func()) {
+	l.Go(func() {
+		t := time.NewTicker(max(d, time.Millisecond))
+		defer t.Stop()
+		for {
+			select {
+			case <-l.Ctx.Done():
+				return
+			case <-t.C:
+				f()
+			}
+		}
+	})
+}
+
+// Serve listens at an address and serves the handler, with health pages beside it.
+//
+// Example: err := l.Serve(place.Listen, mux)
+func (l *Life) Serve(addr string, h http.Handler) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, `{"ok":true}`) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !l.Ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		fmt.Fprintf(w, "{\"ready\":%v}\n", l.Ready.Load())
+	})
+	mux.Handle("/", h)
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errs.As(err, errs.BadInput, "listen at "+addr)
+	}
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: l.Place.Bounds.Heal(0.5), MaxHeaderBytes: 16 << 10}
+	l.mu.Lock()
+	l.servers = append(l.servers, s)
+	l.mu.Unlock()
+	l.Go(func() {
+		if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			l.Log.Error("server ended", "addr", addr, "error", err)
+		}
+	})
+	return nil
+}
+
+// Calls are the twirp links to other processes: one shared pool of connections.
+type Calls struct {
+	h *http.Client
+}
+
+// NewCalls makes the pool.
+//
+// Example: c := daemon.NewCalls()
+func NewCalls() *Calls {
+	return &Calls{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+}
+
+// Archive is the link to a control node.
+//
+// Example: c.Archive("127.10.1.1:7000").Read(ctx, ask)
+func (c *Calls) Archive(addr string) wire.Archive {
+	return wire.NewArchiveProtobufClient("http://"+addr, c.h)
+}
+
+// Roster is the link to a node's roster.
+//
+// Example: c.Roster(addr).Hear(ctx, beat)
+func (c *Calls) Roster(addr string) wire.Roster {
+	return wire.NewRosterProtobufClient("http://"+addr, c.h)
+}
+
+// Catalogue is the link to an index node.
+//
+// Example: c.Catalogue(addr).Seek(ctx, ask)
+func (c *Calls) Catalogue(addr string) wire.Catalogue {
+	return wire.NewCatalogueProtobufClient("http://"+addr, c.h)
+}
+
+// Runner is the link of a dispatcher to the agent beside it.
+//
+// Example: c.Runner("127.0.0.1:7001").Feed(ctx, ask)
+func (c *Calls) Runner(addr string) wire.Runner {
+	return wire.NewRunnerProtobufClient("http://"+addr, c.h)
+}
--- /dev/null
+++ b/internal/desk/commands.go
@@ -0,0 +1,197 @@
+package desk
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-faster/jx"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/setup"
+)
+
+func getSetup(ctx context.Context, c *operator.Client, _ *request, _ io.Reader) (any, error) {
+	return c.GetSetup(ctx)
+}
+
+func apply(partial, dry bool) func(context.Context, *operator.Client, *request, io.Reader) (any, error) {
+	return func(ctx context.Context, c *operator.Client, r *request, in io.Reader) (any, error) {
+		b, err := read(r, in)
+		if err != nil {
+			return nil, err
+		}
+		q := &operator.SetupChange{Setup: jx.Raw(b), Partial: operator.NewOptBool(partial), Dry: operator.NewOptBool(dry), Token: operator.NewOptString(token(r))}
+		if r.ifEpoch >= 0 {
+			q.IfEpoch = operator.NewOptInt64(r.ifEpoch)
+		}
+		return c.ChangeSetup(ctx, q)
+	}
+}
+
+// Diff is one line of what a setup would change.
+type Diff struct {
+	Path string `json:"path"`
+	Old  string `json:"old,omitempty"`
+	New  string `json:"new,omitempty"`
+}
+
+func flat(prefix string, v any, to map[string]string) {
+	if m, ok := v.(map[string]any); ok {
+		for k, x := range m {
+			flat(strings.TrimPrefix(prefix+"."+k, "."), x, to)
+		}
+		return
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		b = []byte(err.Error())
+	}
+	to[prefix] = string(b)
+}
+
+func diff(ctx context.Context, c *operator.Client, r *request, in io.Reader) (any, error) {
+	b, err := read(r, in)
+	if err != nil {
+		return nil, err
+	}
+	if b, err = setup.Merge(nil, b); err != nil {
+		return nil, err
+	}
+	have, err := c.GetSetup(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var x, y any
+	var f errs.Batch
+	f.Note("read setup in force", json.Unmarshal(have.Setup, &x))
+	f.Note("read file", json.Unmarshal(b, &y))
+	if err := f.Look(); err != nil {
+		return nil, err
+	}
+	old, now := map[string]string{}, map[string]string{}
+	flat("", x, old)
+	flat("", y, now)
+	l := []Diff{}
+	for k, v := range old {
+		if now[k] != v {
+			l = append(l, Diff{k, v, now[k]})
+		}
+	}
+	for k, v := range now {
+		if _, ok := old[k]; !ok {
+			l = append(l, Diff{k, "", v})
+		}
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].Path < l[j].Path })
+	return l, nil
+}
+
+func nameWeights(ctx context.Context, c *operator.Client, r *request, _ io.Reader) (any, error) {
+	if err := need("model", r.model); err != nil {
+		return nil, err
+	}
+	if r.weights < 1 {
+		return nil, errs.New(errs.BadInput, "--weights is missing: give the epoch, from 1")
+	}
+	return c.NameWeights(ctx, &operator.Weights{Model: r.model, Weights: r.weights, Token: operator.NewOptString(token(r))})
+}
+
+func revoke(ctx context.Context, c *operator.Client, r *request, _ io.Reader) (any, error) {
+	if err := need("tenant", r.tenant, "key", r.key); err != nil {
+		return nil, err
+	}
+	return c.RevokeKey(ctx, &operator.Revoke{Tenant: r.tenant, Key: r.key})
+}
+
+func drain(ctx context.Context, c *operator.Client, r *request, _ io.Reader) (any, error) {
+	if err := need("worker", r.worker); err != nil {
+		return nil, err
+	}
+	return c.Drain(ctx, &operator.Drain{Worker: r.worker, Drain: !r.back})
+}
+
+func nodes(ctx context.Context, c *operator.Client, _ *request, _ io.Reader) (any, error) {
+	return c.ListNodes(ctx)
+}
+
+func workers(ctx context.Context, c *operator.Client, _ *request, _ io.Reader) (any, error) {
+	return c.ListWorkers(ctx)
+}
+
+func place(ctx context.Context, c *operator.Client, r *request, _ io.Reader) (any, error) {
+	if err := need("service", r.service); err != nil {
+		return nil, err
+	}
+	return c.GetPlacement(ctx, operator.GetPlacementParams{Service: r.service})
+}
+
+func lookup(ctx context.Context, c *operator.Client, r *request, _ io.Reader) (any, error) {
+	if err := need("model", r.model, "tenant", r.tenant, "part", strings.Join(r.parts, " ")); err != nil {
+		return nil, err
+	}
+	return c.LookUp(ctx, &operator.Lookup{Model: r.model, Tenant: r.tenant, Parts: r.parts})
+}
+
+func indent(raw []byte) string {
+	var v any
+	if json.Unmarshal(raw, &v) != nil {
+		return string(raw)
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return string(raw)
+	}
+	return string(b)
+}
+
+// plain writes an answer for people.
+func plain(v any) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 2, 8, 2, ' ', 0)
+	switch x := v.(type) {
+	case *operator.SetupInForce:
+		fmt.Fprintf(w, "epoch %d\n%s\n", x.Epoch, indent(x.Setup))
+	case *operator.PlacementInForce:
+		fmt.Fprintf(w, "epoch %d\n%s\n", x.Epoch, indent(x.Placement))
+	case *operator.Changed:
+		fmt.Fprintf(w, "%s, epoch %d", x.Outcome, x.Epoch)
+		if n, ok := x.Note.Get(); ok {
+			fmt.Fprintf(w, " (%s)", n)
+		}
+		fmt.Fprintln(w)
+	case []Diff:
+		for _, d := range x {
+			fmt.Fprintf(w, "%s\t%s\t→\t%s\n", d.Path, d.Old, d.New)
+		}
+		if len(x) == 0 {
+			fmt.Fprintln(w, "no difference")
+		}
+	case *operator.NodeList:
+		fmt.Fprintf(w, "NAME\tROLE\tDISTRICT\tADDRESS\tSTATE\n")
+		for _, n := range x.Nodes {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", n.Name, n.Role, n.District, n.Addr, n.State)
+		}
+		fmt.Fprintf(w, "as seen by %s\n", x.SeenBy)
+	case *operator.WorkerList:
+		fmt.Fprintf(w, "NAME\tSERVICE\tDISTRICT\tADDRESS\tSTATE\tWEIGHTS\tBUSY\tQUEUED\tSLOTS\n")
+		for _, n := range x.Workers {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", n.Name, n.Service, n.District, n.Addr, n.State, n.Weights, n.Busy, n.Queued, n.Slots)
+		}
+		fmt.Fprintf(w, "as seen by %s\n", x.SeenBy)
+	case *operator.Found:
+		fmt.Fprintf(w, "KEY\tTOKENS\tHOTNESS\tHOLDERS\n")
+		for _, p := range x.Prefixes {
+			fmt.Fprintf(w, "%s\t%d\t%.2f\t%s\n", p.Key, p.Tokens, p.Hotness, strings.Join(p.Holders, " "))
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err.Error()
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,225 @@
+// Package desk is the operator's command line: every command may be given to any node.
+package desk
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/errs"
+)
+
+const about = `the operator's command line; any node answers, and all answer the same
+
+  desk --node 127.10.1.1:8090 setup get
+  desk setup apply --file setup.json --if-epoch 7      whole setup, only onto epoch 7
+  desk setup patch --file part.json                    partial setup (null removes)
+  desk setup validate --file setup.json                checked, not applied
+  desk setup diff --file setup.json                    what apply would change
+  desk weights name --model lector --weights 4
+  desk keys revoke --tenant hotline --key KEY
+  desk drain --worker cab-3            (--back takes it into use again)
+  desk nodes | desk workers
+  desk placement show --service lector-main
+  desk index lookup --model lector --tenant hotline --part "opening" --part "question"
+
+exit codes: 0 done, 2 bad input, 3 bad key, 4 not found, 5 epoch conflict, 6 denied for now,
+7 may have taken effect, 8 can't say, 9 an error inside`
+
+// request is one command line, read.
+type request struct {
+	node, file, token, model, tenant, key, worker, service string
+	asJSON, back                                           bool
+	ifEpoch                                                int64
+	weights                                                int64
+	parts                                                  []string
+}
+
+type command struct {
+	path  string // "setup get"
+	about string
+	run   func(context.Context, *operator.Client, *request, io.Reader) (any, error)
+}
+
+func commands() []command {
+	return []command{
+		{"setup get", "read back the setup in force", getSetup},
+		{"setup apply", "apply a whole setup", apply(false, false)},
+		{"setup patch", "lay a partial setup over the one in force", apply(true, false)},
+		{"setup validate", "check a whole setup without applying it", apply(false, true)},
+		{"setup diff", "show what a whole setup would change", diff},
+		{"weights name", "name new weights for a model", nameWeights},
+		{"keys revoke", "take a tenant's key out of force", revoke},
+		{"drain", "take a worker out of use", drain},
+		{"nodes", "list the nodes", nodes},
+		{"workers", "list the workers", workers},
+		{"placement show", "show a service's placement", place},
+		{"index lookup", "ask who holds a prompt's prefixes", lookup},
+	}
+}
+
+// Main runs one command and gives its exit code.
+//
+// Example: os.Exit(desk.Main([]string{"nodes", "--json"}, os.Stdin, os.Stdout, os.Stderr))
+func Main(args []string, in io.Reader, out, bad io.Writer) int {
+	r := &request{node: os.Getenv("PEBBLELOOM_NODE"), ifEpoch: -1}
+	if r.node == "" {
+		r.node = "127.10.1.1:8090"
+	}
+	ps := flaggy.NewParser("desk")
+	ps.Description = about
+	ps.ShowHelpOnUnexpected = false
+	ps.DisableShowVersionWithVersion()
+	ps.String(&r.node, "n", "node", "operator address of any node (also PEBBLELOOM_NODE)")
+	ps.Bool(&r.asJSON, "j", "json", "answer in JSON")
+	ps.String(&r.file, "f", "file", "file to read (- for standard input)")
+	ps.Int64(&r.ifEpoch, "e", "if-epoch", "only onto this epoch")
+	ps.String(&r.token, "t", "token", "the change's own token: the same token is never a second change")
+	ps.String(&r.model, "m", "model", "model")
+	ps.Int64(&r.weights, "w", "weights", "weights epoch")
+	ps.String(&r.tenant, "", "tenant", "tenant")
+	ps.String(&r.key, "k", "key", "tenant's key")
+	ps.String(&r.worker, "", "worker", "worker")
+	ps.Bool(&r.back, "b", "back", "with drain: take the worker into use again")
+	ps.String(&r.service, "s", "service", "service")
+	ps.StringSlice(&r.parts, "p", "part", "prompt part, in order")
+	used := attach(ps)
+	fail := func(err error) int {
+		if r.asJSON {
+			k := errs.KindOf(err)
+			_ = json.NewEncoder(bad).Encode(map[string]string{"kind": k.Name, "message": err.Error(), "remedy": k.Remedy})
+		} else {
+			fmt.Fprintln(bad, "desk: "+errs.Text(err))
+		}
+		return errs.KindOf(err).Exit
+	}
+	if err := ps.ParseArgs(args); err != nil {
+		return fail(errs.As(err, errs.BadInput, "flags"))
+	}
+	c := used()
+	if c == nil {
+		return fail(errs.New(errs.BadInput, "no such command: see desk --help"))
+	}
+	cl, err := operator.NewClient("http://" + r.node)
+	if err != nil {
+		return fail(errs.As(err, errs.BadInput, "node "+r.node))
+	}
+	ctx, end := context.WithTimeout(context.Background(), 15*time.Second)
+	defer end()
+	v, err := c.run(ctx, cl, r, in)
+	if err != nil {
+		return fail(typed(err, r.node))
+	}
+	if r.asJSON {
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", " ")
+		err = enc.Encode(v)
+	} else {
+		_, err = fmt.Fprint(out, plain(v))
+	}
+	if err != nil {
+		return fail(errs.Wrap(err, "write answer"))
+	}
+	return 0
+}
+
+// attach makes flaggy's tree of commands; the function it gives tells which was used.
+func attach(ps *flaggy.Parser) func() *command {
+	groups := map[string]*flaggy.Subcommand{}
+	leaves := map[string]*flaggy.Subcommand{}
+	for _, c := range commands() {
+		g, leaf, two := strings.Cut(c.path, " ")
+		if groups[g] == nil {
+			groups[g] = flaggy.NewSubcommand(g)
+			groups[g].Description = c.about
+			if two {
+				groups[g].Description = "see desk " + g + " --help"
+			}
+			ps.AttachSubcommand(groups[g], 1)
+		}
+		leaves[c.path] = groups[g]
+		if two {
+			l := flaggy.NewSubcommand(leaf)
+			l.Description = c.about
+			groups[g].AttachSubcommand(l, 1)
+			leaves[c.path] = l
+		}
+	}
+	return func() *command {
+		for _, c := range commands() {
+			if leaves[c.path].Used {
+				return &c
+			}
+		}
+		return nil
+	}
+}
+
+// typed gives an answer's error its kind back.
+func typed(err error, node string) error {
+	var d *operator.DeniedStatusCode
+	if errors.As(err, &d) {
+		return errs.New(errs.Named(d.Response.Kind), "%s", d.Response.Message)
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errs.New(errs.CantSay, "node %s can't be reached: name another with --node", node)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return errs.New(errs.MayHaveRun, "node %s gave no answer in time", node)
+	}
+	if errs.KindOf(err) == errs.Inside && strings.Contains(err.Error(), "encode request: validate") {
+		return errs.As(err, errs.BadInput, "command")
+	}
+	return err
+}
+
+func token(r *request) string {
+	if r.token != "" {
+		return r.token
+	}
+	b := make([]byte, 8)
+	_, _ = rand.Read(b) // never fails, as its documentation says
+	return "desk-" + hex.EncodeToString(b)
+}
+
+func need(pairs ...string) error {
+	var b errs.Batch
+	for i := 0; i+1 < len(pairs); i += 2 {
+		if pairs[i+1] == "" {
+			b.Fault(errs.BadInput, "--%s is missing: give it", pairs[i])
+		}
+	}
+	return b.Look()
+}
+
+func read(r *request, in io.Reader) ([]byte, error) {
+	if r.file == "" {
+		return nil, errs.New(errs.BadInput, "--file is missing: name a file, or - for standard input")
+	}
+	var b []byte
+	var err error
+	if r.file == "-" {
+		b, err = io.ReadAll(io.LimitReader(in, 4<<20))
+	} else {
+		b, err = os.ReadFile(r.file)
+	}
+	if err != nil {
+		return nil, errs.As(err, errs.BadInput, "read setup")
+	}
+	if !json.Valid(b) {
+		return nil, errs.New(errs.BadInput, "%s isn't JSON: correct it first", r.file)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/dispatcher/answer.go
@@ -0,0 +1,310 @@
+package dispatcher
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"pebbleloom/api/caller"
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/placement"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+// denial is an error with the time to come back.
+type denial struct {
+	error
+	id   string
+	back time.Duration
+}
+
+func (d denial) Unwrap() error { return d.error }
+
+func deny(k *errs.Kind, id string, back time.Duration, format string, a ...any) error {
+	// A little spread, so that those who were denied together don't come back together.
+	back += time.Duration(rand.Int64N(int64(back)/2 + int64(50*time.Millisecond)))
+	return denial{errs.New(k, format, a...), id, back}
+}
+
+// Answer carries one request: gate, index, choice, go, stream.
+//
+// Example: POST /v1/answers {"request_id": "r1", "model": "lector", "parts": ["…"], "wait_ms": 8000}
+func (d *Dispatcher) Answer(ctx context.Context, q *caller.Ask, h caller.AnswerParams) (*caller.AnswerOKHeaders, error) {
+	t0 := d.clk.Now()
+	back := d.b.Setup(0.25)
+	s, err := d.pin(q.RequestID)
+	if err != nil {
+		return nil, err
+	}
+	wait := time.Duration(q.WaitMs) * time.Millisecond
+	if m := s.Setup.WaitMaxMs; m > 0 {
+		wait = min(wait, time.Duration(m)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	size := 0
+	for _, p := range q.Parts {
+		size += len(p)
+	}
+	if size > d.b.BodyKB<<10 {
+		cancel()
+		return nil, deny(errs.TooBig, q.RequestID, 0, "parts: %d bytes, at most %d", size, d.b.BodyKB<<10)
+	}
+	tenant, t, ok := s.Setup.Tenant(h.XTenantKey)
+	if !ok {
+		cancel()
+		return nil, deny(errs.BadKey, q.RequestID, 0, "the key is not in force")
+	}
+	var why string
+	d.gate.Ask(func(g *gate) {
+		if why, back = g.admit(tenant, t, d.b.Waiting, t0); why == "" && q.Once.Or(false) && !g.unique(q.RequestID, t0, d.b.Heal(50)) {
+			g.leave(tenant)
+			why, back = "once", 0
+		}
+	})
+	if why != "" {
+		cancel()
+		if why == "once" {
+			return nil, deny(errs.MayHaveRun, q.RequestID, 0, "a once-only request of this id was taken here before")
+		}
+		return nil, deny(errs.OverBudget, q.RequestID, back, "%s", why)
+	}
+	mayHaveRun := false
+	leave := func() {
+		cancel()
+		d.gate.Tell(func(g *gate) {
+			if g.leave(tenant); !mayHaveRun {
+				delete(g.once, q.RequestID) // proved not to have run: the id may be sent again
+			}
+		})
+	}
+	found := d.index.seek(ctx, keysOf(d.entries(s, q, tenant)))
+	tried := map[string]bool{}
+	for n := 0; ; {
+		// The pinned epoch is checked again right before every go starts.
+		if now, err := d.pin(q.RequestID); err != nil {
+			leave()
+			return nil, err
+		} else if now.Epoch != s.Epoch {
+			if s = now; !s.Setup.Has(h.XTenantKey, tenant) {
+				leave()
+				return nil, deny(errs.BadKey, q.RequestID, 0, "the key was taken out of force")
+			}
+			found = d.index.seek(ctx, keysOf(d.entries(s, q, tenant)))
+		}
+		way, ok := s.Setup.Ways[q.Model]
+		if !ok {
+			leave()
+			return nil, deny(errs.NoModel, q.RequestID, 0, "no way leads to model %q", q.Model)
+		}
+		c, err := d.choose(s, q, tenant, way.Service, found, tried)
+		if err != nil {
+			leave()
+			return nil, err
+		}
+		if left := wait - (d.clk.Now() - t0); time.Duration(c.Wait)*time.Microsecond > left {
+			leave()
+			d.gate.Tell(func(g *gate) { g.release(c.Worker.Name) })
+			if left <= 0 {
+				return nil, deny(errs.Expired, q.RequestID, back, "the wait was over before a go could start")
+			}
+			return nil, deny(errs.Overloaded, q.RequestID, time.Duration(c.Wait)*time.Microsecond, "a slot is free in %.0f ms, after the wait is over", c.Wait/1000)
+		}
+		if n == 0 {
+			n++
+			d.gate.Tell(func(g *gate) { d.tries(g, way.Service).First(d.clk.Now()) })
+		}
+		if !d.current(s) { // a new setup came while this was thought over
+			d.gate.Tell(func(g *gate) { g.release(c.Worker.Name) })
+			continue
+		}
+		var out *stream
+		var notRun bool
+		out, notRun, err = d.start(ctx, s, q, tenant, way.Service, c, wait-(d.clk.Now()-t0))
+		mayHaveRun = mayHaveRun || !notRun
+		if err == nil {
+			out.leave = leave
+			return &caller.AnswerOKHeaders{XRequestID: q.RequestID, XWorker: c.Worker.Name, XSetupEpoch: fmt.Sprint(s.Epoch),
+				Response: caller.AnswerOK{Data: out}}, nil
+		}
+		tried[c.Worker.Name] = true
+		d.life.Log.Debug("go failed", "request", q.RequestID, "worker", c.Worker.Name, "not_run", notRun, "error", err)
+		again := false
+		if (notRun || !q.Once.Or(false)) && ctx.Err() == nil {
+			d.gate.Ask(func(g *gate) { again = d.tries(g, way.Service).Extra(d.clk.Now()) })
+		}
+		if again {
+			continue
+		}
+		leave()
+		switch {
+		case !mayHaveRun:
+			return nil, deny(errs.NotRun, q.RequestID, d.b.Heal(1.0/24), "worker %s: %v", c.Worker.Name, err)
+		case q.Once.Or(false):
+			return nil, deny(errs.MayHaveRun, q.RequestID, 0, "worker %s: %v", c.Worker.Name, err)
+		case ctx.Err() != nil:
+			return nil, deny(errs.Expired, q.RequestID, d.b.Heal(1.0/24), "worker %s didn't begin in time", c.Worker.Name)
+		}
+		return nil, deny(errs.MayHaveRun, q.RequestID, d.b.Heal(1.0/24), "worker %s: %v", c.Worker.Name, err)
+	}
+}
+
+// pin gives the newest setup if it is proved fresh enough to follow.
+func (d *Dispatcher) pin(id string) (*feed.Snapshot, error) {
+	s := d.fol.Now()
+	if d.stopping() {
+		return nil, deny(errs.NotRun, id, d.b.Setup(0.1), "this dispatcher is draining: ask another")
+	}
+	if !s.Fresh(d.clk.Now(), d.b.Setup(0.8)) {
+		return nil, deny(errs.NotRun, id, d.b.Setup(0.25), "no proof that the setup is the newest")
+	}
+	return s, nil
+}
+
+// current tells whether a pinned setup is still the newest, and proved so.
+func (d *Dispatcher) current(s *feed.Snapshot) bool {
+	n := d.fol.Now()
+	return n.Epoch == s.Epoch && n.Fresh(d.clk.Now(), d.b.Setup(0.8))
+}
+
+// entries names a prompt's prefixes under each weights epoch that may still start.
+func (d *Dispatcher) entries(s *feed.Snapshot, q *caller.Ask, tenant string) map[uint64][]prefix.Entry {
+	m := map[uint64][]prefix.Entry{}
+	w := s.WeightsAt[q.Model]
+	way := s.Setup.Ways[q.Model]
+	old := w.Since > 0 && d.clk.Now()-w.Since < time.Duration(float64(d.b.WeightsMs)*0.85)*time.Millisecond
+	for _, x := range s.Workers {
+		if _, ok := m[x.Weights]; ok || x.Service != way.Service || x.State == feed.WorkerGone {
+			continue
+		}
+		if x.Weights == w.Weights || old && x.Weights < w.Weights && x.Weights > 0 {
+			m[x.Weights] = prefix.Chain(s.Setup.Domain(tenant), q.Model, x.Weights, q.Parts)
+		}
+	}
+	return m
+}
+
+func keysOf(m map[uint64][]prefix.Entry) []prefix.Key {
+	var ks []prefix.Key
+	for _, es := range m {
+		for _, e := range es {
+			ks = append(ks, e.Key)
+		}
+	}
+	return ks
+}
+
+// choose picks the worker of the next go.
+func (d *Dispatcher) choose(s *feed.Snapshot, q *caller.Ask, tenant, service string, found map[prefix.Key]*wire.Found, tried map[string]bool) (Choice, error) {
+	p := s.Placements[service]
+	u := Query{ID: q.RequestID, Mode: modeOf(s.Setup, service), District: d.life.Place.District, Entries: d.entries(s, q, tenant), Found: found,
+		Tried: tried, Placement: p, Curve: d.curve, NearB: d.near.Load(), FarB: d.far.Load(), StoreB: d.storeB.Load(), Stores: map[string]string{}}
+	if p != nil {
+		u.Curve = p.Prefill
+	}
+	now := d.clk.Now()
+	for _, w := range s.Workers {
+		if w.Kind == "store" && w.State == feed.WorkerUp {
+			u.Stores[w.Name] = w.Addr
+		}
+		if w.Service == service && w.State <= feed.WorkerUnsure {
+			u.Workers = append(u.Workers, w)
+		}
+	}
+	var c Choice
+	ok := false
+	d.gate.Ask(func(g *gate) {
+		u.MeanUs = g.meanUs
+		var up []*wire.Worker
+		for _, w := range u.Workers {
+			// A worker that has just failed a go here waits for its next good probe.
+			if x := g.workers[w.Name]; x == nil || x.failed == 0 || now-x.failed > d.b.Leave(0.3) {
+				up = append(up, w)
+			}
+		}
+		u.Workers = up
+		u.Load = func(n string) float64 {
+			l := 0.0
+			if x := g.workers[n]; x != nil {
+				l = float64(x.goes)
+			}
+			for _, w := range u.Workers {
+				if w.Name == n {
+					l = max(l, float64(w.Busy+w.Queued))
+				}
+			}
+			return l
+		}
+		if c, ok = Pick(u); ok {
+			g.worker(c.Worker.Name).goes++
+		}
+	})
+	if !ok {
+		return c, deny(errs.NotRun, q.RequestID, d.b.Leave(0.3), "no worker of service %s can take it now", service)
+	}
+	return c, nil
+}
+
+func modeOf(s *setup.Setup, service string) string {
+	if m := s.Services[service].Placement; m != "" {
+		return m
+	}
+	return "hrcs"
+}
+
+// start begins a go and waits for its first line. Where it fails, notRun is the proof that
+// the go never started.
+func (d *Dispatcher) start(ctx context.Context, s *feed.Snapshot, q *caller.Ask, tenant, service string, c Choice, left time.Duration) (*stream, bool, error) {
+	ctx, stop := context.WithCancel(ctx)
+	w := c.Worker
+	o := &stream{d: d, id: q.RequestID, worker: w.Name, district: w.District, began: d.clk.Now(), stop: stop, snap: s}
+	watch := time.AfterFunc(d.b.Leave(0.2), func() { d.watch(o, w, stop) })
+	o.watch = watch
+	hints := map[string]string{}
+	if c.Fetches != "" {
+		hints[contract.FetchFrom] = c.Fetches
+	}
+	if c.Saves != "" {
+		hints[contract.SaveTo], hints[contract.SaveUpto] = c.Saves, fmt.Sprint(c.SaveUpto)
+	}
+	g := d.be.Begin(ctx, w.Addr, contract.Start{RequestID: q.RequestID, Tenant: tenant, Domain: s.Setup.Domain(tenant), Model: q.Model,
+		Weights: w.Weights, Parts: q.Parts, Pieces: q.Pieces.Or(16), WaitMs: int(left.Milliseconds()), Once: q.Once.Or(false)}, hints)
+	if g.Err != nil {
+		o.end(false)
+		return nil, g.NotRun(), g.Err
+	}
+	d.index.count(service, c.Entries, w.Name, c.SaveTo, c.SaveUpto)
+	o.body, o.r, o.check = g.Body, bufio.NewReaderSize(g.Body, contract.MaxLine), contract.NewCheck(q.RequestID, w.Name)
+	if err := o.next(); err != nil {
+		o.end(false)
+		return nil, false, err
+	}
+	d.decided(q.RequestID, s, c)
+	return o, false, nil
+}
+
+// watch gives up a go whose worker has gone: its silence is not waited out.
+func (d *Dispatcher) watch(o *stream, w *wire.Worker, stop func()) {
+	for _, x := range d.fol.Now().Workers {
+		if x.Name == w.Name && x.Addr == w.Addr && x.State != feed.WorkerGone && (x.Incarnation == w.Incarnation || w.Incarnation == "") {
+			o.again(d.b.Leave(0.2), func() { d.watch(o, w, stop) })
+			return
+		}
+	}
+	stop()
+}
+
+// PlacementFor gives the placement in use for a service, for those who explain choices.
+//
+// Example: p := d.PlacementFor("lector")
+func (d *Dispatcher) PlacementFor(service string) *placement.Placement {
+	if s := d.fol.Now(); s != nil {
+		return s.Placements[service]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,262 @@
+package dispatcher
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"pebbleloom/api/caller"
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/placement"
+	"pebbleloom/internal/queue"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+type rate struct{ v atomic.Uint64 }
+
+func (r *rate) Load() float64   { return math.Float64frombits(r.v.Load()) }
+func (r *rate) Store(f float64) { r.v.Store(math.Float64bits(f)) }
+
+// Dispatcher is one edge proxy.
+type Dispatcher struct {
+	life   *daemon.Life
+	b      settings.Bounds
+	clk    clock.Clock
+	fol    *feed.Follower
+	gate   *queue.Desk[gate]
+	index  *index
+	be     *contract.Backends
+	curve  placement.Curve
+	near   rate
+	far    rate
+	storeB rate
+	stats  stats
+	log    *decisions
+}
+
+// stats counts what the sealed lines have said.
+type stats struct{ sealed, hit, fetched, prefilled atomic.Int64 }
+
+func (s *stats) add(p *contract.Piece) {
+	s.sealed.Add(1)
+	s.hit.Add(int64(p.Hit))
+	s.fetched.Add(int64(p.Fetched))
+	s.prefilled.Add(int64(p.Prefilled))
+}
+
+// Start runs the edge proxy.
+//
+// Example: daemon.Main("dispatcher", "edge proxy", need, dispatcher.Start)
+func Start(l *daemon.Life) error {
+	d := &Dispatcher{life: l, b: l.Place.Bounds, clk: clock.Boot(), be: contract.NewBackends(), curve: placement.Default(), log: &decisions{}}
+	d.near.Store(50000)
+	d.far.Store(50000)
+	d.storeB.Store(50000)
+	d.gate = queue.NewDesk(newGate(), 4096)
+	d.index = newIndex(l, d.clk)
+	calls := daemon.NewCalls()
+	d.fol = feed.Follow(l.Ctx, d.clk, l.Log, func() wire.Runner { return calls.Runner(l.Place.Runner) }, d.b.Setup(0.1), d.goes, func(s *feed.Snapshot) {
+		d.index.shards.Store(catalogue.NewShards(s.Nodes))
+		l.Ready.Store(s.Fresh(d.clk.Now(), d.b.Setup(0.8)))
+	})
+	srv, err := caller.NewServer(d, caller.WithErrorHandler(refuse))
+	if err != nil {
+		return errs.Wrap(err, "caller API")
+	}
+	body := int64(d.b.BodyKB)<<10 + int64(d.b.BodyKB)<<9 // JSON escapes take room
+	if err := l.Serve(l.Place.Public, http.MaxBytesHandler(flushing(srv), body)); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/decisions", d.log.serve)
+	mux.HandleFunc("GET /v1/counts", d.counts)
+	return l.Serve(l.Place.Listen, mux)
+}
+
+func (d *Dispatcher) stopping() bool {
+	select {
+	case <-d.life.Draining:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *Dispatcher) tries(g *gate, service string) *Tries {
+	t := g.tries[service]
+	if t == nil {
+		t = &Tries{Span: d.b.Try(1), Share: float64(d.b.TryShare) / 100, Allowance: 1}
+		g.tries[service] = t
+	}
+	return t
+}
+
+// goes hands the runner what the goes since the last time have shown.
+func (d *Dispatcher) goes() []*wire.GoReport {
+	var l []*wire.GoReport
+	d.gate.Ask(func(g *gate) {
+		for k, r := range g.goes {
+			l = append(l, r)
+			delete(g.goes, k)
+		}
+	})
+	return l
+}
+
+// learn takes what a fetch has shown of its link.
+func (d *Dispatcher) learn(g *gate, s *feed.Snapshot, p *contract.Piece, district string) {
+	class, to := "far", &d.far
+	for _, w := range s.Workers {
+		if w.Addr != p.FetchAddr {
+			continue
+		}
+		if w.Kind == "store" {
+			class, to = "store", &d.storeB
+		} else if w.District == district {
+			class, to = "near", &d.near
+		}
+	}
+	took := time.Duration(p.FetchUs) * time.Microsecond
+	g.link(class, p.Fetched, took)
+	to.Store(0.9*to.Load() + 0.1*float64(p.Fetched)/took.Seconds())
+}
+
+// NewError turns an error into its typed answer, with the time to come back.
+//
+// Example: d.NewError(ctx, errs.New(errs.BadKey, "the key is not in force"))
+func (d *Dispatcher) NewError(_ context.Context, err error) *caller.DeniedStatusCodeWithHeaders {
+	return typed(err)
+}
+
+func typed(err error) *caller.DeniedStatusCodeWithHeaders {
+	k := errs.KindOf(err)
+	r := &caller.DeniedStatusCodeWithHeaders{StatusCode: k.HTTP, Response: caller.Denial{Kind: k.Name, Message: err.Error(), Remedy: k.Remedy}}
+	var x denial
+	if errors.As(err, &x) {
+		k = errs.KindOf(x.error)
+		r.StatusCode, r.Response.Kind, r.Response.Remedy = k.HTTP, k.Name, k.Remedy
+		r.Response.RequestID = caller.NewOptString(x.id)
+		if x.back > 0 {
+			r.Response.RetryAfterMs = int(x.back.Milliseconds())
+			r.RetryAfter = caller.NewOptInt(int(math.Ceil(x.back.Seconds())))
+		}
+	}
+	return r
+}
+
+// refuse answers what never reached Answer, and breaks what had begun.
+func refuse(ctx context.Context, w http.ResponseWriter, r *http.Request, err error) {
+	if f, ok := w.(*flusher); ok && f.begun {
+		panic(http.ErrAbortHandler) // the caller must see that the stream is broken
+	}
+	k := errs.BadInput
+	var tooBig *http.MaxBytesError
+	if errors.As(err, &tooBig) {
+		k = errs.TooBig
+	} else if ogenerrors.ErrorCode(err) >= 500 {
+		k = errs.Inside
+	}
+	t := typed(errs.As(err, k, "request"))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(t.StatusCode)
+	_ = json.NewEncoder(w).Encode(&t.Response) // a caller that hung up can't be told
+}
+
+// flusher sends every piece on as it comes.
+type flusher struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// WriteHeader notes that the answer has begun.
+//
+// Example: w.WriteHeader(200)
+func (f *flusher) WriteHeader(c int) { f.begun = true; f.ResponseWriter.WriteHeader(c) }
+
+// Write writes and flushes.
+//
+// Example: w.Write(line)
+func (f *flusher) Write(p []byte) (int, error) {
+	f.begun = true
+	n, err := f.ResponseWriter.Write(p)
+	if err == nil {
+		err = http.NewResponseController(f.ResponseWriter).Flush()
+	}
+	return n, err
+}
+
+func flushing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.ServeHTTP(&flusher{ResponseWriter: w}, r) })
+}
+
+// decisions keeps why the latest requests went where they went.
+type decisions struct {
+	mu   sync.Mutex
+	list [512]Decision
+	n    int
+}
+
+// Decision says why one request went where it went.
+type Decision struct {
+	Request   string  `json:"request"`
+	Worker    string  `json:"worker"`
+	Setup     uint64  `json:"setup_epoch"`
+	Placement uint64  `json:"placement_epoch"`
+	Hit       int     `json:"hit_tokens"`
+	Fetch     int     `json:"fetch_tokens"`
+	WaitUs    float64 `json:"wait_us"`
+	CostUs    float64 `json:"cost_us"`
+	Hot       bool    `json:"hot"`
+	Home      string  `json:"home,omitempty"`
+	SaveTo    string  `json:"save_to,omitempty"`
+}
+
+func (d *Dispatcher) decided(id string, s *feed.Snapshot, c Choice) {
+	x := Decision{Request: id, Worker: c.Worker.Name, Setup: s.Epoch, Hit: c.Hit, Fetch: c.Fetch, WaitUs: c.Wait, CostUs: c.Cost, Hot: c.Hot, Home: c.Home, SaveTo: c.Saves}
+	if p := s.Placements[c.Worker.Service]; p != nil {
+		x.Placement = p.Epoch
+	}
+	d.log.mu.Lock()
+	defer d.log.mu.Unlock()
+	d.log.list[d.log.n%len(d.log.list)] = x
+	d.log.n++
+}
+
+func (d *decisions) serve(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	l := []Decision{}
+	for _, x := range d.list {
+		if x.Request != "" && (r.URL.Query().Get("request") == "" || x.Request == r.URL.Query().Get("request")) {
+			l = append(l, x)
+		}
+	}
+	d.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l) // a caller that hung up can't be told
+}
+
+func (d *Dispatcher) counts(w http.ResponseWriter, _ *http.Request) {
+	m := map[string]any{"sealed": d.stats.sealed.Load(), "hit": d.stats.hit.Load(), "fetched": d.stats.fetched.Load(), "prefilled": d.stats.prefilled.Load(),
+		"lookup_batches": d.index.asked.Load(), "lookup_keys": d.index.keys.Load()}
+	d.gate.Ask(func(g *gate) {
+		m["inflight"] = g.inflight
+		for n, t := range g.tries {
+			m["tries_"+n] = map[string]int{"first": len(t.first), "extra": len(t.extra)}
+		}
+	})
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(m) // a caller that hung up can't be told
+}
--- /dev/null
+++ b/internal/dispatcher/gate.go
@@ -0,0 +1,145 @@
+package dispatcher
+
+import (
+	"time"
+
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+// gate is the one table of what is under way here: by tenant, by worker, by request id.
+type gate struct {
+	inflight int
+	tenants  map[string]*tenantState
+	workers  map[string]*workerState
+	once     map[string]time.Duration // once-only ids seen here lately
+	tries    map[string]*Tries
+	meanUs   float64
+	goes     map[string]*wire.GoReport
+}
+
+type tenantState struct {
+	inflight int
+	tokens   float64
+	at       time.Duration
+}
+
+type workerState struct {
+	goes   int
+	failed time.Duration
+}
+
+const (
+	maxOnce    = 20000
+	maxTenants = 4096
+)
+
+func newGate() *gate {
+	return &gate{tenants: map[string]*tenantState{}, workers: map[string]*workerState{}, once: map[string]time.Duration{},
+		tries: map[string]*Tries{}, meanUs: 100000, goes: map[string]*wire.GoReport{}}
+}
+
+// admit takes a request in, or says why not and when to come back.
+func (g *gate) admit(tenant string, t setup.Tenant, most int, now time.Duration) (why string, back time.Duration) {
+	if g.inflight >= most {
+		return "this dispatcher holds as many requests as it may", time.Duration(g.meanUs) * time.Microsecond
+	}
+	s := g.tenants[tenant]
+	if s == nil {
+		if len(g.tenants) >= maxTenants {
+			clear(g.tenants)
+		}
+		s = &tenantState{tokens: t.Rate, at: now}
+		g.tenants[tenant] = s
+	}
+	if t.Inflight > 0 && s.inflight >= t.Inflight {
+		return "the tenant has as many requests under way as its budget allows", time.Duration(g.meanUs) * time.Microsecond
+	}
+	if t.Rate > 0 {
+		s.tokens = min(max(t.Rate, 1), s.tokens+t.Rate*(now-s.at).Seconds())
+		s.at = now
+		if s.tokens < 1 {
+			return "the tenant's rate is over its budget", time.Duration((1 - s.tokens) / t.Rate * float64(time.Second))
+		}
+		s.tokens--
+	}
+	s.inflight++
+	g.inflight++
+	return "", 0
+}
+
+func (g *gate) leave(tenant string) {
+	g.inflight--
+	if s := g.tenants[tenant]; s != nil && s.inflight > 0 {
+		s.inflight--
+	}
+}
+
+// unique notes a once-only id; false when it was seen here before.
+func (g *gate) unique(id string, now, keep time.Duration) bool {
+	if at, ok := g.once[id]; ok && now-at < keep {
+		return false
+	}
+	if len(g.once) >= maxOnce {
+		for k, at := range g.once {
+			if now-at >= keep {
+				delete(g.once, k)
+			}
+		}
+		if len(g.once) >= maxOnce {
+			return false
+		}
+	}
+	g.once[id] = now
+	return true
+}
+
+func (g *gate) worker(name string) *workerState {
+	w := g.workers[name]
+	if w == nil {
+		if len(g.workers) > 2048 {
+			clear(g.workers)
+		}
+		w = &workerState{}
+		g.workers[name] = w
+	}
+	return w
+}
+
+// release gives back a go that was never sent.
+func (g *gate) release(name string) {
+	if w := g.worker(name); w.goes > 0 {
+		w.goes--
+	}
+}
+
+// ended notes how a go ended, for the choice of the next and for the runner's table.
+func (g *gate) ended(name string, ok bool, took time.Duration, now time.Duration) {
+	w := g.worker(name)
+	if w.goes > 0 {
+		w.goes--
+	}
+	r := g.goes[name]
+	if r == nil {
+		r = &wire.GoReport{Worker: name}
+		g.goes[name] = r
+	}
+	if ok {
+		r.Ok++
+		g.meanUs = 0.95*g.meanUs + 0.05*float64(took.Microseconds())
+		return
+	}
+	r.Errors++
+	w.failed = now
+}
+
+// link notes what a fetch has shown of a class of link.
+func (g *gate) link(class string, tokens int, took time.Duration) {
+	r := g.goes["link/"+class]
+	if r == nil {
+		r = &wire.GoReport{From: class}
+		g.goes["link/"+class] = r
+	}
+	r.LinkTokens += float64(tokens)
+	r.LinkNs += float64(took)
+}
--- /dev/null
+++ b/internal/dispatcher/pick.go
@@ -0,0 +1,247 @@
+package dispatcher
+
+import (
+	"fmt"
+	"strings"
+
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/placement"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/wire"
+)
+
+// The constants of the choice, as ratios.
+const (
+	boundLoad = 1.25 // a shard worker is leaned to up to this multiple of the mean load, and one more
+	lean      = 0.75 // of the prefill that a tail entry would cost elsewhere again
+	sharedHot = 1.5  // accesses in the window that make an entry shared
+)
+
+// Query is all that a choice of worker is made from.
+type Query struct {
+	ID        string
+	Mode      string
+	District  string
+	Entries   map[uint64][]prefix.Entry // by weights epoch
+	Found     map[prefix.Key]*wire.Found
+	Workers   []*wire.Worker
+	Load      func(name string) float64 // goes under way or waiting, as known here
+	Tried     map[string]bool
+	Placement *placement.Placement
+	Curve     placement.Curve
+	NearB     float64 // tokens a second
+	FarB      float64
+	MeanUs    float64           // how long a go takes, lately
+	Stores    map[string]string // name -> address
+	StoreB    float64
+}
+
+// Choice is the worker picked and how the placement takes effect on the request.
+type Choice struct {
+	Worker   *wire.Worker
+	Entries  []prefix.Entry
+	Hit      int // tokens it should have
+	Fetch    int // tokens it is told where to read
+	Cost     float64
+	Wait     float64 // microseconds until a slot is free
+	Fetches  string
+	Saves    string
+	SaveTo   []string
+	SaveUpto int
+	Hot      bool
+	Home     string
+}
+
+type option struct {
+	w        *wire.Worker
+	es       []prefix.Entry
+	cost     float64
+	wait     float64
+	hit, got int
+	from     []string
+}
+
+// Pick chooses a worker: waiting, prefill of what is missing and fetch time, within the
+// worker's slots. Hot entries let load decide; tail entries lean to their shard worker, with
+// bounded load.
+//
+// Example: c, ok := dispatcher.Pick(q)
+func Pick(q Query) (Choice, bool) {
+	holders := q.holders()
+	addr, district, names := map[string]string{}, map[string]string{}, []string{}
+	mean, n := 0.0, 0
+	for _, w := range q.Workers {
+		addr[w.Name], district[w.Name] = w.Addr, w.District
+		if w.State == feed.WorkerUp {
+			names = append(names, w.Name)
+			mean += q.Load(w.Name)
+			n++
+		}
+	}
+	for s, a := range q.Stores {
+		addr[s] = a
+	}
+	if n > 0 {
+		mean /= float64(n)
+	}
+	var best *option
+	var bestHome string
+	for _, w := range q.Workers {
+		es, ok := q.Entries[w.Weights]
+		if !ok || q.Tried[w.Name] || w.State != feed.WorkerUp {
+			continue
+		}
+		o := q.weigh(w, es, holders, addr, district)
+		home := ""
+		if k, i := q.deciding(es); i >= 0 && !q.Placement.Hot(k) && q.Mode != "no-index" {
+			for _, h := range placement.Home(k, names) {
+				if q.Load(h) <= boundLoad*mean+1 {
+					home = h
+					break
+				}
+			}
+			if home != "" && home != w.Name {
+				o.cost += lean * q.Curve.At(float64(es[i].Upto))
+			}
+		}
+		if best == nil || o.cost < best.cost || o.cost == best.cost && less(q.ID, w.Name, best.w.Name) {
+			best, bestHome = o, home
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	c := Choice{Worker: best.w, Entries: best.es, Hit: best.hit, Fetch: best.got, Cost: best.cost, Wait: best.wait,
+		Fetches: strings.Join(best.from, ","), Home: bestHome}
+	q.save(&c, holders, addr, names)
+	return c, true
+}
+
+func less(id, a, b string) bool { return placement.Home(prefixKey(id), []string{a, b})[0] == a }
+
+func prefixKey(id string) (k prefix.Key) { copy(k[:], id); return k }
+
+// holders tells who is known to hold each entry.
+func (q *Query) holders() map[prefix.Key]map[string]bool {
+	m := map[prefix.Key]map[string]bool{}
+	if q.Mode == "no-index" {
+		return m
+	}
+	for k, f := range q.Found {
+		s := map[string]bool{}
+		for _, h := range f.Holders {
+			s[h.Worker] = true
+		}
+		m[k] = s
+	}
+	return m
+}
+
+// deciding is the longest entry that more than one request has used lately; the first
+// entry when none has.
+func (q *Query) deciding(es []prefix.Entry) (prefix.Key, int) {
+	at := 0
+	for i, e := range es {
+		if f := q.Found[e.Key]; f != nil && f.Hotness >= sharedHot {
+			at = i
+		}
+	}
+	if len(es) == 0 {
+		return prefix.Key{}, -1
+	}
+	return es[at].Key, at
+}
+
+// weigh adds up what a request would cost on a worker. Holdings count as long as they run
+// on from the front; a fetch is planned only where it is cheaper than the prefill it saves.
+func (q *Query) weigh(w *wire.Worker, es []prefix.Entry, holders map[prefix.Key]map[string]bool, addr, district map[string]string) *option {
+	o := &option{w: w, es: es}
+	total := 0
+	if len(es) > 0 {
+		total = es[len(es)-1].Upto
+	}
+	fetchUs := 0.0
+	rest := total
+	for i, e := range es {
+		if holders[e.Key][w.Name] {
+			o.hit += e.Tokens
+			rest -= e.Tokens
+			continue
+		}
+		from, b := "", 0.0
+		for h := range holders[e.Key] {
+			hb := q.FarB
+			if _, store := q.Stores[h]; store {
+				hb = q.StoreB
+			} else if district[h] == w.District {
+				hb = q.NearB
+			}
+			if a := addr[h]; a != "" && (hb > b || hb == b && a < from) {
+				from, b = a, hb
+			}
+		}
+		if from == "" || b <= 0 {
+			break
+		}
+		us := float64(e.Tokens) / b * 1e6
+		if us >= q.Curve.At(float64(rest))-q.Curve.At(float64(rest-e.Tokens)) {
+			break
+		}
+		fetchUs += us
+		rest -= e.Tokens
+		o.got += e.Tokens
+		o.from = append(o.from, fmt.Sprintf("%d=%s", i, from))
+	}
+	slots := float64(max(1, w.Slots))
+	if l := q.Load(w.Name); l >= slots {
+		o.wait = (l - slots + 1) / slots * q.MeanUs
+	} else {
+		o.wait = l / slots * q.MeanUs * 0.25 // others' prefill is in the way even when a slot is free
+	}
+	o.cost = o.wait + fetchUs
+	if rest > 0 {
+		o.cost += q.Curve.At(float64(rest))
+	}
+	return o
+}
+
+// save decides whom the worker hands what to: a hot entry goes to one more worker that
+// lacks it and to the store; a tail entry computed away from home goes home.
+func (q *Query) save(c *Choice, holders map[prefix.Key]map[string]bool, addr map[string]string, names []string) {
+	k, at := q.deciding(c.Entries)
+	if at < 0 || q.Mode == "no-index" {
+		return
+	}
+	to := func(name string) {
+		if a := addr[name]; a != "" && name != c.Worker.Name {
+			c.SaveTo = append(c.SaveTo, name)
+			if c.Saves != "" {
+				c.Saves += ","
+			}
+			c.Saves += a
+		}
+	}
+	if c.Hot = q.Placement.Hot(k); c.Hot {
+		for _, n := range placement.Home(prefixKey(q.ID), names) {
+			if !holders[k][n] && n != c.Worker.Name {
+				to(n)
+				break
+			}
+		}
+		for s := range q.Stores {
+			if !holders[k][s] {
+				to(s)
+			}
+		}
+	} else if c.Home != "" && c.Home != c.Worker.Name && !holders[k][c.Home] && q.shared(k) {
+		to(c.Home)
+	}
+	if len(c.SaveTo) > 0 {
+		c.SaveUpto = at + 1
+	}
+}
+
+func (q *Query) shared(k prefix.Key) bool {
+	f := q.Found[k]
+	return f != nil && f.Hotness >= sharedHot
+}
--- /dev/null
+++ b/internal/fares/check.go
@@ -0,0 +1,205 @@
+// Package fares is the stand-in for the callers of both sites. It sends streamed traffic,
+// checks every byte of every answer, and reconciles what it was told with what the workers
+// say they ran.
+package fares
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+
+	"pebbleloom/internal/cab"
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/prefix"
+)
+
+// Request is one request as it was sent.
+type Request struct {
+	ID     string
+	Kind   string
+	Tenant string
+	Domain string
+	Key    string
+	Model  string
+	Parts  []string
+	Pieces int
+	WaitMs int
+	Once   bool
+	App    bool // answered by the application service, which keeps no prefixes
+}
+
+// Outcome is what the caller learnt.
+type Outcome struct {
+	Request Request
+	Sealed  bool
+	Broken  string // a stream that ended visibly broken
+	Denied  string // the denial's kind
+	BackMs  int
+	Worker  string
+	Last    contract.Piece
+	Faults  []string // what must never happen
+	SentMs  int64
+	TookMs  int64
+}
+
+// Read checks a stream to its end. A stream that ends broken is no fault as long as it
+// looks broken; one that looks whole must be whole, and nothing but the answer to this request.
+//
+// Example: out := fares.Read(req, "cab-3", resp.Body)
+func Read(q Request, worker string, r io.Reader) Outcome {
+	o := Outcome{Request: q, Worker: worker}
+	c := contract.NewCheck(q.ID, worker)
+	b := bufio.NewReaderSize(r, contract.MaxLine)
+	var texts []string
+	for {
+		raw, err := b.ReadSlice('\n')
+		if len(raw) > 0 && err == nil {
+			if w := c.Line(raw); w != "" {
+				o.Faults = append(o.Faults, w)
+				return o
+			}
+			var p contract.Piece
+			if json.Unmarshal(raw, &p) == nil && p.Seal == "" {
+				texts = append(texts, p.T)
+			}
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			if c.Last == nil || len(raw) > 0 {
+				o.Faults = append(o.Faults, "a stream that looks whole without its seal")
+			}
+			break
+		}
+		o.Broken = err.Error()
+		return o
+	}
+	if c.Last == nil {
+		return o
+	}
+	o.Sealed, o.Last = true, *c.Last
+	if len(texts) != q.Pieces {
+		o.Faults = append(o.Faults, fmt.Sprintf("%d pieces where %d were asked for", len(texts), q.Pieces))
+	}
+	key := q.ID
+	if !q.App {
+		es := prefix.Chain(q.Domain, q.Model, o.Last.Weights, q.Parts)
+		key = es[len(es)-1].Key.String()
+	}
+	for n, t := range texts {
+		if t != contract.Text(key, o.Last.Weights, n) {
+			o.Faults = append(o.Faults, fmt.Sprintf("piece %d isn't the answer to this prompt under its tenant and weights", n))
+			break
+		}
+	}
+	return o
+}
+
+// Book keeps all outcomes.
+type Book struct {
+	mu  sync.Mutex
+	all []Outcome
+}
+
+// Add writes one outcome down.
+//
+// Example: book.Add(out)
+func (b *Book) Add(o Outcome) { b.mu.Lock(); b.all = append(b.all, o); b.mu.Unlock() }
+
+// Sum is what a run of callers has shown.
+type Sum struct {
+	Requests  int            `json:"requests"`
+	Sealed    int            `json:"sealed"`
+	Broken    int            `json:"broken"`
+	Denied    map[string]int `json:"denied,omitempty"`
+	Hit       int            `json:"hit_tokens"`
+	Fetched   int            `json:"fetched_tokens"`
+	Prefilled int            `json:"prefilled_tokens"`
+	HitShare  float64        `json:"hit_share"`
+	FetchPart float64        `json:"fetched_share"`
+	MaxToMean float64        `json:"load_max_to_mean"`
+	P50Ms     int64          `json:"p50_ms"`
+	P99Ms     int64          `json:"p99_ms"`
+	Workers   map[string]int `json:"workers,omitempty"`
+	Faults    []string       `json:"faults"`
+}
+
+// Settle adds everything up. Journals are what the workers say they ran; whole tells
+// that no journal was lost with a killed worker.
+//
+// Example: sum := book.Settle(journals, true)
+func (b *Book) Settle(journals map[string][]cab.Run, whole bool) Sum {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Sum{Denied: map[string]int{}, Workers: map[string]int{}, Faults: []string{}}
+	ran := map[string]int{}
+	for _, l := range journals {
+		for _, r := range l {
+			ran[r.RequestID]++
+		}
+	}
+	fault := func(o Outcome, format string, a ...any) {
+		if len(s.Faults) < 100 {
+			s.Faults = append(s.Faults, o.Request.ID+": "+fmt.Sprintf(format, a...))
+		}
+	}
+	var took []int64
+	for _, o := range b.all {
+		s.Requests++
+		n := ran[o.Request.ID]
+		for _, f := range o.Faults {
+			fault(o, "%s", f)
+		}
+		switch {
+		case o.Sealed:
+			s.Sealed++
+			s.Hit, s.Fetched, s.Prefilled = s.Hit+o.Last.Hit, s.Fetched+o.Last.Fetched, s.Prefilled+o.Last.Prefilled
+			took = append(took, o.TookMs)
+			if !o.Request.App {
+				s.Workers[o.Worker]++
+				if n == 0 && whole {
+					fault(o, "sealed, yet no worker ran it")
+				}
+			}
+		case o.Broken != "":
+			s.Broken++
+		default:
+			s.Denied[o.Denied]++
+		}
+		if o.Request.Once && n > 1 {
+			fault(o, "a once-only request ran %d times", n)
+		}
+		if NotRun(o.Denied) && n > 0 {
+			fault(o, "denied as %s, yet it ran", o.Denied)
+		}
+	}
+	if t := s.Hit + s.Fetched + s.Prefilled; t > 0 {
+		s.HitShare, s.FetchPart = float64(s.Hit)/float64(t), float64(s.Fetched)/float64(t)
+	}
+	most, sum := 0, 0
+	for _, n := range s.Workers {
+		most, sum = max(most, n), sum+n
+	}
+	if sum > 0 {
+		s.MaxToMean = float64(most) * float64(len(s.Workers)) / float64(sum)
+	}
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	if n := len(took); n > 0 {
+		s.P50Ms, s.P99Ms = took[n/2], took[n*99/100]
+	}
+	return s
+}
+
+// NotRun tells whether a denial's kind says that nothing ran.
+//
+// Example: fares.NotRun("over-budget")
+func NotRun(kind string) bool {
+	switch kind {
+	case "not-run", "overloaded", "over-budget", "bad-key", "no-such-model", "too-big", "bad-input":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fares/check_test.go
@@ -0,0 +1,98 @@
+package fares
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"pebbleloom/internal/cab"
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/prefix"
+)
+
+var ask = Request{ID: "r1", Domain: "shared", Model: "m", Parts: []string{"opening", "question"}, Pieces: 5, Once: true}
+
+// lines is a right answer, as a worker sends it.
+func lines(q Request, domain string, weights uint64) [][]byte {
+	es := prefix.Chain(domain, q.Model, weights, q.Parts)
+	s := contract.NewSeal(q.ID, "cab-1")
+	var l [][]byte
+	put := func(p contract.Piece) {
+		b, err := json.Marshal(p)
+		if err != nil {
+			panic(err)
+		}
+		l = append(l, append(b, '\n'))
+	}
+	for n := range q.Pieces {
+		t := contract.Text(es[len(es)-1].Key.String(), weights, n)
+		s.Add(n, t)
+		put(contract.Piece{R: q.ID, N: n, T: t})
+	}
+	put(contract.Piece{R: q.ID, N: q.Pieces, Seal: s.Close(), Worker: "cab-1", Weights: weights})
+	return l
+}
+
+type broken struct{ r io.Reader }
+
+func (b broken) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Each fault is planted into a right answer; the checker must say so.
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	right := func() [][]byte { return lines(ask, "shared", 3) }
+	if o := Read(ask, "cab-1", bytes.NewReader(bytes.Join(right(), nil))); !o.Sealed || len(o.Faults) > 0 {
+		t.Fatalf("the right answer: %+v", o)
+	}
+	other := ask
+	other.ID = "r2"
+	for name, plant := range map[string]func([][]byte) [][]byte{
+		"a lost piece":            func(l [][]byte) [][]byte { return append(l[:2:2], l[3:]...) },
+		"a doubled piece":         func(l [][]byte) [][]byte { return append(l[:3:3], l[2:]...) },
+		"a splice":                func(l [][]byte) [][]byte { return append(l[:2:2], lines(other, "shared", 3)[2:]...) },
+		"pieces swapped":          func(l [][]byte) [][]byte { l[1], l[2] = l[2], l[1]; return l },
+		"a missing seal":          func(l [][]byte) [][]byte { return l[:5] },
+		"a changed byte":          func(l [][]byte) [][]byte { l[2] = bytes.Replace(l[2], []byte(`"t":"`), []byte(`"t":"x`), 1); return l },
+		"a line after the seal":   func(l [][]byte) [][]byte { return append(l, l[5]) },
+		"another tenant's answer": func([][]byte) [][]byte { return lines(ask, "t:walled", 3) },
+		"cut short, sealed anew":  func([][]byte) [][]byte { q := ask; q.Pieces = 3; return lines(q, "shared", 3) },
+	} {
+		if o := Read(ask, "cab-1", bytes.NewReader(bytes.Join(plant(right()), nil))); len(o.Faults) == 0 {
+			t.Errorf("%s: not caught: %+v", name, o)
+		}
+	}
+	if o := Read(ask, "cab-1", broken{bytes.NewReader(bytes.Join(right()[:3], nil))}); len(o.Faults) > 0 || o.Sealed || o.Broken == "" {
+		t.Errorf("a visibly broken stream is no fault: %+v", o)
+	}
+}
+
+func TestJournalsAreReconciled(t *testing.T) {
+	run := cab.Run{RequestID: "r1"}
+	for _, c := range []struct {
+		name string
+		o    Outcome
+		js   map[string][]cab.Run
+		want string
+	}{
+		{"ran once, sealed", Outcome{Request: ask, Sealed: true}, map[string][]cab.Run{"a": {run}}, ""},
+		{"a doubled run", Outcome{Request: ask, Sealed: true}, map[string][]cab.Run{"a": {run}, "b": {run}}, "ran 2 times"},
+		{"not run, yet it ran", Outcome{Request: ask, Denied: "not-run"}, map[string][]cab.Run{"a": {run}}, "yet it ran"},
+		{"may have run, and did", Outcome{Request: ask, Denied: "may-have-run"}, map[string][]cab.Run{"a": {run}}, ""},
+		{"sealed by nobody", Outcome{Request: ask, Sealed: true}, nil, "no worker ran it"},
+	} {
+		b := &Book{}
+		b.Add(c.o)
+		got := strings.Join(b.Settle(c.js, true).Faults, "; ")
+		if c.want == "" && got != "" || c.want != "" && !strings.Contains(got, c.want) {
+			t.Errorf("%s: faults %q", c.name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,162 @@
+// Package feed is how a process that isn't in the roster of news itself follows the runner:
+// it asks with the number it has and gets what changed.
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/placement"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+// The states of a worker.
+const (
+	WorkerUp uint32 = iota
+	WorkerUnsure
+	WorkerDraining
+	WorkerGone
+)
+
+// Snapshot is all a request pins: it never changes once it is shared.
+type Snapshot struct {
+	Number     uint64
+	Epoch      uint64 // of the setup
+	Setup      *setup.Setup
+	ProofAt    time.Duration // no setup newer than Epoch had been acknowledged then
+	WorkersAt  time.Duration // when the worker table was last known good
+	Workers    []*wire.Worker
+	Nodes      []*wire.Node
+	Placements map[string]*placement.Placement
+	Stores     []string
+	WeightsAt  map[string]Seen // when each model's weights epoch was first seen here
+}
+
+// Seen is a weights epoch and when it came.
+type Seen struct {
+	Weights uint64
+	Since   time.Duration // it was not acknowledged before this instant; zero: nobody here knows
+	First   time.Duration // this process saw it then
+}
+
+// Fresh tells whether the setup may still be followed at an instant: the proof is younger
+// than the age.
+//
+// Example: if !s.Fresh(clk.Now(), bounds.Setup(0.8)) { deny() }
+func (s *Snapshot) Fresh(now, age time.Duration) bool {
+	return s != nil && s.Setup != nil && s.ProofAt > 0 && now-s.ProofAt < age
+}
+
+// Follower keeps the newest snapshot.
+type Follower struct {
+	cur  atomic.Pointer[Snapshot]
+	clk  clock.Clock
+	log  hclog.Logger
+	Ring func(*Snapshot) // told of every new snapshot; may be nil
+	goes func() []*wire.GoReport
+}
+
+// Follow starts to follow the runner that link gives; goes, if not nil, gives what the
+// process has seen of its goes since the last time.
+//
+// Example: f := feed.Follow(ctx, clk, log, func() wire.Runner { return calls.Runner(addr) }, hold, nil, nil)
+func Follow(ctx context.Context, clk clock.Clock, log hclog.Logger, link func() wire.Runner, hold time.Duration,
+	goes func() []*wire.GoReport, ring func(*Snapshot)) *Follower {
+	f := &Follower{clk: clk, log: log, goes: goes, Ring: ring}
+	go f.run(ctx, link, hold)
+	return f
+}
+
+// Now gives the newest snapshot; nil before the first.
+//
+// Example: s := f.Now()
+func (f *Follower) Now() *Snapshot { return f.cur.Load() }
+
+func (f *Follower) run(ctx context.Context, link func() wire.Runner, hold time.Duration) {
+	for ctx.Err() == nil {
+		var have uint64
+		if s := f.cur.Load(); s != nil {
+			have = s.Number
+		}
+		a := &wire.FeedAsk{Have: have, HoldNs: uint64(hold)}
+		if f.goes != nil {
+			a.Goes = f.goes()
+		}
+		one, end := context.WithTimeout(ctx, 2*hold+time.Second)
+		l := link()
+		var t *wire.FeedTell
+		err := errs.New(errs.CantSay, "no runner is known yet")
+		if l != nil {
+			t, err = l.Feed(one, a)
+		}
+		end()
+		if err != nil {
+			f.log.Debug("no feed", "error", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(hold / 2):
+			}
+			continue
+		}
+		f.take(t)
+	}
+}
+
+func (f *Follower) take(t *wire.FeedTell) {
+	old := f.cur.Load()
+	s, err := Read(t, old, f.clk.Now())
+	if err != nil {
+		f.log.Error("feed can't be read", "error", errs.Text(err))
+		return
+	}
+	f.cur.Store(s)
+	if f.Ring != nil {
+		f.Ring(s)
+	}
+}
+
+// Read makes a snapshot of a runner's answer, keeping what is the same as before.
+//
+// Example: s, err := feed.Read(tell, old, clk.Now())
+func Read(t *wire.FeedTell, old *Snapshot, now time.Duration) (*Snapshot, error) {
+	s := &Snapshot{Number: t.Number, ProofAt: time.Duration(t.ProofAt), WorkersAt: time.Duration(t.WorkersAt), Workers: t.Workers,
+		Nodes: t.Nodes, Stores: t.Stores, Placements: map[string]*placement.Placement{}, WeightsAt: map[string]Seen{}}
+	if old != nil && old.Setup != nil && (t.Setup == nil || old.Epoch == t.Setup.Epoch) {
+		s.Epoch, s.Setup, s.WeightsAt = old.Epoch, old.Setup, old.WeightsAt
+	} else if t.Setup != nil {
+		v, err := setup.Read(t.Setup.Body)
+		if err != nil {
+			return nil, errs.Wrap(err, "setup in feed")
+		}
+		s.Epoch, s.Setup = t.Setup.Epoch, v.Ready()
+		for n, m := range v.Models {
+			w := Seen{Weights: m.Weights, First: now}
+			if old != nil {
+				if o, ok := old.WeightsAt[n]; ok && o.Weights == m.Weights {
+					w = o
+				} else if ok {
+					w.Since = old.ProofAt
+				}
+			}
+			s.WeightsAt[n] = w
+		}
+	}
+	for _, d := range t.Placements {
+		if old != nil && old.Placements[d.Key] != nil && old.Placements[d.Key].Epoch == d.Epoch {
+			s.Placements[d.Key] = old.Placements[d.Key]
+			continue
+		}
+		p, err := placement.Read(d.Body, d.Epoch)
+		if err != nil {
+			return nil, errs.Wrap(err, "placement in feed")
+		}
+		s.Placements[d.Key] = p
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/frontdesk/frontdesk.go
@@ -0,0 +1,298 @@
+// Package frontdesk serves the operator's API. It stands on every node, and every node
+// gives the same answer: what belongs to the control state is read by majority, and what
+// is a view is told by one node, which the answer names.
+package frontdesk
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+
+	"github.com/go-faster/jx"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/roster"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+const setupKey = "setup"
+
+// Desk answers operators.
+type Desk struct {
+	ctl   *link.Control
+	view  func() roster.View
+	calls *daemon.Calls
+	b     settings.Bounds
+}
+
+// Serve serves the operator's API at the place's operator address.
+//
+// Example: err := frontdesk.Serve(life, ctl, member.View, calls)
+func Serve(l *daemon.Life, ctl *link.Control, view func() roster.View, calls *daemon.Calls) error {
+	d := &Desk{ctl, view, calls, l.Place.Bounds}
+	s, err := operator.NewServer(d)
+	if err != nil {
+		return errs.Wrap(err, "operator API")
+	}
+	return l.Serve(l.Place.Operator, http.MaxBytesHandler(s, 2*setup.MaxBytes))
+}
+
+// NewError turns an error into its typed answer.
+//
+// Example: d.NewError(ctx, errs.New(errs.NotFound, "no setup"))
+func (d *Desk) NewError(_ context.Context, err error) *operator.DeniedStatusCode {
+	k := errs.KindOf(err)
+	return &operator.DeniedStatusCode{StatusCode: k.HTTP, Response: operator.Denial{Kind: k.Name, Message: err.Error(), Remedy: k.Remedy}}
+}
+
+func (d *Desk) read(ctx context.Context) (*wire.Doc, error) {
+	t, err := d.ctl.Read(ctx, &wire.ReadAsk{Key: setupKey})
+	if err != nil {
+		return nil, errs.Wrap(err, "read setup")
+	}
+	if len(t.Docs) == 0 {
+		return nil, errs.New(errs.NotFound, "no setup has been applied yet")
+	}
+	return t.Docs[0], nil
+}
+
+func (d *Desk) put(ctx context.Context, body []byte, ifEpoch *uint64, token string, patch, dry bool) (*operator.Changed, error) {
+	p := &wire.Put{Key: setupKey, Body: body, Token: token, AnyEpoch: ifEpoch == nil}
+	if ifEpoch != nil {
+		p.IfEpoch = *ifEpoch
+	}
+	t, err := d.ctl.Change(ctx, &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Put{Put: p}}, Patch: patch, Dry: dry})
+	if err != nil {
+		return nil, errs.Wrap(err, "change setup")
+	}
+	c := &operator.Changed{Epoch: int64(t.Epoch), Outcome: t.Outcome}
+	if t.TokenReuse != "" {
+		c.Note = operator.NewOptString(t.TokenReuse)
+	}
+	return c, nil
+}
+
+// GetSetup reads the setup in force.
+//
+// Example: GET /v1/setup
+func (d *Desk) GetSetup(ctx context.Context) (*operator.SetupInForce, error) {
+	doc, err := d.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &operator.SetupInForce{Epoch: int64(doc.Epoch), Setup: jx.Raw(doc.Body)}, nil
+}
+
+// ChangeSetup applies a whole or partial setup.
+//
+// Example: POST /v1/setup {"setup": {"models": {"lector": {"weights": 4}}}, "partial": true}
+func (d *Desk) ChangeSetup(ctx context.Context, q *operator.SetupChange) (*operator.Changed, error) {
+	var e *uint64
+	if v, ok := q.IfEpoch.Get(); ok {
+		u := uint64(v)
+		e = &u
+	}
+	return d.put(ctx, q.Setup, e, q.Token.Or(""), q.Partial.Or(false), q.Dry.Or(false))
+}
+
+// NameWeights names new weights for a model.
+//
+// Example: POST /v1/weights {"model": "lector", "weights": 4}
+func (d *Desk) NameWeights(ctx context.Context, q *operator.Weights) (*operator.Changed, error) {
+	doc, err := d.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s, err := setup.Read(doc.Body)
+	if err != nil {
+		return nil, errs.Wrap(err, "read setup")
+	}
+	m, ok := s.Models[q.Model]
+	if !ok {
+		return nil, errs.New(errs.NoModel, "model %q", q.Model)
+	}
+	if m.Weights == uint64(q.Weights) {
+		return &operator.Changed{Epoch: int64(doc.Epoch), Outcome: "done", Note: operator.NewOptString("these weights are in force already")}, nil
+	}
+	if uint64(q.Weights) < m.Weights {
+		return nil, errs.New(errs.BadInput, "weights %d are older than %d in force: name a later epoch", q.Weights, m.Weights)
+	}
+	return d.patch(ctx, doc, map[string]any{"models": map[string]any{q.Model: map[string]any{"weights": q.Weights}}}, q.Token.Or(""))
+}
+
+func (d *Desk) patch(ctx context.Context, doc *wire.Doc, p any, token string) (*operator.Changed, error) {
+	raw, err := json.Marshal(p)
+	if err != nil {
+		return nil, errs.Wrap(err, "write patch")
+	}
+	return d.put(ctx, raw, &doc.Epoch, token, true, false)
+}
+
+// RevokeKey takes a tenant's key out of force.
+//
+// Example: POST /v1/keys/revoke {"tenant": "hotline", "key": "…"}
+func (d *Desk) RevokeKey(ctx context.Context, q *operator.Revoke) (*operator.Changed, error) {
+	doc, err := d.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s, err := setup.Read(doc.Body)
+	if err != nil {
+		return nil, errs.Wrap(err, "read setup")
+	}
+	t, ok := s.Tenants[q.Tenant]
+	if !ok {
+		return nil, errs.New(errs.NotFound, "tenant %q", q.Tenant)
+	}
+	left := []string{}
+	for _, k := range t.Keys {
+		if k != q.Key {
+			left = append(left, k)
+		}
+	}
+	if len(left) == len(t.Keys) {
+		return nil, errs.New(errs.NotFound, "tenant %q has no such key", q.Tenant)
+	}
+	return d.patch(ctx, doc, map[string]any{"tenants": map[string]any{q.Tenant: map[string]any{"keys": left}}}, "")
+}
+
+// Drain takes a worker out of use, or back in.
+//
+// Example: POST /v1/drain {"worker": "cab-3", "drain": true}
+func (d *Desk) Drain(ctx context.Context, q *operator.Drain) (*operator.Changed, error) {
+	doc, err := d.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var v any
+	if q.Drain {
+		v = true
+	}
+	return d.patch(ctx, doc, map[string]any{"drains": map[string]any{q.Worker: v}}, "")
+}
+
+// teller names the one node that tells a view: the first by name of a role that answers.
+func (d *Desk) teller(role string, ask func(addr string) error) (string, error) {
+	for _, n := range d.view().Role(role) {
+		if n.State == roster.Alive && ask(n.Addr) == nil {
+			return n.Name, nil
+		}
+	}
+	return "", errs.New(errs.CantSay, "no %s answers", role)
+}
+
+// ListNodes lists the nodes as one core machine sees them.
+//
+// Example: GET /v1/nodes
+func (d *Desk) ListNodes(ctx context.Context) (*operator.NodeList, error) {
+	var b *wire.Beat
+	who, err := d.teller("archive", func(addr string) (err error) {
+		one, end := context.WithTimeout(ctx, d.b.Heal(1.0/12))
+		defer end()
+		b, err = d.calls.Roster(addr).Hear(one, &wire.Beat{Epoch: 1, Whole: true})
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	l := &operator.NodeList{SeenBy: who, Nodes: []operator.NodeListNodesItem{}}
+	all := append([]*wire.Node{b.From}, b.News...)
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	for _, n := range all {
+		l.Nodes = append(l.Nodes, operator.NodeListNodesItem{Name: n.Name, Role: n.Role, District: n.District, Addr: n.Addr,
+			State: [...]string{"alive", "suspect", "gone", "left"}[min(n.State, 3)], Incarnation: fmt.Sprint(n.Incarnation), Operator: operator.NewOptString(n.Operator)})
+	}
+	return l, nil
+}
+
+func (d *Desk) feed(ctx context.Context) (string, *feed.Snapshot, error) {
+	var t *wire.FeedTell
+	who, err := d.teller("runner", func(addr string) (err error) {
+		one, end := context.WithTimeout(ctx, d.b.Heal(1.0/12))
+		defer end()
+		t, err = d.calls.Runner(addr).Feed(one, &wire.FeedAsk{})
+		return err
+	})
+	if err != nil {
+		return "", nil, err
+	}
+	s, err := feed.Read(t, nil, 0)
+	return who, s, err
+}
+
+// ListWorkers lists the workers as one runner sees them.
+//
+// Example: GET /v1/workers
+func (d *Desk) ListWorkers(ctx context.Context) (*operator.WorkerList, error) {
+	who, s, err := d.feed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l := &operator.WorkerList{SeenBy: who, Workers: []operator.WorkerListWorkersItem{}}
+	for _, w := range s.Workers {
+		l.Workers = append(l.Workers, operator.WorkerListWorkersItem{Name: w.Name, Addr: w.Addr, Service: w.Service, District: w.District,
+			State: [...]string{"up", "unsure", "draining", "gone"}[min(w.State, 3)], Incarnation: operator.NewOptString(w.Incarnation),
+			Weights: int64(w.Weights), Busy: int(w.Busy), Queued: int(w.Queued), Slots: int(w.Slots)})
+	}
+	return l, nil
+}
+
+// GetPlacement reads a service's placement from the control state.
+//
+// Example: GET /v1/placements/appraisals
+func (d *Desk) GetPlacement(ctx context.Context, q operator.GetPlacementParams) (*operator.PlacementInForce, error) {
+	t, err := d.ctl.Read(ctx, &wire.ReadAsk{Part: link.PartOf(q.Service), Key: "placement/" + q.Service})
+	if err != nil {
+		return nil, errs.Wrap(err, "read placement")
+	}
+	if len(t.Docs) == 0 {
+		return nil, errs.New(errs.NotFound, "no placement for service %q yet", q.Service)
+	}
+	return &operator.PlacementInForce{Epoch: int64(t.Docs[0].Epoch), Placement: jx.Raw(t.Docs[0].Body)}, nil
+}
+
+// LookUp asks the index who holds each prefix of a prompt.
+//
+// Example: POST /v1/index {"model": "lector", "tenant": "biblioteca", "parts": ["…"]}
+func (d *Desk) LookUp(ctx context.Context, q *operator.Lookup) (*operator.Found, error) {
+	doc, err := d.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s, err := setup.Read(doc.Body)
+	if err != nil {
+		return nil, errs.Wrap(err, "read setup")
+	}
+	m, ok := s.Models[q.Model]
+	if !ok {
+		return nil, errs.New(errs.NoModel, "model %q", q.Model)
+	}
+	es := prefix.Chain(s.Domain(q.Tenant), q.Model, m.Weights, q.Parts)
+	var ks []prefix.Key
+	for _, e := range es {
+		ks = append(ks, e.Key)
+	}
+	got := catalogue.NewShards(d.view().Nodes).Seek(ctx, ks, d.calls.Catalogue, d.b.Heal(1.0/24))
+	f := &operator.Found{Prefixes: []operator.FoundPrefixesItem{}}
+	for _, e := range es {
+		x := operator.FoundPrefixesItem{Key: e.Key.String(), Tokens: e.Tokens, Holders: []string{}}
+		if g := got[e.Key]; g != nil {
+			x.Hotness = g.Hotness
+			for _, h := range g.Holders {
+				x.Holders = append(x.Holders, fmt.Sprintf("%s:%s", h.Worker, [...]string{"", "presumed", "confirmed"}[min(h.State, 2)]))
+			}
+		}
+		f.Prefixes = append(f.Prefixes, x)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/house/house_test.go
@@ -0,0 +1,95 @@
+// Package house checks the house rules that a reader can't be trusted to keep in mind.
+package house
+
+import (
+	"bytes"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+func files(t *testing.T) map[string][]byte {
+	t.Helper()
+	m := map[string][]byte{}
+	err := filepath.WalkDir("../..", func(p string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() && (d.Name() == ".git" || d.Name() == "run" || d.Name() == "bin") {
+			if err == nil {
+				err = filepath.SkipDir
+			}
+			return err
+		}
+		if d.IsDir() || !strings.HasSuffix(p, ".go") {
+			return nil
+		}
+		b, err := os.ReadFile(p)
+		if err == nil && !generated.Match(b) {
+			m[p] = b
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(m) < 30 {
+		t.Fatalf("only %d files found: the check looks at the wrong folder", len(m))
+	}
+	return m
+}
+
+var generated = regexp.MustCompile(`(?m)^// Code generated .* DO NOT EDIT\.?$`)
+
+func tooLong(b []byte) bool { return bytes.Count(b, []byte("\n")) > 400 }
+
+func TestNoFileOver400Lines(t *testing.T) {
+	if !tooLong(bytes.Repeat([]byte("x\n"), 401)) || tooLong(bytes.Repeat([]byte("x\n"), 400)) {
+		t.Fatal("the check itself can't tell 401 lines from 400")
+	}
+	for p, b := range files(t) {
+		if tooLong(b) {
+			t.Errorf("%s: over 400 lines: split it", p)
+		}
+	}
+}
+
+// bare lists the public functions whose comment has no example.
+func bare(name string, src []byte) ([]string, error) {
+	f, err := parser.ParseFile(token.NewFileSet(), name, src, parser.ParseComments)
+	if err != nil {
+		return nil, err
+	}
+	var l []string
+	for _, d := range f.Decls {
+		x, ok := d.(*ast.FuncDecl)
+		if !ok || !x.Name.IsExported() || f.Name.Name == "main" || x.Recv != nil && !ast.IsExported(strings.TrimLeft(string(src[x.Recv.List[0].Type.Pos()-1:x.Recv.List[0].Type.End()-1]), "*")) {
+			continue
+		}
+		if !strings.Contains(x.Doc.Text(), "Example:") {
+			l = append(l, x.Name.Name)
+		}
+	}
+	return l, nil
+}
+
+func TestPublicFunctionsHaveExamples(t *testing.T) {
+	if l, err := bare("x.go", []byte("package x\n// A does.\nfunc A() {}\n// B does.\n//\n// Example: B()\nfunc B() {}\n")); err != nil || len(l) != 1 || l[0] != "A" {
+		t.Fatalf("the check itself finds %v, %v", l, err)
+	}
+	for p, b := range files(t) {
+		if strings.HasSuffix(p, "_test.go") {
+			continue
+		}
+		l, err := bare(p, b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, n := range l {
+			t.Errorf("%s: %s: its comment needs a line `Example: …`", p, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/letters.go
@@ -0,0 +1,228 @@
+package ledger
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"pebbleloom/internal/wire"
+)
+
+// Take reads one letter. Letters may be lost, late, doubled or out of order.
+//
+// Example: c.Take(l); drive(c.Flush())
+func (c *Core) Take(l *wire.Letter) {
+	if l.To != c.cfg.Self || l.Part != c.cfg.Part || l.From == c.cfg.Self || !c.Sits(l.From) {
+		return
+	}
+	switch l.Kind {
+	case wire.LetterKind_ASK_STATE:
+		c.tellState(l)
+		return
+	case wire.LetterKind_TELL_STATE:
+		c.hearState(l)
+		return
+	}
+	if c.hard.Standing == wire.Standing_BLANK {
+		return // no vote and no acknowledgement until caught up from both others
+	}
+	if l.Kind == wire.LetterKind_ASK_SOUND {
+		ok := l.Term > c.hard.Term && c.upToDate(l) && (c.owner == "" || c.role != owner && c.silent >= c.cfg.ElectTicks)
+		c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_SOUND, Ok: ok, Probe: l.Term})
+		return
+	}
+	if l.Term > c.hard.Term {
+		c.follow(l.Term, "")
+	}
+	switch l.Kind {
+	case wire.LetterKind_TELL_SOUND:
+		if c.role == sounding && l.Ok && l.Probe == c.hard.Term+1 {
+			if c.yes[l.From] = true; c.majority(len(c.yes)) {
+				c.stand(candidate)
+			}
+		}
+	case wire.LetterKind_ASK_VOTE:
+		c.tellVote(l)
+	case wire.LetterKind_TELL_VOTE:
+		if c.role == candidate && l.Ok && l.Term == c.hard.Term {
+			if c.yes[l.From] = true; c.majority(len(c.yes)) {
+				c.win()
+			}
+		}
+	case wire.LetterKind_ASK_APPEND, wire.LetterKind_ASK_SLOT:
+		c.tellAppend(l)
+	case wire.LetterKind_TELL_APPEND:
+		c.hearAppend(l)
+	}
+}
+
+func (c *Core) upToDate(l *wire.Letter) bool {
+	t := c.lastTerm()
+	return l.LogTerm > t || l.LogTerm == t && l.Index >= c.last()
+}
+
+func (c *Core) tellVote(l *wire.Letter) {
+	ok := l.Term == c.hard.Term && (c.hard.Vote == "" || c.hard.Vote == l.From) && c.upToDate(l)
+	if ok {
+		if c.hard.Vote == "" {
+			c.saveHard(c.hard.Term, l.From)
+		}
+		c.rest()
+	}
+	c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_VOTE, Ok: ok})
+}
+
+func (c *Core) tellAppend(l *wire.Letter) {
+	r := &wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_APPEND, Index: c.last(), Probe: l.Probe}
+	defer func() { c.send(r) }()
+	if l.Term < c.hard.Term {
+		return // an owner of the past: the answer's term tells it so
+	}
+	c.follow(l.Term, l.From)
+	if l.Kind == wire.LetterKind_ASK_SLOT {
+		c.install(l.Slot)
+		r.Ok, r.Index = true, l.Slot.Index
+		return
+	}
+	if l.Index < c.slot.Index { // the front of it is swallowed already: skip that
+		skip := c.slot.Index - l.Index
+		if skip > uint64(len(l.Entries)) {
+			r.Ok, r.Index = true, c.slot.Index
+			return
+		}
+		l = &wire.Letter{Index: c.slot.Index, LogTerm: c.slot.Term, Entries: l.Entries[skip:], Commit: l.Commit}
+	}
+	if t, ok := c.termAt(l.Index); !ok || t != l.LogTerm {
+		r.Index = min(c.last(), l.Index-1)
+		return
+	}
+	for _, e := range l.Entries {
+		if t, ok := c.termAt(e.Index); ok && t == e.Term {
+			continue
+		} else if ok {
+			c.cut(e.Index)
+			c.out.Records = append(c.out.Records, &wire.Record{Kind: &wire.Record_Cut{Cut: e.Index}})
+		}
+		c.keep(e)
+		c.out.Records = append(c.out.Records, &wire.Record{Kind: &wire.Record_Entry{Entry: e}})
+	}
+	r.Ok, r.Index = true, l.Index+uint64(len(l.Entries))
+	c.commit = max(c.commit, min(l.Commit, r.Index))
+}
+
+// install replaces slot, state and log by an owner's slot, where that is ahead.
+func (c *Core) install(s *wire.Slot) {
+	if s.Index <= c.commit {
+		return
+	}
+	var stay []*wire.Entry
+	if t, ok := c.termAt(s.Index); ok && t == s.Term {
+		stay = append(stay, c.from(s.Index+1)...)
+	}
+	c.adopt(s, stay)
+}
+
+func (c *Core) adopt(s *wire.Slot, stay []*wire.Entry) {
+	s = proto.Clone(s).(*wire.Slot)
+	s.Hard = c.hard
+	c.slot, c.log, c.commit, c.applied = s, stay, s.Index, s.Index
+	// What this step has persisted so far is in the slot's hard state and the log that stays.
+	c.out.Install, c.out.Records, c.out.Commits = s, entryRecords(stay), nil
+}
+
+func (c *Core) hearAppend(l *wire.Letter) {
+	if c.role != owner || l.Term != c.hard.Term {
+		return
+	}
+	p := c.col[l.From]
+	p.heard = 0
+	if p.inc != l.Incarnation { // another disk: what the old one had acknowledged counts no more
+		p.inc, p.match, p.probe, p.busy, p.next = l.Incarnation, 0, 0, false, c.last()+1
+		c.feed(l.From, true)
+		return
+	}
+	p.busy = false
+	p.probe = max(p.probe, l.Probe)
+	if !l.Ok {
+		p.next = max(p.match+1, min(p.next-1, l.Index+1))
+		c.feed(l.From, true)
+		return
+	}
+	p.match = max(p.match, l.Index)
+	p.next = max(p.next, p.match+1)
+	c.advance()
+	if p.next <= c.last() {
+		c.feed(l.From, false)
+	}
+}
+
+// advance commits what a majority holds, if it is of this term.
+func (c *Core) advance() {
+	for i := c.last(); i > c.commit; i-- {
+		if t, _ := c.termAt(i); t != c.hard.Term {
+			return
+		}
+		n := 1
+		for _, p := range c.col {
+			if p.match >= i {
+				n++
+			}
+		}
+		if c.majority(n) {
+			c.commit = i
+			c.others(func(m string) { c.feed(m, true) })
+			return
+		}
+	}
+}
+
+func (c *Core) tellState(l *wire.Letter) {
+	if c.role == owner && l.Standing == wire.Standing_BLANK {
+		if p := c.col[l.From]; p.inc != l.Incarnation {
+			*p = colleague{next: c.last() + 1, inc: l.Incarnation, heard: p.heard}
+		}
+	}
+	c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_STATE, About: l.About, Index: c.last(), LogTerm: c.lastTerm(),
+		Slot: c.slot, Entries: append([]*wire.Entry(nil), c.log...)})
+}
+
+// hearState collects what both others hold. A first founding is told from a lost disk by
+// the others: founded colleagues with a log mean that there was a past.
+func (c *Core) hearState(l *wire.Letter) {
+	if c.hard.Standing != wire.Standing_BLANK || l.About != c.hard.Incarnation {
+		return
+	}
+	c.told[l.From] = l
+	if len(c.told) < len(c.cfg.Members)-1 {
+		return
+	}
+	var best *wire.Letter
+	var term uint64
+	blanks := 0
+	c.others(func(m string) {
+		t := c.told[m]
+		if t.Standing == wire.Standing_BLANK {
+			blanks++
+			return
+		}
+		term = max(term, t.Term)
+		if best == nil || t.LogTerm > best.LogTerm || t.LogTerm == best.LogTerm && t.Index > best.Index {
+			best = t
+		}
+	})
+	if blanks > 0 && best != nil && best.Index > 0 {
+		c.stuck = "a colleague is blank too, yet the part has a past: two disks are lost"
+		c.told = map[string]*wire.Letter{}
+		return
+	}
+	c.stuck = ""
+	vote := ""
+	if term > 0 {
+		vote = usedVote // it may have voted in that term before it lost its disk
+	}
+	c.hard = &wire.Hard{Term: term, Vote: vote, Incarnation: c.hard.Incarnation, Standing: wire.Standing_FOUNDED}
+	if best == nil {
+		best = &wire.Letter{Slot: First(c.hard.Incarnation)}
+	}
+	c.adopt(best.Slot, best.Entries)
+	c.told = nil
+	c.rest()
+}
--- /dev/null
+++ b/internal/link/lease.go
@@ -0,0 +1,67 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/wire"
+)
+
+// Lease is a duty's lease as its holder sees it. It is counted from when it was asked for,
+// by a clock that counts sleep; so it ends here before it can be granted to another.
+type Lease struct {
+	Duty   string
+	Part   uint32
+	Holder string
+	TTL    time.Duration
+
+	mu    sync.Mutex
+	clk   clock.Clock
+	ctl   *Control
+	fence uint64
+	until time.Duration
+}
+
+// NewLease prepares to hold a duty; nothing is asked yet.
+//
+// Example: l := link.NewLease(ctl, clk, "appraise/lector", link.PartOf("lector"), "core-1/8f", 3*time.Second)
+func NewLease(ctl *Control, clk clock.Clock, duty string, part uint32, holder string, ttl time.Duration) *Lease {
+	return &Lease{Duty: duty, Part: part, Holder: holder, TTL: ttl, clk: clk, ctl: ctl}
+}
+
+// Held gives the fence while the lease is held. Ask it right before acting.
+//
+// Example: if fence, ok := l.Held(); ok { order(fence) }
+func (l *Lease) Held() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence, l.clk.Now() < l.until
+}
+
+// Renew asks for the lease, or for more of it.
+//
+// Example: err := l.Renew(ctx)
+func (l *Lease) Renew(ctx context.Context) error {
+	l.mu.Lock()
+	g := &wire.Grant{Duty: l.Duty, Holder: l.Holder, TtlNs: uint64(l.TTL), IfFence: l.fence}
+	l.mu.Unlock()
+	ctx, end := context.WithTimeout(ctx, l.TTL/2)
+	defer end()
+	asked := l.clk.Now()
+	t, err := l.ctl.Change(ctx, &wire.ChangeAsk{Part: l.Part, Command: &wire.Command{Kind: &wire.Command_Grant{Grant: g}}})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.fence, l.until = t.Fence, asked+l.TTL-l.TTL/8
+	case errs.KindOf(err) == errs.Conflict && t != nil:
+		// Another holds it, or an earlier answer was lost: learn the fence and ask again later.
+		if l.fence = t.Fence; t.Owner != l.Holder {
+			l.until = 0
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/placement/default.go
@@ -0,0 +1,20 @@
+package placement
+
+import (
+	_ "embed"
+	"encoding/json"
+)
+
+//go:embed curve.json
+var curveJSON []byte
+
+// Default is the curve fitted offline on the stand-in's data by `yard fit`.
+//
+// Example: t := placement.Default().At(4000)
+func Default() Curve {
+	var c Curve
+	if err := json.Unmarshal(curveJSON, &c); err != nil {
+		panic("placement: curve.json is broken: " + err.Error())
+	}
+	return c
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"math"
+	"testing"
+
+	"pebbleloom/internal/prefix"
+)
+
+// Computed by hand from R_max = α·t·B·(N−1) / (c·S·N).
+func TestRMaxByHand(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		alpha, t, b, share float64
+		n                  int
+		want               float64
+	}{
+		{"paper's shape", 0.5, 0.2, 4000, 1000, 4, 0.5 * 0.2 * 4000 * 3 / (1000 * 4)},
+		{"one worker has nobody to fetch from", 1, 1, 1e6, 10, 1, 0},
+		{"no workers", 1, 1, 1e6, 10, 0, 0},
+		{"links fast enough for all: cut to 1", 1, 1, 1e6, 10, 18, 1},
+		{"no shared part", 1, 1, 1e6, 0, 4, 0},
+		{"a fit below zero is no time", 1, -0.1, 1e6, 10, 4, 0},
+		{"alpha 0 tolerates no fetch", 0, 1, 1e6, 10, 4, 0},
+	} {
+		if got := RMax(c.alpha, c.t, c.b, c.share, c.n); math.Abs(got-c.want) > 1e-12 {
+			t.Errorf("%s: %v, by hand %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestScanByHand(t *testing.T) {
+	f := func(v ...float64) []Freq {
+		var l []Freq
+		for i, x := range v {
+			l = append(l, Freq{Key: string(rune('a' + i)), F: x})
+		}
+		return l
+	}
+	for _, c := range []struct {
+		name string
+		fs   []Freq
+		r    float64
+		want int
+		top  string
+	}{
+		{"0.5 reached by the first", f(5, 3, 2), 0.5, 1, "a"},
+		{"0.8 reached by two, in descending order", f(2, 5, 3), 0.2, 2, "b"},
+		{"R_max 0 replicates all", f(2, 5, 3), 0, 3, "b"},
+		{"R_max 1 replicates none", f(2, 5, 3), 1, 0, "b"},
+		{"R_max above 1 replicates none", f(2, 5, 3), 1.7, 0, "b"},
+		{"R_max below 0 replicates all", f(2, 5, 3), -0.5, 3, "b"},
+		{"no accesses: nothing is hot", f(0, 0), 0.3, 0, "a"},
+		{"no entries", nil, 0.3, 0, ""},
+		{"ties go by key", f(1, 1, 1, 1), 0.5, 2, "a"},
+	} {
+		l, n := Scan(c.fs, c.r)
+		if n != c.want || len(l) > 0 && l[0].Key != c.top {
+			t.Errorf("%s: %d of %v, by hand %d", c.name, n, l, c.want)
+		}
+	}
+}
+
+// A worker that leaves moves its own keys alone, and the tail is spread evenly.
+func TestHomesAreEvenAndSteady(t *testing.T) {
+	ws := []string{"a", "b", "c", "d", "e", "f"}
+	n := map[string]int{}
+	for i := range 6000 {
+		k := prefix.Chain("shared", "m", 1, []string{string(rune(i))})[0].Key
+		h := Home(k, ws)
+		n[h[0]]++
+		left := Home(k, ws[:5])
+		if h[0] != "f" && left[0] != h[0] {
+			t.Fatalf("key %s moved from %s to %s though only f left", k, h[0], left[0])
+		}
+	}
+	for w, x := range n {
+		if x < 850 || x > 1150 {
+			t.Errorf("worker %s is home to %d of 6000", w, x)
+		}
+	}
+}
--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,141 @@
+// Package queue has the bounded ring that joins two threads, and the circle that places
+// names on a ring of hashes.
+package queue
+
+import (
+	"hash/fnv"
+	"sort"
+	"sync"
+)
+
+// Ring is a bounded queue between threads. A full ring denies; it never grows.
+type Ring[T any] struct{ c chan T }
+
+// NewRing makes a ring with room for n.
+//
+// Example: r := queue.NewRing[int](16)
+func NewRing[T any](n int) *Ring[T] { return &Ring[T]{c: make(chan T, n)} }
+
+// Offer puts v in, or says false at once when the ring is full.
+//
+// Example: if !r.Offer(v) { denied++ }
+func (r *Ring[T]) Offer(v T) bool {
+	select {
+	case r.c <- v:
+		return true
+	default:
+		return false
+	}
+}
+
+// Out is the end to receive from.
+//
+// Example: for v := range r.Out() { use(v) }
+func (r *Ring[T]) Out() <-chan T { return r.c }
+
+// Len tells how many wait.
+//
+// Example: if r.Len() > half { slow() }
+func (r *Ring[T]) Len() int { return len(r.c) }
+
+// Drain takes up to n that wait, without waiting.
+//
+// Example: batch := append([]T{first}, r.Drain(63)...)
+func (r *Ring[T]) Drain(n int) []T {
+	var l []T
+	for len(l) < n {
+		select {
+		case v := <-r.c:
+			l = append(l, v)
+		default:
+			return l
+		}
+	}
+	return l
+}
+
+// Desk owns a table: commands run one by one on its own thread.
+type Desk[T any] struct {
+	r    *Ring[func(*T)]
+	quit chan struct{}
+	once sync.Once
+}
+
+// NewDesk starts the owner of table t with a queue of n commands.
+//
+// Example: d := queue.NewDesk(&table{}, 256)
+func NewDesk[T any](t *T, n int) *Desk[T] {
+	d := &Desk[T]{r: NewRing[func(*T)](n), quit: make(chan struct{})}
+	go func() {
+		for {
+			select {
+			case f := <-d.r.c:
+				f(t)
+			case <-d.quit:
+				return
+			}
+		}
+	}()
+	return d
+}
+
+// Tell queues a command and goes on; false when the queue is full.
+//
+// Example: d.Tell(func(t *table) { t.n++ })
+func (d *Desk[T]) Tell(f func(*T)) bool { return d.r.Offer(f) }
+
+// Ask queues a command and waits until it ran; false when the owner has stopped.
+//
+// Example: d.Ask(func(t *table) { n = t.n })
+func (d *Desk[T]) Ask(f func(*T)) bool {
+	done := make(chan struct{})
+	select {
+	case d.r.c <- func(t *T) { f(t); close(done) }:
+	case <-d.quit:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-d.quit:
+		return false
+	}
+}
+
+// Stop ends the owner's thread.
+//
+// Example: defer d.Stop()
+func (d *Desk[T]) Stop() { d.once.Do(func() { close(d.quit) }) }
+
+// Hash places a string on the ring of hashes.
+//
+// Example: queue.Hash("edge-1")
+func Hash(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	x := h.Sum64() // FNV alone leaves short names close together: mix it once more
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Rendezvous orders names by their weight for a key: the first is the key's home, and a
+// name that leaves moves only its own keys.
+//
+// Example: queue.Rendezvous("k", []string{"a", "b"})[0]
+func Rendezvous(key string, names []string) []string {
+	l := append([]string(nil), names...)
+	w := make(map[string]uint64, len(l))
+	for _, n := range l {
+		w[n] = Hash(n + "\x00" + key)
+	}
+	sort.Slice(l, func(i, j int) bool {
+		if w[l[i]] != w[l[j]] {
+			return w[l[i]] > w[l[j]]
+		}
+		return l[i] < l[j]
+	})
+	return l
+}
--- /dev/null
+++ b/internal/rank/rank.go
@@ -0,0 +1,118 @@
+// Package rank is the stand-in for the platform: it lists back ends, marks those that were
+// warned, and probes edge nodes.
+package rank
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+)
+
+type platform struct {
+	mu    sync.Mutex
+	list  map[string]contract.Listed
+	probe map[string]string
+}
+
+// Start runs the platform; its first list is a file named by the word `list`.
+//
+// Example: daemon.Main("rank", "stand-in for the platform", need, rank.Start)
+func Start(l *daemon.Life) error {
+	p := &platform{list: map[string]contract.Listed{}, probe: map[string]string{}}
+	if f := l.Place.Word("list", ""); f != "" {
+		raw, err := os.ReadFile(f)
+		var ls []contract.Listed
+		if err == nil {
+			err = json.Unmarshal(raw, &ls)
+		}
+		if err != nil {
+			return errs.As(err, errs.BadInput, "read list "+f)
+		}
+		for _, x := range ls {
+			p.list[x.Name] = x
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/workers", p.get)
+	mux.HandleFunc("POST /v1/workers", p.set)
+	mux.HandleFunc("DELETE /v1/workers/{name}", p.drop)
+	mux.HandleFunc("POST /v1/warn/{name}", p.warn)
+	mux.HandleFunc("GET /v1/probes", p.probes)
+	for _, s := range l.Place.Seeds {
+		l.Every(time.Second, func() { p.ask(s) })
+	}
+	if err := l.Serve(l.Place.Public, mux); err != nil {
+		return err
+	}
+	l.Ready.Store(true)
+	return nil
+}
+
+func (p *platform) get(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	ls := make([]contract.Listed, 0, len(p.list))
+	for _, x := range p.list {
+		ls = append(ls, x)
+	}
+	p.mu.Unlock()
+	sort.Slice(ls, func(i, j int) bool { return ls[i].Name < ls[j].Name })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(ls) // a caller that hung up can't be told
+}
+
+func (p *platform) set(w http.ResponseWriter, r *http.Request) {
+	var x contract.Listed
+	if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&x); err != nil || x.Name == "" || x.Addr == "" {
+		http.Error(w, "give name and addr", 400)
+		return
+	}
+	p.mu.Lock()
+	p.list[x.Name] = x
+	p.mu.Unlock()
+}
+
+func (p *platform) drop(_ http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	delete(p.list, r.PathValue("name"))
+	p.mu.Unlock()
+}
+
+func (p *platform) warn(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x, ok := p.list[r.PathValue("name")]
+	if !ok {
+		http.Error(w, "no such worker", 404)
+		return
+	}
+	x.Draining = true
+	p.list[x.Name] = x
+}
+
+func (p *platform) ask(addr string) {
+	h := &http.Client{Timeout: time.Second}
+	said := "ok"
+	r, err := h.Get("http://" + addr + "/healthz")
+	if err != nil {
+		said = err.Error()
+	} else {
+		r.Body.Close()
+	}
+	p.mu.Lock()
+	p.probe[addr] = said
+	p.mu.Unlock()
+}
+
+func (p *platform) probes(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(p.probe) // a caller that hung up can't be told
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,302 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"pebbleloom/internal/archive"
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/frontdesk"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/queue"
+	"pebbleloom/internal/roster"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+// table is all that a runner knows; its desk's thread alone touches it.
+type table struct {
+	fresh    *Fresh
+	workers  *Workers
+	view     roster.View
+	places   map[string]*wire.Doc
+	setup    *setup.Setup
+	links    map[string]*wire.LinkSeen
+	number   uint64
+	waiting  map[chan struct{}]bool
+	shownAt  uint64
+	lastRows []*wire.Worker
+}
+
+// Runner is the agent of one machine.
+type Runner struct {
+	life  *daemon.Life
+	desk  *queue.Desk[table]
+	clk   clock.Clock
+	calls *daemon.Calls
+	be    *contract.Backends
+	ros   *roster.Member
+}
+
+// Start runs the agent.
+//
+// Example: daemon.Main("runner", "the agent on an edge machine", need, runner.Start)
+func Start(l *daemon.Life) error {
+	b := l.Place.Bounds
+	r := &Runner{life: l, clk: clock.Boot(), calls: daemon.NewCalls(), be: contract.NewBackends()}
+	ms := link.Members(0, l.Place.Core)
+	r.desk = queue.NewDesk(&table{fresh: NewFresh(len(ms)), workers: NewWorkers(b), places: map[string]*wire.Doc{},
+		links: map[string]*wire.LinkSeen{}, waiting: map[chan struct{}]bool{}}, 1024)
+	r.ros = roster.Start(l.Ctx, l.Place, "runner", r.clk, l.Log, r.calls.Roster, func(v roster.View) {
+		r.desk.Tell(func(t *table) { t.view = v; t.changed() })
+	})
+	for _, m := range ms {
+		l.Go(func() { r.followSetup(m) })
+	}
+	l.Every(b.Leave(0.15), r.list)
+	l.Every(b.Leave(0.15), r.probe)
+	l.Every(b.Heal(1.0/12), r.followPlacements)
+	mux := http.NewServeMux()
+	mux.Handle(wire.RunnerPathPrefix, wire.NewRunnerServer(r))
+	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(r.ros))
+	if err := l.Serve(l.Place.Listen, mux); err != nil {
+		return err
+	}
+	view := func() roster.View { return r.ros.View() }
+	if err := frontdesk.Serve(l, link.New(l.Place.Core, view, r.calls, b), view, r.calls); err != nil {
+		return err
+	}
+	l.Ready.Store(true)
+	return nil
+}
+
+func (t *table) changed() {
+	t.number++
+	for c := range t.waiting {
+		close(c)
+	}
+	clear(t.waiting)
+}
+
+// followSetup asks one member of the setup's part again and again, with the epoch it has.
+func (r *Runner) followSetup(member string) {
+	b := r.life.Place.Bounds
+	for r.life.Ctx.Err() == nil {
+		var have uint64
+		r.desk.Ask(func(t *table) { have = t.fresh.Epoch() })
+		asked := r.clk.Now()
+		var tell *wire.NewsTell
+		if addr, ok := r.ros.View().Addr("archive/" + member); ok {
+			ctx, end := context.WithTimeout(r.life.Ctx, b.Setup(0.3))
+			t, err := r.calls.Archive(addr).News(ctx, &wire.NewsAsk{Key: archive.SetupKey, Have: have, HoldNs: uint64(b.Setup(0.15))})
+			end()
+			if err == nil {
+				tell = t
+			}
+		}
+		if tell == nil || tell.Outcome == "cant-say" {
+			r.pause(b.Setup(0.05))
+			if tell == nil {
+				continue
+			}
+		}
+		r.desk.Ask(func(t *table) { r.hear(t, member, have, asked, tell) })
+	}
+}
+
+func (r *Runner) hear(t *table, member string, have uint64, asked time.Duration, tell *wire.NewsTell) {
+	if t.fresh.Hear(member, have, asked, tell) {
+		s, err := setup.Read(t.fresh.Doc().Body)
+		if err != nil {
+			// The control state only holds checked setups; a program older than the setup can still
+			// fail here. It goes without a setup rather than with half of one.
+			r.life.Log.Error("setup can't be read", "epoch", t.fresh.Epoch(), "error", err)
+		}
+		t.setup = s
+		r.life.Log.Info("setup adopted", "epoch", t.fresh.Epoch())
+	}
+	t.changed()
+}
+
+func (r *Runner) pause(d time.Duration) {
+	e := time.NewTimer(d)
+	defer e.Stop()
+	select {
+	case <-r.life.Ctx.Done():
+	case <-e.C:
+	}
+}
+
+func (r *Runner) list() {
+	asked := r.clk.Now()
+	ctx, end := context.WithTimeout(r.life.Ctx, r.life.Place.Bounds.Leave(0.3))
+	defer end()
+	l, err := r.be.List(ctx, r.life.Place.Rank)
+	if err != nil {
+		r.life.Log.Debug("platform doesn't answer: the last list stays", "error", err)
+		return
+	}
+	r.desk.Tell(func(t *table) { t.workers.Listed(l, asked); r.show(t) })
+}
+
+func (r *Runner) probe() {
+	var l []contract.Listed
+	r.desk.Ask(func(t *table) { l = t.workers.Probe() })
+	for _, x := range l {
+		go func() {
+			asked := r.clk.Now()
+			ctx, end := context.WithTimeout(r.life.Ctx, r.life.Place.Bounds.Leave(0.25))
+			defer end()
+			s, err := r.be.State(ctx, x.Addr)
+			r.desk.Ask(func(t *table) { t.workers.Probed(x, s, err == nil, asked, r.clk.Now()) })
+		}()
+	}
+	r.desk.Tell(r.show)
+}
+
+// show lets the waiting know when the worker table has changed.
+func (r *Runner) show(t *table) {
+	var drains map[string]bool
+	if t.setup != nil {
+		drains = t.setup.Drains
+	}
+	rows := t.workers.Table(drains, r.clk.Now())
+	same := len(rows) == len(t.lastRows)
+	for i := 0; same && i < len(rows); i++ {
+		a, o := rows[i], t.lastRows[i]
+		same = a.Name == o.Name && a.Addr == o.Addr && a.State == o.State && a.Weights == o.Weights && a.Incarnation == o.Incarnation
+	}
+	t.lastRows = rows
+	if !same {
+		t.changed()
+	}
+}
+
+// followPlacements asks for news of each service's placement.
+func (r *Runner) followPlacements() {
+	have := map[string]uint64{}
+	r.desk.Ask(func(t *table) {
+		if t.setup == nil {
+			return
+		}
+		for n := range t.setup.Services {
+			have[n] = t.places[n].GetEpoch()
+		}
+		for n := range t.places {
+			if _, ok := have[n]; !ok {
+				delete(t.places, n)
+			}
+		}
+	})
+	for n, h := range have {
+		part := link.PartOf(n)
+		ms := link.Members(part, r.life.Place.Core)
+		m := ms[int(r.clk.Now()/time.Second)%len(ms)]
+		addr, ok := r.ros.View().Addr("archive/" + m)
+		if !ok {
+			continue
+		}
+		ctx, end := context.WithTimeout(r.life.Ctx, r.life.Place.Bounds.Heal(1.0/24))
+		tell, err := r.calls.Archive(addr).News(ctx, &wire.NewsAsk{Part: part, Key: "placement/" + n, Have: h})
+		end()
+		if err == nil && tell.Outcome == "news" && tell.Doc.GetEpoch() > h {
+			r.desk.Tell(func(t *table) {
+				t.places[n] = &wire.Doc{Key: n, Body: tell.Doc.Body, Epoch: tell.Doc.Epoch}
+				t.changed()
+			})
+		}
+	}
+}
+
+// Feed answers the processes beside it: at once when there is news, else when the hold is over.
+//
+// Example: wire.NewRunnerProtobufClient(url, h).Feed(ctx, &wire.FeedAsk{Have: 9, HoldNs: 2e8})
+func (r *Runner) Feed(ctx context.Context, a *wire.FeedAsk) (*wire.FeedTell, error) {
+	end := time.NewTimer(time.Duration(min(a.HoldNs, uint64(10*time.Second))))
+	defer end.Stop()
+	first := true
+	for {
+		var tell *wire.FeedTell
+		c := make(chan struct{})
+		over := false
+		select {
+		case <-end.C:
+			over = true
+		default:
+		}
+		ok := r.desk.Ask(func(t *table) {
+			if first {
+				r.goes(t, a.Goes)
+			}
+			if t.number > a.Have || over || a.HoldNs == 0 || len(t.waiting) > 64 {
+				tell = r.tell(t)
+				return
+			}
+			t.waiting[c] = true
+		})
+		if !ok || tell != nil {
+			if tell == nil {
+				tell = &wire.FeedTell{Number: a.Have}
+			}
+			return tell, nil
+		}
+		first = false
+		select {
+		case <-c:
+		case <-end.C:
+			a.HoldNs = 0
+		case <-ctx.Done():
+			a.HoldNs = 0
+		}
+		r.desk.Tell(func(t *table) { delete(t.waiting, c) })
+	}
+}
+
+func (r *Runner) goes(t *table, l []*wire.GoReport) {
+	t.workers.Goes(l, r.clk.Now())
+	for _, g := range l {
+		if g.LinkNs <= 0 || len(t.links) > 8 && t.links[g.From] == nil {
+			continue
+		}
+		s := t.links[g.From]
+		if s == nil {
+			s = &wire.LinkSeen{Class: g.From}
+			t.links[g.From] = s
+		}
+		s.Tokens, s.Ns = s.Tokens*0.98+g.LinkTokens, s.Ns*0.98+g.LinkNs // old fetches fade
+	}
+}
+
+func (r *Runner) tell(t *table) *wire.FeedTell {
+	f := &wire.FeedTell{Number: t.number, ProofAt: uint64(t.fresh.Proof()), Setup: t.fresh.Doc(), Nodes: t.view.Nodes,
+		Workers: t.lastRows, WorkersAt: uint64(t.workers.listed)}
+	if t.setup == nil {
+		f.Setup = nil
+	}
+	for _, n := range sortedKeys(t.places) {
+		f.Placements = append(f.Placements, t.places[n])
+	}
+	for _, n := range sortedKeys(t.links) {
+		s := t.links[n]
+		f.Links = append(f.Links, &wire.LinkSeen{Class: s.Class, Tokens: s.Tokens, Ns: s.Ns})
+	}
+	for _, w := range t.lastRows {
+		if w.Kind == "store" && w.State < 2 {
+			f.Stores = append(f.Stores, w.Addr)
+		}
+	}
+	return f
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	sort.Strings(l)
+	return l
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,262 @@
+// Package settings reads a process's place in the site: its addresses, its district, three
+// seeds, its data folder and the bounds that all constants are ratios of.
+package settings
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"pebbleloom/internal/errs"
+)
+
+// Place is what one process is told about where it stands.
+type Place struct {
+	Name     string   `json:"name"`     // the machine's or worker's name; stays over restarts
+	District string   `json:"district"` // one of the site's districts
+	Listen   string   `json:"listen"`   // own address towards pebbleloom's processes
+	Public   string   `json:"public"`   // own address towards downstreams, or a stand-in's
+	Operator string   `json:"operator"` // own address towards operators
+	Seeds    []string `json:"seeds"`    // three addresses of other processes
+	Core     []string `json:"core"`     // the names of the core machines
+	Data     string   `json:"data"`     // the one data folder; only where there is a disk
+	Runner   string   `json:"runner"`   // the agent beside a dispatcher, on loopback
+	Rank     string   `json:"rank"`     // where the platform lists workers
+	Extra    []string `json:"extra"`    // a program's own words, checked by the program
+	Bounds   Bounds   `json:"bounds"`
+}
+
+// Bounds are what must hold; every other constant is a ratio of one of them.
+type Bounds struct {
+	SetupMs   int `json:"setup_ms"`   // an old setup is followed no longer than this
+	KeyMs     int `json:"key_ms"`     // a revoked key works no longer than this
+	LeaveMs   int `json:"leave_ms"`   // a worker that left gets requests no longer than this
+	WeightsMs int `json:"weights_ms"` // older weights start no longer than this
+	HealMs    int `json:"heal_ms"`    // service is back within this after a closing fault
+	TryShare  int `json:"try_share"`  // extra tries, percent of traffic
+	TrySpan   int `json:"try_span_ms"`
+	BodyKB    int `json:"body_kb"`
+	Waiting   int `json:"waiting"` // requests that one dispatcher holds at once
+	Entries   int `json:"entries"` // prefix entries that one catalogue holds
+}
+
+// Default is what the users' brief asks for at Páramo.
+//
+// Example: p.Bounds = settings.Default()
+func Default() Bounds {
+	return Bounds{SetupMs: 2000, KeyMs: 5000, LeaveMs: 3000, WeightsMs: 20000, HealMs: 12000,
+		TryShare: 20, TrySpan: 10000, BodyKB: 512, Waiting: 256, Entries: 60000}
+}
+
+func ms(n int, ratio float64) time.Duration {
+	return time.Duration(float64(n) * ratio * float64(time.Millisecond))
+}
+
+// Setup is a ratio of the bound on old setups.
+//
+// Example: b.Setup(0.8) is how old a proof may be
+func (b Bounds) Setup(r float64) time.Duration { return ms(b.SetupMs, r) }
+
+// Leave is a ratio of the bound on workers that left.
+//
+// Example: b.Leave(0.1) is the beat
+func (b Bounds) Leave(r float64) time.Duration { return ms(b.LeaveMs, r) }
+
+// Heal is a ratio of the bound on service being back.
+//
+// Example: b.Heal(0.25) is a lease
+func (b Bounds) Heal(r float64) time.Duration { return ms(b.HealMs, r) }
+
+// Try is a ratio of the window over which extra tries are counted.
+//
+// Example: b.Try(1) is the whole window
+func (b Bounds) Try(r float64) time.Duration { return ms(b.TrySpan, r) }
+
+// Need says which fields a program can't do without.
+type Need struct {
+	Seeds, Core, Data, Runner, Rank, Public, Operator bool
+}
+
+// Read takes the settings file and the flags of a program, flags first, and checks all of
+// it at once. Every fault is listed with its file, field and remedy.
+//
+// Example: p, err := settings.Read("runner", "the agent on a machine", os.Args[1:], settings.Need{Seeds: true})
+func Read(prog, about string, args []string, need Need) (Place, error) {
+	p := Place{Bounds: Default()}
+	var file, seeds, core, extra string
+	var f Place
+	ps := flaggy.NewParser(prog)
+	ps.Description = about
+	ps.ShowHelpOnUnexpected = false
+	ps.DisableShowVersionWithVersion()
+	ps.String(&file, "s", "settings", "settings file (JSON)")
+	ps.String(&f.Name, "n", "name", "name of the machine or worker")
+	ps.String(&f.District, "d", "district", "district it stands in")
+	ps.String(&f.Listen, "l", "listen", "own address (IP:port) towards pebbleloom's processes")
+	ps.String(&f.Public, "p", "public", "own address (IP:port) towards downstreams")
+	ps.String(&f.Operator, "o", "operator", "own address (IP:port) towards operators")
+	ps.String(&seeds, "", "seeds", "three seeds, joined by commas")
+	ps.String(&core, "", "core", "names of the core machines, joined by commas")
+	ps.String(&f.Data, "", "data", "data folder")
+	ps.String(&f.Runner, "", "runner", "address of the runner beside it")
+	ps.String(&f.Rank, "", "rank", "address where the platform lists workers")
+	ps.String(&extra, "", "extra", "the program's own words, key=value joined by commas")
+	var b errs.Batch
+	if err := ps.ParseArgs(args); err != nil {
+		return p, errs.As(err, errs.BadInput, "flags")
+	}
+	if file != "" {
+		raw, err := os.ReadFile(file)
+		b.Note("settings file "+file, errs.As(err, errs.BadInput, "read"))
+		if err == nil {
+			Decode(raw, file, &p, &b)
+		}
+	}
+	over := func(to *string, v string) {
+		if v != "" {
+			*to = v
+		}
+	}
+	over(&p.Name, f.Name)
+	over(&p.District, f.District)
+	over(&p.Listen, f.Listen)
+	over(&p.Public, f.Public)
+	over(&p.Operator, f.Operator)
+	over(&p.Data, f.Data)
+	over(&p.Runner, f.Runner)
+	over(&p.Rank, f.Rank)
+	for _, x := range []struct {
+		to *[]string
+		v  string
+	}{{&p.Seeds, seeds}, {&p.Core, core}, {&p.Extra, extra}} {
+		if x.v != "" {
+			*x.to = strings.Split(x.v, ",")
+		}
+	}
+	if file == "" {
+		file = "flags"
+	}
+	Check(&p, need, file, &b)
+	return p, b.Look()
+}
+
+// Decode reads a settings file; unknown keys and wrong types are noted one by one.
+//
+// Example: settings.Decode(raw, "edge-1.json", &p, &b)
+func Decode(raw []byte, file string, p *Place, b *errs.Batch) {
+	var top map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &top); err != nil {
+		b.Fault(errs.BadInput, "%s: not a JSON object (%v): write one with `name`, `district`, `listen`, `seeds`", file, err)
+		return
+	}
+	fields := map[string]any{"name": &p.Name, "district": &p.District, "listen": &p.Listen, "public": &p.Public,
+		"operator": &p.Operator, "seeds": &p.Seeds, "core": &p.Core, "data": &p.Data, "runner": &p.Runner,
+		"rank": &p.Rank, "extra": &p.Extra}
+	bf := map[string]*int{"setup_ms": &p.Bounds.SetupMs, "key_ms": &p.Bounds.KeyMs, "leave_ms": &p.Bounds.LeaveMs,
+		"weights_ms": &p.Bounds.WeightsMs, "heal_ms": &p.Bounds.HealMs, "try_share": &p.Bounds.TryShare,
+		"try_span_ms": &p.Bounds.TrySpan, "body_kb": &p.Bounds.BodyKB, "waiting": &p.Bounds.Waiting, "entries": &p.Bounds.Entries}
+	var bounds map[string]json.RawMessage
+	for _, k := range keys(top) {
+		if k == "bounds" {
+			if err := json.Unmarshal(top[k], &bounds); err != nil {
+				b.Fault(errs.BadInput, "%s: bounds: not an object: write {\"setup_ms\": 2000, …}", file)
+			}
+			continue
+		}
+		to, ok := fields[k]
+		if !ok {
+			b.Fault(errs.BadInput, "%s: %s: unknown field: remove it (known: %s)", file, k, strings.Join(keys(fields), " "))
+			continue
+		}
+		if err := json.Unmarshal(top[k], to); err != nil {
+			b.Fault(errs.BadInput, "%s: %s: wrong type (%v): give what `docs/operate.md` shows", file, k, err)
+		}
+	}
+	for _, k := range keys(bounds) {
+		to, ok := bf[k]
+		if !ok {
+			b.Fault(errs.BadInput, "%s: bounds.%s: unknown field: remove it (known: %s)", file, k, strings.Join(keys(bf), " "))
+		} else if err := json.Unmarshal(bounds[k], to); err != nil {
+			b.Fault(errs.BadInput, "%s: bounds.%s: not a whole number: give one", file, k)
+		}
+	}
+}
+
+func keys[V any](m map[string]V) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	sort.Strings(l)
+	return l
+}
+
+// Check notes every fault of a place.
+//
+// Example: settings.Check(&p, settings.Need{Data: true}, "core-1.json", &b)
+func Check(p *Place, need Need, file string, b *errs.Batch) {
+	bad := func(field, format string, a ...any) { b.Fault(errs.BadInput, file+": "+field+": "+format, a...) }
+	if p.Name == "" || strings.ContainsAny(p.Name, " ,/\x00") {
+		bad("name", "%q: give a word without spaces, commas or slashes", p.Name)
+	}
+	if p.District == "" {
+		bad("district", "missing: name the district this machine stands in")
+	}
+	addr := func(field, v string, must bool) {
+		if v == "" && !must {
+			return
+		}
+		if a, err := netip.ParseAddrPort(v); err != nil || a.Port() == 0 {
+			bad(field, "%q: give IP:port, by number", v)
+		}
+	}
+	addr("listen", p.Listen, true)
+	addr("public", p.Public, need.Public)
+	addr("operator", p.Operator, need.Operator)
+	addr("runner", p.Runner, need.Runner)
+	addr("rank", p.Rank, need.Rank)
+	if need.Seeds && len(p.Seeds) != 3 {
+		bad("seeds", "%d given: give three addresses of other processes", len(p.Seeds))
+	}
+	for _, s := range p.Seeds {
+		addr("seeds", s, true)
+	}
+	if need.Core && len(p.Core) != 4 {
+		bad("core", "%d given: name the four core machines", len(p.Core))
+	}
+	if need.Data && p.Data == "" {
+		bad("data", "missing: name the data folder on this machine's disk")
+	}
+	rng := func(field string, v, lo, hi int) {
+		if v < lo || v > hi {
+			bad("bounds."+field, "%d: give %d to %d", v, lo, hi)
+		}
+	}
+	rng("setup_ms", p.Bounds.SetupMs, 200, 60000)
+	rng("key_ms", p.Bounds.KeyMs, p.Bounds.SetupMs, 120000)
+	rng("leave_ms", p.Bounds.LeaveMs, 300, 60000)
+	rng("weights_ms", p.Bounds.WeightsMs, p.Bounds.SetupMs, 600000)
+	rng("heal_ms", p.Bounds.HealMs, 1000, 600000)
+	rng("try_share", p.Bounds.TryShare, 0, 100)
+	rng("try_span_ms", p.Bounds.TrySpan, 1000, 600000)
+	rng("body_kb", p.Bounds.BodyKB, 1, 16384)
+	rng("waiting", p.Bounds.Waiting, 1, 65536)
+	rng("entries", p.Bounds.Entries, 100, 10000000)
+}
+
+// Word finds a program's own word among the extras.
+//
+// Example: p.Word("slots", "2") gives "4" when the extras hold "slots=4"
+func (p Place) Word(key, or string) string {
+	for _, e := range p.Extra {
+		if v, ok := strings.CutPrefix(e, key+"="); ok {
+			return v
+		}
+	}
+	return or
+}
--- /dev/null
+++ b/internal/setup/model.go
@@ -0,0 +1,39 @@
+package setup
+
+// Setup is the whole configuration of a site, as operators write it.
+type Setup struct {
+	Tenants   map[string]Tenant  `json:"tenants,omitempty"`
+	Models    map[string]Model   `json:"models,omitempty"`
+	Services  map[string]Service `json:"services,omitempty"`
+	Ways      map[string]Way     `json:"ways,omitempty"` // model -> the service that answers it
+	Drains    map[string]bool    `json:"drains,omitempty"`
+	WaitMaxMs int                `json:"wait_max_ms,omitempty"`
+
+	byKey map[string]string
+}
+
+// Tenant is one user's tenant with its keys and budget.
+type Tenant struct {
+	Keys     []string `json:"keys,omitempty"`
+	Walled   bool     `json:"walled,omitempty"`   // shares no cache with others
+	Rate     float64  `json:"rate,omitempty"`     // requests a second at one dispatcher; 0: no bound
+	Inflight int      `json:"inflight,omitempty"` // at once at one dispatcher; 0: no bound
+}
+
+// Model is a model with the weights epoch in force.
+type Model struct {
+	Weights uint64 `json:"weights"`
+}
+
+// Service is a group of workers that answer for a model.
+type Service struct {
+	Model     string  `json:"model"`
+	Alpha     float64 `json:"alpha,omitempty"`     // fetch time tolerated over prefill time
+	WindowS   int     `json:"window_s,omitempty"`  // hotness window
+	Placement string  `json:"placement,omitempty"` // hrcs, or a switch to compare with
+}
+
+// Way leads a model's requests to a service.
+type Way struct {
+	Service string `json:"service"`
+}
--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,168 @@
+// Package setup is the operator's configuration: reading, merging and checking it.
+package setup
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/mailru/easyjson"
+
+	"pebbleloom/internal/errs"
+)
+
+//go:generate sh -c "PATH=$(go env GOPATH)/bin:$PATH easyjson -all -disallow_unknown_fields model.go"
+
+// MaxBytes bounds a whole setup.
+const MaxBytes = 1 << 20
+
+// Read decodes and checks a whole setup; the faults name paths and remedies.
+//
+// Example: s, err := setup.Read(body)
+func Read(body []byte) (*Setup, error) {
+	s := &Setup{}
+	if len(body) > MaxBytes {
+		return nil, errs.New(errs.TooBig, "setup: %d bytes, at most %d", len(body), MaxBytes)
+	}
+	if err := easyjson.Unmarshal(body, s); err != nil {
+		return nil, errs.As(err, errs.BadInput, "setup")
+	}
+	var b errs.Batch
+	s.check(&b)
+	return s, b.Look()
+}
+
+// Write gives the one form in which a setup is kept and read back.
+//
+// Example: body, err := setup.Write(s)
+func Write(s *Setup) ([]byte, error) {
+	b, err := easyjson.Marshal(s)
+	return b, errs.Wrap(err, "write setup")
+}
+
+// Merge lays a partial setup over a whole one (RFC 7396: null removes) and checks the result.
+//
+// Example: body, err := setup.Merge(old, []byte(`{"models":{"lector":{"weights":4}}}`))
+func Merge(whole, part []byte) ([]byte, error) {
+	if len(whole) == 0 {
+		whole = []byte("{}")
+	}
+	m, err := jsonpatch.MergePatch(whole, part)
+	if err != nil {
+		return nil, errs.As(err, errs.BadInput, "merge partial setup")
+	}
+	s, err := Read(m)
+	if err != nil {
+		return nil, err
+	}
+	return Write(s)
+}
+
+func sorted[V any](m map[string]V) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	sort.Strings(l)
+	return l
+}
+
+func (s *Setup) check(b *errs.Batch) {
+	bad := func(path, format string, a ...any) {
+		b.Fault(errs.BadInput, "%s: %s", path, fmt.Sprintf(format, a...))
+	}
+	word := func(path, v string) {
+		if v == "" || len(v) > 64 || strings.ContainsAny(v, " /\x00\n") {
+			bad(path, "%q: give a word of 1 to 64 letters without spaces or slashes", v)
+		}
+	}
+	seen := map[string]string{}
+	for _, n := range sorted(s.Tenants) {
+		t, p := s.Tenants[n], "tenants."+n
+		word(p, n)
+		if t.Rate < 0 || t.Inflight < 0 {
+			bad(p, "rate and inflight: give 0 (no bound) or more")
+		}
+		for i, k := range t.Keys {
+			if len(k) < 8 || len(k) > 128 {
+				bad(fmt.Sprintf("%s.keys[%d]", p, i), "%d letters: give 8 to 128", len(k))
+			}
+			if o, ok := seen[k]; ok {
+				bad(fmt.Sprintf("%s.keys[%d]", p, i), "tenant %s has the same key: give each its own", o)
+			}
+			seen[k] = n
+		}
+	}
+	for _, n := range sorted(s.Models) {
+		word("models."+n, n)
+		if s.Models[n].Weights == 0 {
+			bad("models."+n+".weights", "missing: name the weights epoch, from 1")
+		}
+	}
+	for _, n := range sorted(s.Services) {
+		v, p := s.Services[n], "services."+n
+		word(p, n)
+		if _, ok := s.Models[v.Model]; !ok {
+			bad(p+".model", "%q is not among models: add it there or name another", v.Model)
+		}
+		if v.Alpha < 0 || v.Alpha > 10 {
+			bad(p+".alpha", "%g: give 0 (the default, 1) to 10", v.Alpha)
+		}
+		if v.WindowS < 0 || v.WindowS > 86400 {
+			bad(p+".window_s", "%d: give 0 (the default, 30) to 86400", v.WindowS)
+		}
+		switch v.Placement {
+		case "", "hrcs", "all-replicated", "all-sharded", "no-index":
+		default:
+			bad(p+".placement", "%q: give hrcs, all-replicated, all-sharded or no-index", v.Placement)
+		}
+	}
+	for _, n := range sorted(s.Ways) {
+		if _, ok := s.Services[s.Ways[n].Service]; !ok {
+			bad("ways."+n+".service", "%q is not among services: add it there or name another", s.Ways[n].Service)
+		}
+		if _, ok := s.Models[n]; !ok {
+			bad("ways."+n, "no such model: a way is named by the model it serves")
+		}
+	}
+	if s.WaitMaxMs < 0 || s.WaitMaxMs > 600000 {
+		bad("wait_max_ms", "%d: give 0 (the default, 30000) to 600000", s.WaitMaxMs)
+	}
+}
+
+// Tenant finds who a key belongs to.
+//
+// Example: name, t, ok := s.Tenant(key)
+func (s *Setup) Tenant(key string) (string, Tenant, bool) {
+	n, ok := s.byKey[key]
+	return n, s.Tenants[n], ok
+}
+
+// Has tells whether a key still belongs to a tenant.
+//
+// Example: if !s.Has(key, tenant) { deny() }
+func (s *Setup) Has(key, tenant string) bool { n, ok := s.byKey[key]; return ok && n == tenant }
+
+// Ready builds what look-ups need; call it once, before the setup is shared.
+//
+// Example: s.Ready()
+func (s *Setup) Ready() *Setup {
+	s.byKey = map[string]string{}
+	for n, t := range s.Tenants {
+		for _, k := range t.Keys {
+			s.byKey[k] = n
+		}
+	}
+	return s
+}
+
+// Domain is the wall domain of a tenant: its own when walled, the shared one otherwise.
+//
+// Example: s.Domain("hospital-norte")
+func (s *Setup) Domain(tenant string) string {
+	if s.Tenants[tenant].Walled {
+		return "t:" + tenant
+	}
+	return "shared"
+}
--- /dev/null
+++ b/internal/shelf/folder.go
@@ -0,0 +1,69 @@
+package shelf
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+)
+
+type folder struct{ dir string }
+
+// Folder is the Disk of a real folder; it is made when missing.
+//
+// Example: d := shelf.Folder("/var/lib/pebbleloom/part-0")
+func Folder(dir string) Disk { return folder{dir} }
+
+func (f folder) Read(name string) ([]byte, bool, error) {
+	b, err := os.ReadFile(filepath.Join(f.dir, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, false, nil
+	}
+	return b, err == nil, err
+}
+
+func (f folder) with(name string, flag int, do func(*os.File) error) error {
+	if err := os.MkdirAll(f.dir, 0o755); err != nil {
+		return err
+	}
+	h, err := os.OpenFile(filepath.Join(f.dir, name), flag, 0o644)
+	if err != nil {
+		return err
+	}
+	err = do(h)
+	if e := h.Sync(); err == nil {
+		err = e
+	}
+	if e := h.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+func (f folder) Write(name string, b []byte) error {
+	err := f.with(name, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, func(h *os.File) error { _, e := h.Write(b); return e })
+	if err != nil {
+		return err
+	}
+	// The folder's own entry, and the folder's entry in its parent, are synced too.
+	for _, d := range []string{f.dir, filepath.Dir(f.dir)} {
+		h, err := os.Open(d)
+		if err != nil {
+			return err
+		}
+		err = h.Sync()
+		h.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f folder) Append(name string, b []byte) error {
+	return f.with(name, os.O_WRONLY|os.O_APPEND, func(h *os.File) error { _, e := h.Write(b); return e })
+}
+
+func (f folder) Cut(name string, size int) error {
+	return f.with(name, os.O_WRONLY, func(h *os.File) error { return h.Truncate(int64(size)) })
+}
--- /dev/null
+++ b/internal/shelf/shelf.go
@@ -0,0 +1,261 @@
+// Package shelf keeps one part's state on disk: two slots written in turn, with a short
+// log between. Nothing that was acknowledged is lost to a torn write, and nothing rotten
+// is read silently.
+//
+// slot-0 and slot-1 each hold a whole state under a generation and a checksum; log-0 and
+// log-1 hold what came after the slot of the same number. Turning to generation g writes
+// the log first (header g, with the records that stay), then the slot.
+package shelf
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+
+	"google.golang.org/protobuf/proto"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/wire"
+)
+
+// Disk is the seam to files. Each call returns once its effect is synced, file and folder.
+type Disk interface {
+	Read(name string) (b []byte, there bool, err error)
+	Write(name string, b []byte) error
+	Append(name string, b []byte) error
+	Cut(name string, size int) error
+}
+
+const (
+	magic    = 0x50424c31 // "PBL1": a shape of its own; a later shape gets another
+	headSize = 20
+	recHead  = 12
+	maxRec   = 16 << 20
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Shelf writes; after a failed write it denies all more.
+type Shelf struct {
+	d    Disk
+	gen  uint64
+	size int // bytes of the log in force
+	bad  error
+}
+
+// Loaded is what a shelf held when it was opened.
+type Loaded struct {
+	Slot    *wire.Slot // nil on an empty disk
+	Records []*wire.Record
+	Torn    int // bytes of a torn tail that were cut off
+}
+
+// Open reads what the disk holds. An empty disk gives a nil Slot; a disk that can't be
+// trusted gives an error of kind DiskBad.
+//
+// Example: s, l, err := shelf.Open(shelf.Folder("/var/lib/pebbleloom/part-0"))
+func Open(d Disk) (*Shelf, Loaded, error) {
+	s := &Shelf{d: d}
+	var l Loaded
+	var logs [2][]byte
+	var there [4]bool
+	var slots [2]*wire.Slot
+	var gens, lgens [2]uint64
+	var rest [2]int
+	var b errs.Batch
+	for i := range 2 {
+		raw, ok, err := d.Read(fmt.Sprintf("slot-%d", i))
+		b.Note("slot", errs.As(err, errs.DiskBad, "read"))
+		there[i] = ok
+		slots[i], gens[i] = readSlot(raw)
+		lg, ok, err := d.Read(fmt.Sprintf("log-%d", i))
+		b.Note("log", errs.As(err, errs.DiskBad, "read"))
+		there[2+i] = ok
+		if lgens[i], rest[i], ok = readHead(lg); ok {
+			logs[i] = lg[headSize:]
+		}
+	}
+	if err := b.Look(); err != nil {
+		return nil, l, err
+	}
+	if there == [4]bool{} {
+		return s, l, nil
+	}
+	at := -1
+	for i := range 2 {
+		if slots[i] != nil && (at < 0 || gens[i] > gens[at]) {
+			at = i
+		}
+	}
+	if at < 0 {
+		// The very first turn may have been cut short before anything was acknowledged.
+		if lgens[1] == 1 && len(logs[1]) == 0 && !there[0] && !there[2] || !there[0] && !there[1] && !there[2] && logs[1] == nil {
+			return s, l, nil
+		}
+		return nil, l, errs.New(errs.DiskBad, "no slot can be read, though the folder holds state")
+	}
+	o := 1 - at
+	if lgens[o] > gens[at] && len(records(logs[o]).list) > rest[o] {
+		return nil, l, errs.New(errs.DiskBad, "slot-%d is rotten: its log of generation %d went on after it was written", o, lgens[o])
+	}
+	s.gen, l.Slot = gens[at], slots[at]
+	if lgens[at] != s.gen {
+		return nil, l, errs.New(errs.DiskBad, "log-%d is of generation %d, its slot of %d", at, lgens[at], s.gen)
+	}
+	sc := records(logs[at])
+	if sc.rot {
+		return nil, l, errs.New(errs.DiskBad, "log-%d is rotten at byte %d: whole records follow", at, sc.end)
+	}
+	if len(sc.list) < rest[at] {
+		return nil, l, errs.New(errs.DiskBad, "log-%d holds %d records of the %d it began with", at, len(sc.list), rest[at])
+	}
+	l.Records, l.Torn = sc.list, len(logs[at])-sc.end
+	s.size = headSize + sc.end
+	if l.Torn > 0 {
+		if err := d.Cut(s.log(), s.size); err != nil {
+			return nil, l, errs.As(err, errs.DiskBad, "cut torn tail")
+		}
+	}
+	return s, l, nil
+}
+
+func (s *Shelf) log() string { return fmt.Sprintf("log-%d", s.gen%2) }
+
+// Append puts records behind the log and returns once they are synced.
+//
+// Example: err := s.Append([]*wire.Record{r})
+func (s *Shelf) Append(rs []*wire.Record) error {
+	if s.bad != nil {
+		return s.bad
+	}
+	if len(rs) == 0 {
+		return nil
+	}
+	b := pack(rs)
+	if err := s.d.Append(s.log(), b); err != nil {
+		s.bad = errs.As(err, errs.DiskBad, "append to log")
+		return s.bad
+	}
+	s.size += len(b)
+	return nil
+}
+
+// Turn writes the other slot and starts its log with the records that stay.
+//
+// Example: err := s.Turn(slot, rest)
+func (s *Shelf) Turn(slot *wire.Slot, rest []*wire.Record) error {
+	if s.bad != nil {
+		return s.bad
+	}
+	g := s.gen + 1
+	h := make([]byte, headSize)
+	binary.LittleEndian.PutUint32(h, magic)
+	binary.LittleEndian.PutUint64(h[4:], g)
+	binary.LittleEndian.PutUint32(h[12:], uint32(len(rest)))
+	binary.LittleEndian.PutUint32(h[16:], crc32.Checksum(h[:16], table))
+	lb := append(h, pack(rest)...)
+	body, err := proto.Marshal(slot)
+	if err == nil {
+		err = s.d.Write(fmt.Sprintf("log-%d", g%2), lb)
+	}
+	if err == nil {
+		sb := make([]byte, 12, 16+len(body))
+		binary.LittleEndian.PutUint32(sb, magic)
+		binary.LittleEndian.PutUint64(sb[4:], g)
+		sb = append(sb, body...)
+		sb = binary.LittleEndian.AppendUint32(sb, crc32.Checksum(sb, table))
+		err = s.d.Write(fmt.Sprintf("slot-%d", g%2), sb)
+	}
+	if err != nil {
+		s.bad = errs.As(err, errs.DiskBad, "turn slot")
+		return s.bad
+	}
+	s.gen, s.size = g, len(lb)
+	return nil
+}
+
+// Size is how long the log in force is, in bytes.
+//
+// Example: if s.Size() > 1<<20 { turn() }
+func (s *Shelf) Size() int { return s.size }
+
+func readSlot(b []byte) (*wire.Slot, uint64) {
+	if len(b) < 16 || binary.LittleEndian.Uint32(b) != magic {
+		return nil, 0
+	}
+	n := len(b) - 4
+	if crc32.Checksum(b[:n], table) != binary.LittleEndian.Uint32(b[n:]) {
+		return nil, 0
+	}
+	s := &wire.Slot{}
+	if proto.Unmarshal(b[12:n], s) != nil {
+		return nil, 0
+	}
+	return s, binary.LittleEndian.Uint64(b[4:])
+}
+
+func readHead(b []byte) (gen uint64, rest int, ok bool) {
+	if len(b) < headSize || binary.LittleEndian.Uint32(b) != magic ||
+		crc32.Checksum(b[:16], table) != binary.LittleEndian.Uint32(b[16:]) {
+		return 0, 0, false
+	}
+	return binary.LittleEndian.Uint64(b[4:]), int(binary.LittleEndian.Uint32(b[12:])), true
+}
+
+func pack(rs []*wire.Record) []byte {
+	var b []byte
+	for _, r := range rs {
+		body, err := proto.Marshal(r)
+		if err != nil {
+			panic("shelf: a record that can't be marshalled: " + err.Error())
+		}
+		h := make([]byte, recHead)
+		binary.LittleEndian.PutUint32(h, uint32(len(body)))
+		binary.LittleEndian.PutUint32(h[4:], crc32.Checksum(h[:4], table))
+		binary.LittleEndian.PutUint32(h[8:], crc32.Checksum(body, table))
+		b = append(append(b, h...), body...)
+	}
+	return b
+}
+
+type scan struct {
+	list []*wire.Record
+	end  int
+	rot  bool
+}
+
+// one reads the record at the front of b: its length, or 0 when it isn't whole.
+func one(b []byte) (*wire.Record, int) {
+	if len(b) < recHead || crc32.Checksum(b[:4], table) != binary.LittleEndian.Uint32(b[4:]) {
+		return nil, 0
+	}
+	n := int(binary.LittleEndian.Uint32(b))
+	if n > maxRec || len(b) < recHead+n || crc32.Checksum(b[recHead:recHead+n], table) != binary.LittleEndian.Uint32(b[8:]) {
+		return nil, 0
+	}
+	r := &wire.Record{}
+	if proto.Unmarshal(b[recHead:recHead+n], r) != nil {
+		return nil, 0
+	}
+	return r, recHead + n
+}
+
+// records reads up to the first record that isn't whole. Where a whole one follows, that
+// is rot in the middle and not the torn tail of a crash.
+func records(b []byte) scan {
+	var s scan
+	for s.end < len(b) {
+		r, n := one(b[s.end:])
+		if n == 0 {
+			break
+		}
+		s.list, s.end = append(s.list, r), s.end+n
+	}
+	for i := s.end + 1; i < len(b); i++ {
+		if r, n := one(b[i:]); n > recHead && r.Kind != nil {
+			s.rot = true
+			break
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/yard/callers.go
@@ -0,0 +1,59 @@
+package yard
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fares"
+)
+
+// Callers is the command line of the callers: they send to a site that is up.
+//
+// Example: os.Exit(yard.Callers([]string{"--site", "paramo", "--seconds", "10"}, os.Stdout, os.Stderr))
+func Callers(args []string, out, bad io.Writer) int {
+	site, seconds, net, seed := "paramo", 10, 10, uint64(1)
+	ps := flaggy.NewParser("fares")
+	ps.Description = "sends a site's traffic and checks every answer"
+	ps.ShowHelpOnUnexpected = false
+	ps.DisableShowVersionWithVersion()
+	ps.String(&site, "s", "site", "paramo or daegu")
+	ps.Int(&seconds, "t", "seconds", "how long to send")
+	ps.Int(&net, "n", "net", "second byte of the site's loopback addresses")
+	ps.UInt64(&seed, "e", "seed", "seed")
+	fail := func(err error) int {
+		fmt.Fprintln(bad, "fares: "+errs.Text(err))
+		return errs.KindOf(err).Exit
+	}
+	if err := ps.ParseArgs(args); err != nil {
+		return fail(errs.As(err, errs.BadInput, "flags"))
+	}
+	s, err := Plan(site, "", net, nil)
+	if err != nil {
+		return fail(err)
+	}
+	ctx, end := context.WithTimeout(context.Background(), time.Duration(seconds)*2*time.Second+time.Minute)
+	defer end()
+	book := &fares.Book{}
+	run := fmt.Sprintf("f%d-", time.Now().UnixMilli()) // an id is used once, also over several calls
+	fares.Drive(ctx, s.Traffic, fares.NewCaller(s.Edges), seed, run, int(float64(seconds)*s.Traffic.Rate), book)
+	js, err := fares.Journals(ctx, s.Cabs)
+	if err != nil {
+		return fail(errs.Wrap(err, "journals"))
+	}
+	sum := book.Settle(js, true)
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", " ")
+	if err := enc.Encode(sum); err != nil {
+		return fail(errs.Wrap(err, "write report"))
+	}
+	if len(sum.Faults) > 0 || sum.Sealed == 0 {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/yard/main.go
@@ -0,0 +1,143 @@
+package yard
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fares"
+)
+
+// Options are what the yard's commands take.
+type Options struct {
+	Site, Dir, Bin, Mode string
+	Seconds, Net         int
+	Seed                 uint64
+	Rate                 float64
+}
+
+// Main is the command line of the yard.
+//
+// Example: os.Exit(yard.Main([]string{"up", "--site", "paramo"}, os.Stdout, os.Stderr))
+func Main(args []string, out, bad io.Writer) int {
+	o := Options{Site: "paramo", Seconds: 20, Seed: 1, Net: 10}
+	ps := flaggy.NewParser("yard")
+	ps.Description = "runs a whole site on this machine\n\n  yard up --site paramo              run until interrupted\n  yard run --site daegu --seconds 20  run with callers, check, report, stop"
+	ps.ShowHelpOnUnexpected = false
+	ps.DisableShowVersionWithVersion()
+	sub := map[string]*flaggy.Subcommand{}
+	for _, c := range [][2]string{{"up", "start a site and keep it until interrupted"}, {"run", "start a site, send callers' traffic, check it all, stop"}} {
+		s := flaggy.NewSubcommand(c[0])
+		s.Description = c[1]
+		s.String(&o.Site, "s", "site", "paramo or daegu")
+		s.String(&o.Dir, "d", "dir", "folder for settings, data and logs")
+		s.String(&o.Bin, "b", "bin", "folder with the programs")
+		s.String(&o.Mode, "m", "mode", "placement: hrcs, all-replicated, all-sharded or no-index")
+		s.Int(&o.Seconds, "t", "seconds", "how long callers send")
+		s.Int(&o.Net, "n", "net", "second byte of the loopback addresses")
+		s.UInt64(&o.Seed, "e", "seed", "seed of the callers")
+		s.Float64(&o.Rate, "r", "rate", "requests a second; 0: the site's own")
+		ps.AttachSubcommand(s, 1)
+		sub[c[0]] = s
+	}
+	fail := func(err error) int {
+		fmt.Fprintln(bad, "yard: "+errs.Text(err))
+		return errs.KindOf(err).Exit
+	}
+	if err := ps.ParseArgs(args); err != nil {
+		return fail(errs.As(err, errs.BadInput, "flags"))
+	}
+	if !sub["up"].Used && !sub["run"].Used {
+		return fail(errs.New(errs.BadInput, "no command: give up or run (see --help)"))
+	}
+	if o.Bin == "" {
+		exe, err := os.Executable()
+		if err != nil {
+			return fail(errs.Wrap(err, "find programs"))
+		}
+		o.Bin = filepath.Dir(exe)
+	}
+	if o.Dir == "" {
+		d, err := os.MkdirTemp("", "yard-"+o.Site+"-")
+		if err != nil {
+			return fail(errs.Wrap(err, "make folder"))
+		}
+		o.Dir = d
+	}
+	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer end()
+	if sub["up"].Used {
+		return up(ctx, o, out, fail)
+	}
+	sum, err := Run(ctx, o)
+	if err != nil {
+		return fail(err)
+	}
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", " ")
+	if err := enc.Encode(sum); err != nil {
+		return fail(errs.Wrap(err, "write report"))
+	}
+	if len(sum.Faults) > 0 || sum.Sealed == 0 {
+		return 1
+	}
+	return 0
+}
+
+func (o Options) start(ctx context.Context) (*Fleet, error) {
+	s, err := Plan(o.Site, o.Dir, o.Net, nil)
+	if err != nil {
+		return nil, err
+	}
+	if o.Mode != "" {
+		v := s.Setup.Services[s.Traffic.Model+"-main"]
+		v.Placement = o.Mode
+		s.Setup.Services[s.Traffic.Model+"-main"] = v
+	}
+	if o.Rate > 0 {
+		s.Traffic.Rate = o.Rate
+	}
+	return Up(ctx, s, o.Dir, o.Bin)
+}
+
+func up(ctx context.Context, o Options, out io.Writer, fail func(error) int) int {
+	f, err := o.start(ctx)
+	if err != nil {
+		return fail(err)
+	}
+	fmt.Fprintf(out, "site %s is up: %d processes, logs and settings in %s\nask at      http://%s/v1/answers\noperate at  desk --node %s\n",
+		o.Site, len(f.Site.Processes), o.Dir, f.Site.Edges[0], f.Site.Operators[0])
+	<-ctx.Done()
+	f.Down()
+	return 0
+}
+
+// Run runs a site with callers for a while, and settles what they saw with what ran.
+//
+// Example: sum, err := yard.Run(ctx, yard.Options{Site: "daegu", Seconds: 10, Seed: 1})
+func Run(ctx context.Context, o Options) (fares.Sum, error) {
+	f, err := o.start(ctx)
+	if err != nil {
+		return fares.Sum{}, err
+	}
+	defer f.Down()
+	book := &fares.Book{}
+	n := int(float64(o.Seconds) * f.Site.Traffic.Rate)
+	one, end := context.WithTimeout(ctx, time.Duration(o.Seconds)*2*time.Second)
+	defer end()
+	fares.Drive(one, f.Site.Traffic, fares.NewCaller(f.Site.Edges), o.Seed, "r", n, book)
+	js, err := fares.Journals(ctx, f.Site.Cabs)
+	if err != nil {
+		return fares.Sum{}, errs.Wrap(err, "journals")
+	}
+	return book.Settle(js, true), nil
+}
