--- /dev/null
+++ b/internal/yard/site.go
@@ -0,0 +1,138 @@
+// Package yard runs a whole site on one machine: every program as a process of its own, on
+// loopback addresses.
+package yard
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fares"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/setup"
+)
+
+// Process is one program of a site.
+type Process struct {
+	Name    string // unique in the site
+	Program string
+	Place   settings.Place
+}
+
+// Site is a whole site: its processes, its first setup and its callers' traffic.
+type Site struct {
+	Name      string
+	Processes []Process
+	List      []contract.Listed
+	Setup     setup.Setup
+	Traffic   fares.Traffic
+	Edges     []string // where callers ask
+	Operators []string
+	Cabs      map[string]string
+}
+
+// Sites names the sites that can be run.
+//
+// Example: for _, n := range yard.Sites() { fmt.Println(n) }
+func Sites() []string { return []string{"paramo", "daegu"} }
+
+// Plan lays a site out. net is the second byte of its loopback addresses; extra words go
+// to every cab.
+//
+// Example: s, err := yard.Plan("paramo", "/tmp/run", 10, nil)
+func Plan(name, dir string, net int, cabWords []string) (*Site, error) {
+	s := &Site{Name: name, Cabs: map[string]string{}}
+	b := settings.Default()
+	link, far := "link=100000", "far=50000"
+	weights := uint64(1)
+	switch name {
+	case "paramo":
+		s.Traffic = fares.Traffic{Site: name, Model: "lector", App: "caja", Rate: 45, WaitMs: 8000, Once: 0.3, AppPart: 0.05, Kinds: []fares.Kind{
+			{Name: "appraise", Share: 0.35, Openings: 60, Tokens: 3000, Skew: 1.0, Tail: 40, Pieces: 4},
+			{Name: "catalogue", Share: 0.35, Openings: 160, Tokens: 900, Skew: 0.8, Session: 300, Sessions: 300, Tail: 60, Pieces: 6},
+			{Name: "copies", Share: 0.30, Openings: 60, Tokens: 200, Skew: 0.9, Tail: 30, Pieces: 10}}}
+	case "daegu":
+		b.WeightsMs = 25000
+		link, far = "link=1000000", "far=600000"
+		s.Traffic = fares.Traffic{Site: name, Model: "gisa", App: "jeonpyo", Rate: 30, WaitMs: 8000, Once: 0.4, AppPart: 0.05, Kinds: []fares.Kind{
+			{Name: "ruling", Share: 0.4, Openings: 40, Tokens: 2600, Skew: 1.1, Tail: 30, Pieces: 4},
+			{Name: "route", Share: 0.3, Openings: 120, Tokens: 800, Skew: 0.8, Tail: 50, Pieces: 5},
+			{Name: "booking", Share: 0.3, Openings: 40, Tokens: 180, Skew: 0.9, Session: 120, Sessions: 200, Tail: 40, Pieces: 10}}}
+	default:
+		return nil, errs.New(errs.BadInput, "site %q: give one of %v", name, Sites())
+	}
+	lm, app := s.Traffic.Model, s.Traffic.App
+	s.Setup = setup.Setup{Tenants: map[string]setup.Tenant{}, WaitMaxMs: 30000,
+		Models:   map[string]setup.Model{lm: {Weights: weights}, app: {Weights: 1}},
+		Services: map[string]setup.Service{lm + "-main": {Model: lm, Alpha: 0.5}, app + "-main": {Model: app}},
+		Ways:     map[string]setup.Way{lm: {Service: lm + "-main"}, app: {Service: app + "-main"}}}
+	for i := range 8 {
+		t := fares.Tenant{Name: fmt.Sprintf("tenant-%d", i+1), Key: fmt.Sprintf("key-of-%s-tenant-%d", name, i+1), Weight: 1, Walled: i == 7}
+		if i < 2 {
+			t.Weight = 5
+		}
+		s.Traffic.Tenants = append(s.Traffic.Tenants, t)
+		s.Setup.Tenants[t.Name] = setup.Tenant{Keys: []string{t.Key}, Walled: t.Walled}
+	}
+	ip := func(z, m int) string { return fmt.Sprintf("127.%d.%d.%d", net, z, m) }
+	at := func(a string, p int) string { return fmt.Sprintf("%s:%d", a, p) }
+	seeds := []string{at(ip(1, 1), 7003), at(ip(2, 1), 7003), at(ip(1, 11), 7000)}
+	core := []string{"core-1", "core-2", "core-3", "core-4"}
+	rank := at(ip(9, 1), 9100)
+	add := func(n, prog string, p settings.Place) {
+		p.Bounds, p.Seeds, p.Core, p.Rank = b, seeds, core, rank
+		s.Processes = append(s.Processes, Process{n, prog, p})
+	}
+	for z := 1; z <= 4; z++ {
+		a, n, d := ip(z, 1), core[z-1], fmt.Sprintf("district-%d", z)
+		add("archive-"+n, "archive", settings.Place{Name: n, District: d, Listen: at(a, 7003), Operator: at(a, 8090), Data: filepath.Join(dir, "data", n)})
+		add("appraiser-"+n, "appraiser", settings.Place{Name: n, District: d, Listen: at(a, 7004)})
+		s.Operators = append(s.Operators, at(a, 8090))
+	}
+	for i := range 9 {
+		z := i%4 + 1
+		a, n, d := ip(z, 11+i/4), fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("district-%d", z)
+		add("runner-"+n, "runner", settings.Place{Name: n, District: d, Listen: at(a, 7000), Operator: at(a, 8090)})
+		add("catalogue-"+n, "catalogue", settings.Place{Name: n, District: d, Listen: at(a, 7002), Runner: at(a, 7000)})
+		add("dispatcher-"+n, "dispatcher", settings.Place{Name: n, District: d, Listen: at(a, 7001), Public: at(a, 8080), Runner: at(a, 7000)})
+		s.Edges, s.Operators = append(s.Edges, at(a, 8080)), append(s.Operators, at(a, 8090))
+	}
+	for i := range 18 {
+		z := i%4 + 1
+		a, n, d := ip(z, 21+i/4), fmt.Sprintf("cab-%d", i+1), fmt.Sprintf("district-%d", z)
+		s.List = append(s.List, contract.Listed{Name: n, Addr: at(a, 9000), Kind: "lm", Service: lm + "-main", District: d})
+		s.Cabs[n] = at(a, 9000)
+		add(n, "cab", settings.Place{Name: n, District: d, Listen: at(a, 9001), Public: at(a, 9000),
+			Extra: append([]string{"service=" + lm + "-main", "model=" + lm, link, far, fmt.Sprintf("weights=%d", weights)}, cabWords...)})
+	}
+	s.List = append(s.List, contract.Listed{Name: "app-1", Addr: at(ip(2, 40), 9000), Kind: "app", Service: app + "-main", District: "district-2"},
+		contract.Listed{Name: "depot-1", Addr: at(ip(3, 40), 9000), Kind: "store", District: "district-3"})
+	add("app-1", "appservice", settings.Place{Name: "app-1", District: "district-2", Listen: at(ip(2, 40), 9001), Public: at(ip(2, 40), 9000), Extra: []string{"service=" + app + "-main", "model=" + app}})
+	add("depot-1", "depot", settings.Place{Name: "depot-1", District: "district-3", Listen: at(ip(3, 40), 9001), Public: at(ip(3, 40), 9000)})
+	add("rank-1", "rank", settings.Place{Name: "rank-1", District: "district-1", Listen: at(ip(9, 1), 9101), Public: rank, Extra: []string{"list=" + filepath.Join(dir, "list.json")}})
+	return s, nil
+}
+
+// Write puts the site's settings files into its folder.
+//
+// Example: err := s.Write("/tmp/run")
+func (s *Site) Write(dir string) error {
+	var b errs.Batch
+	put := func(name string, v any) {
+		raw, err := json.MarshalIndent(v, "", " ")
+		b.Note("write "+name, err)
+		if err == nil {
+			b.Note("write "+name, os.WriteFile(filepath.Join(dir, name), append(raw, '\n'), 0o644))
+		}
+	}
+	b.Note("make folder", os.MkdirAll(dir, 0o755))
+	put("list.json", s.List)
+	put("setup.json", s.Setup)
+	for _, p := range s.Processes {
+		put(p.Name+".json", p.Place)
+	}
+	return b.Look()
+}
