--- a/internal/cab/cab.go
+++ b/internal/cab/cab.go
@@ -268,4 +268,3 @@
 	}
 	c.run(w, r, s, run)
 }
-
