--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -29,6 +29,10 @@
 	//
 	// POST /v1/drain
 	Drain(ctx context.Context, request *Drain) (*Changed, error)
+	// Explain invokes explain operation.
+	//
+	// GET /v1/explain/{request}
+	Explain(ctx context.Context, params ExplainParams) (*Explained, error)
 	// GetPlacement invokes getPlacement operation.
 	//
 	// GET /v1/placements/{service}
@@ -186,6 +190,65 @@
 	return result, nil
 }
 
+// Explain invokes explain operation.
+//
+// GET /v1/explain/{request}
+func (c *Client) Explain(ctx context.Context, params ExplainParams) (*Explained, error) {
+	res, err := c.sendExplain(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendExplain(ctx context.Context, params ExplainParams) (res *Explained, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/v1/explain/"
+	{
+		// Encode "request" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "request",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Request))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeExplainResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetPlacement invokes getPlacement operation.
 //
 // GET /v1/placements/{service}
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -214,6 +214,99 @@
 	}
 }
 
+// handleExplainRequest handles explain operation.
+//
+// GET /v1/explain/{request}
+func (s *Server) handleExplainRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ExplainOperation,
+			ID:   "explain",
+		}
+	)
+	params, err := decodeExplainParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Explained
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ExplainOperation,
+			OperationSummary: "",
+			OperationID:      "explain",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "request",
+					In:   "path",
+				}: params.Request,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = ExplainParams
+			Response = *Explained
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackExplainParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.Explain(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.Explain(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeExplainResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetPlacementRequest handles getPlacement operation.
 //
 // GET /v1/placements/{service}
--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -384,6 +384,116 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Explained) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Explained) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("goes")
+		e.ArrStart()
+		for _, elem := range s.Goes {
+			if len(elem) != 0 {
+				e.Raw(elem)
+			}
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfExplained = [1]string{
+	0: "goes",
+}
+
+// Decode decodes Explained from json.
+func (s *Explained) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Explained to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "goes":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Goes = make([]jx.Raw, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem jx.Raw
+					v, err := d.RawAppend(nil)
+					elem = jx.Raw(v)
+					if err != nil {
+						return err
+					}
+					s.Goes = append(s.Goes, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"goes\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Explained")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfExplained) {
+					name = jsonFieldsNameOfExplained[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Explained) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Explained) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Found) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/operator/oas_operations_gen.go
+++ b/api/operator/oas_operations_gen.go
@@ -8,6 +8,7 @@
 const (
 	ChangeSetupOperation  OperationName = "ChangeSetup"
 	DrainOperation        OperationName = "Drain"
+	ExplainOperation      OperationName = "Explain"
 	GetPlacementOperation OperationName = "GetPlacement"
 	GetSetupOperation     OperationName = "GetSetup"
 	ListNodesOperation    OperationName = "ListNodes"
--- a/api/operator/oas_parameters_gen.go
+++ b/api/operator/oas_parameters_gen.go
@@ -14,6 +14,91 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// ExplainParams is parameters of explain operation.
+type ExplainParams struct {
+	Request string
+}
+
+func unpackExplainParams(packed middleware.Parameters) (params ExplainParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "request",
+			In:   "path",
+		}
+		params.Request = packed[key].(string)
+	}
+	return params
+}
+
+func decodeExplainParams(args [1]string, argsEscaped bool, r *http.Request) (params ExplainParams, _ error) {
+	// Decode path: request.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "request",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Request = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Request)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "request",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // GetPlacementParams is parameters of getPlacement operation.
 type GetPlacementParams struct {
 	Service string
--- a/api/operator/oas_response_encoders_gen.go
+++ b/api/operator/oas_response_encoders_gen.go
@@ -36,6 +36,19 @@
 	return nil
 }
 
+func encodeExplainResponse(response *Explained, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetPlacementResponse(response *PlacementInForce, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/operator/oas_router_gen.go
+++ b/api/operator/oas_router_gen.go
@@ -14,16 +14,16 @@
 	rn3AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn8AllowedHeaders = map[string]string{
+	rn10AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn11AllowedHeaders = map[string]string{
+	rn13AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 	rn1AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn10AllowedHeaders = map[string]string{
+	rn12AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -104,6 +104,42 @@
 					return
 				}
 
+			case 'e': // Prefix: "explain/"
+
+				if l := len("explain/"); len(elem) >= l && elem[0:l] == "explain/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "request"
+				// Leaf parameter, slashes are prohibited
+				idx := strings.IndexByte(elem, '/')
+				if idx >= 0 {
+					break
+				}
+				args[0] = elem
+				elem = ""
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleExplainRequest([1]string{
+							args[0],
+						}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'i': // Prefix: "index"
 
 				if l := len("index"); len(elem) >= l && elem[0:l] == "index" {
@@ -120,7 +156,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn8AllowedHeaders,
+							allowedHeaders: rn10AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -145,7 +181,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn11AllowedHeaders,
+							allowedHeaders: rn13AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -270,7 +306,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn10AllowedHeaders,
+								allowedHeaders: rn12AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -431,6 +467,40 @@
 					}
 				}
 
+			case 'e': // Prefix: "explain/"
+
+				if l := len("explain/"); len(elem) >= l && elem[0:l] == "explain/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "request"
+				// Leaf parameter, slashes are prohibited
+				idx := strings.IndexByte(elem, '/')
+				if idx >= 0 {
+					break
+				}
+				args[0] = elem
+				elem = ""
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = ExplainOperation
+						r.summary = ""
+						r.operationID = "explain"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/explain/{request}"
+						r.args = args
+						r.count = 1
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'i': // Prefix: "index"
 
 				if l := len("index"); len(elem) >= l && elem[0:l] == "index" {
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -138,6 +138,21 @@
 	s.Drain = val
 }
 
+// Ref: #/components/schemas/Explained
+type Explained struct {
+	Goes []jx.Raw `json:"goes"`
+}
+
+// GetGoes returns the value of Goes.
+func (s *Explained) GetGoes() []jx.Raw {
+	return s.Goes
+}
+
+// SetGoes sets the value of Goes.
+func (s *Explained) SetGoes(val []jx.Raw) {
+	s.Goes = val
+}
+
 // Ref: #/components/schemas/Found
 type Found struct {
 	Prefixes []FoundPrefixesItem `json:"prefixes"`
--- a/api/operator/oas_server_gen.go
+++ b/api/operator/oas_server_gen.go
@@ -16,6 +16,10 @@
 	//
 	// POST /v1/drain
 	Drain(ctx context.Context, req *Drain) (*Changed, error)
+	// Explain implements explain operation.
+	//
+	// GET /v1/explain/{request}
+	Explain(ctx context.Context, params ExplainParams) (*Explained, error)
 	// GetPlacement implements getPlacement operation.
 	//
 	// GET /v1/placements/{service}
--- a/api/operator/oas_validators_gen.go
+++ b/api/operator/oas_validators_gen.go
@@ -9,6 +9,29 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *Explained) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Goes == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "goes",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Found) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"reflect"
 	"time"
@@ -50,7 +51,7 @@
 	a.ros = roster.Start(l.Ctx, l.Place, "appraiser", a.clk, l.Log, a.calls.Roster, nil)
 	view := func() roster.View { return a.ros.View() }
 	a.ctl = link.New(l.Place.Core, view, a.calls, l.Place.Bounds)
-	a.fol = feed.Follow(l.Ctx, a.clk, l.Log, a.runner, l.Place.Bounds.Heal(1.0/12), nil, nil)
+	a.fol = feed.Follow(l.Ctx, a.clk, l.Log, a.runner, l.Place.Bounds.Heal(1.0/12), nil, feed.Seeds(a.ros.SetSeeds))
 	mux := http.NewServeMux()
 	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(a.ros))
 	if err := l.Serve(l.Place.Listen, mux); err != nil {
@@ -169,7 +170,7 @@
 		}
 		p = Choose(f, d.last)
 		d.full = now
-		changed = d.last == nil || !reflect.DeepEqual(p.Replicated, d.last.Replicated) || !reflect.DeepEqual(p.Workers, d.last.Workers) || p.Mode != d.last.Mode
+		changed = d.last == nil || !reflect.DeepEqual(p.Replicated, d.last.Replicated) || !reflect.DeepEqual(p.Workers, d.last.Workers) || p.Mode != d.last.Mode || math.Abs(p.Floor-d.last.Floor) > 0.25*d.last.Floor+0.05
 	} else {
 		p, changed = Swap(d.last, hot)
 	}
--- a/internal/appraiser/choose.go
+++ b/internal/appraiser/choose.go
@@ -15,7 +15,8 @@
 	stay     = 0.7 // an entry leaves the replicated set only below this share of the threshold
 	burst    = 1.3 // an entry swaps in between recomputations only above this multiple of the coldest
 	roomPart = 0.5 // of a worker's room the replicated set may take
-	coldB    = 50000.0
+	coldB    = 50000.0 // tokens a second, believed until fetches have shown more
+	coldS    = 0.02    // seconds of fetching that the belief weighs as much as
 )
 
 // Facts are what a choice is made from.
@@ -38,7 +39,7 @@
 	p := &placement.Placement{Service: f.Service, Mode: f.Mode, Workers: f.Workers, Prefill: f.Curve, Replicated: []string{}}
 	fs, requests, tokens := freqs(f.Hot)
 	p.Entries = len(fs)
-	p.B = bandwidth(f.Links)
+	p.B, p.Floor = bandwidth(f.Links), floor(f.Hot)
 	if requests > 0 {
 		p.MeanLen = tokens / requests
 	}
@@ -52,11 +53,11 @@
 				was[k] = true
 			}
 		}
-		floor := sorted[n-1].F
+		edge := sorted[n-1].F
 		room := int(float64(f.Room) * roomPart)
 		var in []placement.Freq
 		for i, x := range sorted {
-			if i < n || was[x.Key] && x.F >= stay*floor {
+			if i < n || was[x.Key] && x.F >= stay*edge {
 				in = append(in, x)
 			}
 		}
@@ -121,9 +122,21 @@
 	return fs, requests, tokens
 }
 
+// floor is the hotness of the coldest entry that is cached somewhere and that no prompt
+// begins with: a session's prefix has to be hotter to be admitted.
+func floor(hot []*wire.Hot) float64 {
+	least := -1.0
+	for _, h := range hot {
+		if !h.Head && h.Holders > 0 && (least < 0 || h.Hotness < least) {
+			least = h.Hotness
+		}
+	}
+	return max(0, least)
+}
+
 // bandwidth is what fetches from other workers have shown; a starting value until then.
 func bandwidth(l []*wire.LinkSeen) float64 {
-	tok, ns := coldB, float64(time.Second)
+	tok, ns := coldB*coldS, coldS*float64(time.Second)
 	for _, x := range l {
 		if x.Class != "store" {
 			tok, ns = tok+x.Tokens, ns+x.Ns
--- /dev/null
+++ b/internal/appraiser/choose_test.go
@@ -0,0 +1,112 @@
+package appraiser
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/placement"
+	"pebbleloom/internal/wire"
+)
+
+func hots(f ...float64) []*wire.Hot {
+	var l []*wire.Hot
+	for i, x := range f {
+		l = append(l, &wire.Hot{Key: []byte{byte(i)}, Hotness: x, Tokens: 1000, Head: true, Holders: 1})
+	}
+	return l
+}
+
+func facts(f ...float64) Facts {
+	return Facts{Service: "s", Mode: "hrcs", Alpha: 0.5, Workers: []string{"a", "b", "c", "d"}, Room: 1 << 20, Hot: hots(f...), Curve: placement.Curve{C: []float64{0, 40}}}
+}
+
+// By hand: 1000 shared tokens a request take 40 ms; B is the starting 50000 tokens a
+// second; α·t·B·(N−1)/(S·N) = 0.5·0.04·50000·3/(1000·4) = 0.75. The scan stops at 0.25.
+func TestChooseByHand(t *testing.T) {
+	p := Choose(facts(50, 30, 20), nil)
+	if p.RMax < 0.7499 || p.RMax > 0.7501 || len(p.Replicated) != 1 || p.Replicated[0] != "00" || p.MeanLen != 1000 {
+		t.Errorf("%+v", p)
+	}
+	f := facts(50, 30, 20)
+	f.Links = []*wire.LinkSeen{{Class: "near", Tokens: 1e6, Ns: 1e12}, {Class: "store", Tokens: 1e12, Ns: 1}}
+	if p = Choose(f, nil); p.RMax > 0.05 || len(p.Replicated) != 3 {
+		t.Errorf("links seen to be slow, the store's left out: R_max %v, %d replicated", p.RMax, len(p.Replicated))
+	}
+	f = facts(50, 30, 20)
+	f.Alpha, f.Room = 0.01, 4500
+	if p = Choose(f, nil); len(p.Replicated) != 2 {
+		t.Errorf("half of 4500 tokens of room hold %d entries of 1000", len(p.Replicated))
+	}
+	f.Workers = []string{"a"}
+	if p = Choose(f, nil); p.RMax != 0 {
+		t.Errorf("one worker: R_max %v", p.RMax)
+	}
+	if p = Choose(facts(), nil); len(p.Replicated) != 0 || p.Ratio != 0 {
+		t.Errorf("no accesses: %+v", p)
+	}
+}
+
+// Counts that swing round the edge of the set don't make it flap.
+func TestSetsDontFlap(t *testing.T) {
+	f := facts(40, 30, 16, 14)
+	f.Alpha = 0.15 // R_max 0.225: three of four
+	p := Choose(f, nil)
+	if len(p.Replicated) != 3 {
+		t.Fatalf("%+v", p)
+	}
+	changes := 0
+	for i := range 50 {
+		x, y := 16.0, 14.0
+		if i%2 == 0 {
+			x, y = 14, 16
+		}
+		g := f
+		g.Hot = hots(40, 30, x, y)
+		n := Choose(g, p)
+		if fmt.Sprint(len(n.Replicated)) != fmt.Sprint(len(p.Replicated)) {
+			changes++
+		}
+		if _, swapped := Swap(n, g.Hot); swapped {
+			changes++
+		}
+		p = n
+	}
+	if changes > 1 {
+		t.Errorf("%d changes over 50 swings", changes)
+	}
+}
+
+func TestABurstSwapsIn(t *testing.T) {
+	p := Choose(facts(40, 30, 16, 14), nil)
+	n := len(p.Replicated)
+	q, changed := Swap(p, hots(40, 30, 16, 90))
+	if !changed || len(q.Replicated) != n || q.Replicated[0] != "03" {
+		t.Errorf("%v after %v", q.Replicated, p.Replicated)
+	}
+	if _, changed = Swap(q, hots(40, 30, 16, 90)); changed {
+		t.Error("swapped again with nothing new")
+	}
+}
+
+// The roll-out spreads over its span, orders nobody twice, and ends in time.
+func TestRollOutIsPaced(t *testing.T) {
+	var ws []*wire.Worker
+	for i := range 18 {
+		ws = append(ws, &wire.Worker{Name: fmt.Sprintf("w%02d", i), Weights: 1})
+	}
+	most, span := 0, 8*time.Second
+	for at := time.Duration(0); at <= span; at += 500 * time.Millisecond {
+		l := RollOut(ws, 2, at, span)
+		most = max(most, len(l))
+		for _, w := range l {
+			w.Weights = 2
+		}
+	}
+	if left := RollOut(ws, 2, span*2, span); len(left) > 0 || most > 3 {
+		t.Errorf("%d left, up to %d at once", len(left), most)
+	}
+	if l := RollOut(nil, 2, span, span); l != nil {
+		t.Error("no workers, yet orders")
+	}
+}
--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -20,6 +20,7 @@
 	"pebbleloom/internal/link"
 	"pebbleloom/internal/queue"
 	"pebbleloom/internal/roster"
+	"pebbleloom/internal/setup"
 	"pebbleloom/internal/shelf"
 	"pebbleloom/internal/wire"
 )
@@ -80,11 +81,23 @@
 	if err := frontdesk.Serve(l, ctl, func() roster.View { return n.ros.View() }, n.calls); err != nil {
 		return err
 	}
+	l.Every(l.Place.Bounds.Heal(0.25), func() { n.followSeeds(ctl) })
 	l.Ready.Store(true)
 	l.Log.Info("serving", "parts", len(n.parts), "incarnation", inc)
 	return nil
 }
 
+// followSeeds takes the seeds that the setup in force names.
+func (n *Node) followSeeds(ctl *link.Control) {
+	t, err := ctl.Read(n.life.Ctx, &wire.ReadAsk{Key: link.SetupKey})
+	if err != nil || len(t.Docs) == 0 {
+		return // the seeds that are known stay
+	}
+	if s, err := setup.Read(t.Docs[0].Body); err == nil && len(s.Seeds) == 3 {
+		n.ros.SetSeeds(s.Seeds)
+	}
+}
+
 func contains(l []string, s string) bool {
 	for _, x := range l {
 		if x == s {
--- a/internal/cab/run.go
+++ b/internal/cab/run.go
@@ -35,7 +35,9 @@
 		last.Prefilled += e.Tokens
 	}
 	if last.Prefilled > 0 && c.hold(r, c.prefill) {
+		t0 = time.Now()
 		c.sleep(r, c.sp.Prefill(last.Prefilled))
+		last.PrefillUs = time.Since(t0).Microseconds()
 		<-c.prefill
 	}
 	c.mu.Lock()
--- a/internal/catalogue/node.go
+++ b/internal/catalogue/node.go
@@ -40,7 +40,7 @@
 	}), 1024)
 	calls := daemon.NewCalls()
 	ros := roster.Start(l.Ctx, l.Place, "catalogue", n.clk, l.Log, calls.Roster, func(v roster.View) { n.reshard(v.Nodes) })
-	n.fol = feed.Follow(l.Ctx, n.clk, l.Log, func() wire.Runner { return calls.Runner(l.Place.Runner) }, l.Place.Bounds.Heal(1.0/24), nil, nil)
+	n.fol = feed.Follow(l.Ctx, n.clk, l.Log, func() wire.Runner { return calls.Runner(l.Place.Runner) }, l.Place.Bounds.Heal(1.0/24), nil, feed.Seeds(ros.SetSeeds))
 	l.Every(l.Place.Bounds.Heal(1.0/12), n.poll)
 	mux := http.NewServeMux()
 	mux.Handle(wire.CataloguePathPrefix, wire.NewCatalogueServer(n))
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -46,6 +46,7 @@
 	Fetched   int    `json:"fetched"`
 	Prefilled int    `json:"prefilled"`
 	FetchUs   int64  `json:"fetch_us"`
+	PrefillUs int64  `json:"prefill_us"`
 	FetchAddr string `json:"fetch_addr,omitempty"`
 }
 
--- a/internal/desk/commands.go
+++ b/internal/desk/commands.go
@@ -131,6 +131,13 @@
 	return c.GetPlacement(ctx, operator.GetPlacementParams{Service: r.service})
 }
 
+func explain(ctx context.Context, c *operator.Client, r *request, _ io.Reader) (any, error) {
+	if err := need("request", r.request); err != nil {
+		return nil, err
+	}
+	return c.Explain(ctx, operator.ExplainParams{Request: r.request})
+}
+
 func lookup(ctx context.Context, c *operator.Client, r *request, _ io.Reader) (any, error) {
 	if err := need("model", r.model, "tenant", r.tenant, "part", strings.Join(r.parts, " ")); err != nil {
 		return nil, err
@@ -184,6 +191,10 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", n.Name, n.Service, n.District, n.Addr, n.State, n.Weights, n.Busy, n.Queued, n.Slots)
 		}
 		fmt.Fprintf(w, "as seen by %s\n", x.SeenBy)
+	case *operator.Explained:
+		for _, g := range x.Goes {
+			fmt.Fprintln(w, indent(g))
+		}
 	case *operator.Found:
 		fmt.Fprintf(w, "KEY\tTOKENS\tHOTNESS\tHOLDERS\n")
 		for _, p := range x.Prefixes {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +43,7 @@
 	far    rate
 	storeB rate
 	stats  stats
-	log    *decisions
+	log    *queue.Ring[*wire.Decided]
 }
 
 // stats counts what the sealed lines have said.
@@ -61,7 +60,7 @@
 //
 // Example: daemon.Main("dispatcher", "edge proxy", need, dispatcher.Start)
 func Start(l *daemon.Life) error {
-	d := &Dispatcher{life: l, b: l.Place.Bounds, clk: clock.Boot(), be: contract.NewBackends(), curve: placement.Default(), log: &decisions{}}
+	d := &Dispatcher{life: l, b: l.Place.Bounds, clk: clock.Boot(), be: contract.NewBackends(), curve: placement.Default(), log: queue.NewRing[*wire.Decided](512)}
 	d.near.Store(50000)
 	d.far.Store(50000)
 	d.storeB.Store(50000)
@@ -81,7 +80,6 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/decisions", d.log.serve)
 	mux.HandleFunc("GET /v1/counts", d.counts)
 	return l.Serve(l.Place.Listen, mux)
 }
@@ -104,16 +102,16 @@
 	return t
 }
 
-// goes hands the runner what the goes since the last time have shown.
-func (d *Dispatcher) goes() []*wire.GoReport {
-	var l []*wire.GoReport
+// goes hands the runner what the goes since the last time have shown, and why they went
+// where they went.
+func (d *Dispatcher) goes(a *wire.FeedAsk) {
 	d.gate.Ask(func(g *gate) {
 		for k, r := range g.goes {
-			l = append(l, r)
+			a.Goes = append(a.Goes, r)
 			delete(g.goes, k)
 		}
 	})
-	return l
+	a.Decided = d.log.Drain(256)
 }
 
 // learn takes what a fetch has shown of its link.
@@ -202,13 +200,6 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.ServeHTTP(&flusher{ResponseWriter: w}, r) })
 }
 
-// decisions keeps why the latest requests went where they went.
-type decisions struct {
-	mu   sync.Mutex
-	list [512]Decision
-	n    int
-}
-
 // Decision says why one request went where it went.
 type Decision struct {
 	Request   string  `json:"request"`
@@ -220,32 +211,23 @@
 	WaitUs    float64 `json:"wait_us"`
 	CostUs    float64 `json:"cost_us"`
 	Hot       bool    `json:"hot"`
+	Session   bool    `json:"session"`
+	Fetches   string  `json:"fetch_from,omitempty"`
+	Machine   string  `json:"machine"`
 	Home      string  `json:"home,omitempty"`
 	SaveTo    string  `json:"save_to,omitempty"`
 }
 
 func (d *Dispatcher) decided(id string, s *feed.Snapshot, c Choice) {
-	x := Decision{Request: id, Worker: c.Worker.Name, Setup: s.Epoch, Hit: c.Hit, Fetch: c.Fetch, WaitUs: c.Wait, CostUs: c.Cost, Hot: c.Hot, Home: c.Home, SaveTo: c.Saves}
+	x := Decision{Request: id, Worker: c.Worker.Name, Setup: s.Epoch, Hit: c.Hit, Fetch: c.Fetch, WaitUs: c.Wait, CostUs: c.Cost, Hot: c.Hot, Home: c.Home, SaveTo: c.Saves,
+		Session: c.Session, Fetches: c.Fetches, Machine: d.life.Place.Name}
 	if p := s.Placements[c.Worker.Service]; p != nil {
 		x.Placement = p.Epoch
 	}
-	d.log.mu.Lock()
-	defer d.log.mu.Unlock()
-	d.log.list[d.log.n%len(d.log.list)] = x
-	d.log.n++
-}
-
-func (d *decisions) serve(w http.ResponseWriter, r *http.Request) {
-	d.mu.Lock()
-	l := []Decision{}
-	for _, x := range d.list {
-		if x.Request != "" && (r.URL.Query().Get("request") == "" || x.Request == r.URL.Query().Get("request")) {
-			l = append(l, x)
-		}
+	body, err := json.Marshal(x)
+	if err == nil {
+		d.log.Offer(&wire.Decided{Request: id, Body: body}) // when it is full, this one isn't explained
 	}
-	d.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(l) // a caller that hung up can't be told
 }
 
 func (d *Dispatcher) counts(w http.ResponseWriter, _ *http.Request) {
--- a/internal/dispatcher/pick.go
+++ b/internal/dispatcher/pick.go
@@ -12,9 +12,10 @@
 
 // The constants of the choice, as ratios.
 const (
-	boundLoad = 1.25 // a shard worker is leaned to up to this multiple of the mean load, and one more
-	lean      = 0.75 // of the prefill that a tail entry would cost elsewhere again
-	sharedHot = 1.5  // accesses in the window that make an entry shared
+	boundLoad  = 1.25 // a shard worker is leaned to up to this multiple of the mean load, and one more
+	lean       = 0.75 // of the prefill that a tail entry would cost elsewhere again
+	sharedPart = 0.25 // of the first part's use that makes a later part shared as well
+	sharedHot  = 1.5  // accesses in the window that make an entry shared
 )
 
 // Query is all that a choice of worker is made from.
@@ -49,6 +50,7 @@
 	SaveTo   []string
 	SaveUpto int
 	Hot      bool
+	Session  bool // the session's prefix decided
 	Home     string
 }
 
@@ -93,7 +95,7 @@
 		}
 		o := q.weigh(w, es, holders, addr, district)
 		home := ""
-		if k, i := q.deciding(es); i >= 0 && !q.Placement.Hot(k) && q.Mode != "no-index" {
+		if k, i, _ := q.deciding(es); i >= 0 && !q.Placement.Hot(k) && q.Mode != "no-index" {
 			for _, h := range placement.Home(k, names) {
 				if q.Load(h) <= boundLoad*mean+1 {
 					home = h
@@ -137,19 +139,34 @@
 	return m
 }
 
-// deciding is the longest entry that more than one request has used lately; the first
-// entry when none has.
-func (q *Query) deciding(es []prefix.Entry) (prefix.Key, int) {
+// shared is the longest opening that other requests use too: used more than once lately,
+// and about as much as the prompt's first part. The last part is the request's own.
+func (q *Query) shared(es []prefix.Entry) int {
 	at := 0
-	for i, e := range es {
-		if f := q.Found[e.Key]; f != nil && f.Hotness >= sharedHot {
+	hot := func(i int) float64 { return q.Found[es[i].Key].GetHotness() }
+	for i := 1; i < len(es)-1; i++ {
+		if hot(i) >= sharedHot && hot(i) >= sharedPart*hot(0) {
 			at = i
 		}
 	}
+	return at
+}
+
+// deciding is the entry that decides where a request goes: its shared opening, or its
+// session's prefix where that is admitted. Admission is the paper's rule for user prefixes:
+// at least as long as the shared part, and used more often than the coldest that is cached.
+// A worker evicts by itself, so admission here means: lean to its home and hand it there.
+func (q *Query) deciding(es []prefix.Entry) (k prefix.Key, at int, session bool) {
 	if len(es) == 0 {
-		return prefix.Key{}, -1
+		return k, -1, false
 	}
-	return es[at].Key, at
+	at = q.shared(es)
+	own := len(es) - 2
+	if own > at && q.Placement != nil && es[own].Upto-es[at].Upto >= es[at].Upto &&
+		q.Found[es[own].Key].GetHotness() > q.Placement.Floor {
+		return es[own].Key, own, true
+	}
+	return es[at].Key, at, false
 }
 
 // weigh adds up what a request would cost on a worker. Holdings count as long as they run
@@ -208,7 +225,7 @@
 // save decides whom the worker hands what to: a hot entry goes to one more worker that
 // lacks it and to the store; a tail entry computed away from home goes home.
 func (q *Query) save(c *Choice, holders map[prefix.Key]map[string]bool, addr map[string]string, names []string) {
-	k, at := q.deciding(c.Entries)
+	k, at, session := q.deciding(c.Entries)
 	if at < 0 || q.Mode == "no-index" {
 		return
 	}
@@ -221,6 +238,7 @@
 			c.Saves += a
 		}
 	}
+	c.Session = session
 	if c.Hot = q.Placement.Hot(k); c.Hot {
 		for _, n := range placement.Home(prefixKey(q.ID), names) {
 			if !holders[k][n] && n != c.Worker.Name {
@@ -233,15 +251,10 @@
 				to(s)
 			}
 		}
-	} else if c.Home != "" && c.Home != c.Worker.Name && !holders[k][c.Home] && q.shared(k) {
+	} else if c.Home != "" && c.Home != c.Worker.Name && !holders[k][c.Home] && (session || q.Found[k].GetHotness() >= sharedHot) {
 		to(c.Home)
 	}
 	if len(c.SaveTo) > 0 {
 		c.SaveUpto = at + 1
 	}
 }
-
-func (q *Query) shared(k prefix.Key) bool {
-	f := q.Found[k]
-	return f != nil && f.Hotness >= sharedHot
-}
--- a/internal/dispatcher/pick_test.go
+++ b/internal/dispatcher/pick_test.go
@@ -102,6 +102,28 @@
 			t.Fatalf("%+v", c)
 		}
 	})
+	t.Run("a session's prefix is admitted by length and by heat", func(t *testing.T) {
+		for _, c := range []struct {
+			name    string
+			opening int
+			hot     float64
+			floor   float64
+			want    bool
+		}{{"long and hot", 100, 3, 1, true}, {"shorter than the shared part", 3000, 3, 1, false}, {"colder than the coldest cached", 100, 1, 1.2, false}} {
+			es := prefix.Chain("shared", "m", 1, []string{strings.Repeat("o", c.opening), strings.Repeat("s", 2000), "question"})
+			q := query(false, nil)
+			q.Entries = map[uint64][]prefix.Entry{1: es}
+			q.Found = map[prefix.Key]*wire.Found{es[0].Key: {Hotness: 40}, es[1].Key: {Hotness: c.hot}}
+			q.Placement.Floor = c.floor
+			home := placement.Home(es[0].Key, names)[0]
+			if c.want {
+				home = placement.Home(es[1].Key, names)[0]
+			}
+			if p, _ := Pick(q); p.Session != c.want || p.Worker.Name != home {
+				t.Errorf("%s: session %v, picked %s, home %s", c.name, p.Session, p.Worker.Name, home)
+			}
+		}
+	})
 	t.Run("workers on other weights, tried ones and unsure ones are left out", func(t *testing.T) {
 		q := query(true, nil)
 		q.Workers[0].Weights, q.Workers[1].State, q.Tried = 2, 1, map[string]bool{"w2": true}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -59,20 +59,33 @@
 	clk  clock.Clock
 	log  hclog.Logger
 	Ring func(*Snapshot) // told of every new snapshot; may be nil
-	goes func() []*wire.GoReport
+	goes func(*wire.FeedAsk)
 }
 
-// Follow starts to follow the runner that link gives; goes, if not nil, gives what the
-// process has seen of its goes since the last time.
+// Follow starts to follow the runner that link gives; goes, if not nil, puts what the
+// process has seen since the last time into the question.
 //
 // Example: f := feed.Follow(ctx, clk, log, func() wire.Runner { return calls.Runner(addr) }, hold, nil, nil)
 func Follow(ctx context.Context, clk clock.Clock, log hclog.Logger, link func() wire.Runner, hold time.Duration,
-	goes func() []*wire.GoReport, ring func(*Snapshot)) *Follower {
+	goes func(*wire.FeedAsk), ring func(*Snapshot)) *Follower {
 	f := &Follower{clk: clk, log: log, goes: goes, Ring: ring}
 	go f.run(ctx, link, hold)
 	return f
 }
 
+// Seeds makes a bell that hands the setup's seeds on when they change.
+//
+// Example: feed.Follow(ctx, clk, log, link, hold, nil, feed.Seeds(member.SetSeeds))
+func Seeds(set func([]string)) func(*Snapshot) {
+	var epoch uint64
+	return func(s *Snapshot) {
+		if s.Setup != nil && s.Epoch != epoch && len(s.Setup.Seeds) == 3 {
+			set(s.Setup.Seeds)
+		}
+		epoch = s.Epoch
+	}
+}
+
 // Now gives the newest snapshot; nil before the first.
 //
 // Example: s := f.Now()
@@ -86,7 +99,7 @@
 		}
 		a := &wire.FeedAsk{Have: have, HoldNs: uint64(hold)}
 		if f.goes != nil {
-			a.Goes = f.goes()
+			f.goes(a)
 		}
 		one, end := context.WithTimeout(ctx, 2*hold+time.Second)
 		l := link()
--- a/internal/frontdesk/frontdesk.go
+++ b/internal/frontdesk/frontdesk.go
@@ -259,6 +259,33 @@
 	return &operator.PlacementInForce{Epoch: int64(t.Docs[0].Epoch), Placement: jx.Raw(t.Docs[0].Body)}, nil
 }
 
+// Explain asks all edge machines why a request went where it went.
+//
+// Example: GET /v1/explain/r1
+func (d *Desk) Explain(ctx context.Context, q operator.ExplainParams) (*operator.Explained, error) {
+	l := &operator.Explained{Goes: []jx.Raw{}}
+	silent := 0
+	for _, n := range d.view().Role("runner") {
+		one, end := context.WithTimeout(ctx, d.b.Heal(1.0/24))
+		t, err := d.calls.Runner(n.Addr).Explain(one, &wire.ExplainAsk{Request: q.Request})
+		end()
+		if err != nil {
+			silent++
+			continue
+		}
+		for _, x := range t.List {
+			l.Goes = append(l.Goes, jx.Raw(x.Body))
+		}
+	}
+	if len(l.Goes) == 0 && silent > 0 {
+		return nil, errs.New(errs.CantSay, "%d edge machines don't answer, and no other knows request %q", silent, q.Request)
+	}
+	if len(l.Goes) == 0 {
+		return nil, errs.New(errs.NotFound, "no edge machine remembers request %q: they keep the latest %d each", q.Request, 1024)
+	}
+	return l, nil
+}
+
 // LookUp asks the index who holds each prefix of a prompt.
 //
 // Example: POST /v1/index {"model": "lector", "tenant": "biblioteca", "parts": ["…"]}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,6 +27,7 @@
 	B          float64  `json:"b"`        // tokens a second between workers
 	Prefill    Curve    `json:"prefill"`  // how long a prefill takes
 	MeanLen    float64  `json:"mean_len"` // tokens of a request's shared part
+	Floor      float64  `json:"floor"`    // hotness of the coldest cached entry that no prompt begins with
 	Why        string   `json:"why"`
 
 	hot map[string]bool
@@ -68,7 +69,10 @@
 
 // Curve is a polynomial fitted offline: microseconds for n tokens.
 type Curve struct {
-	C []float64 `json:"c"` // C[0] + C[1]·n + C[2]·n² …
+	C       []float64 `json:"c"`                 // C[0] + C[1]·n + C[2]·n² …
+	Samples int       `json:"samples,omitempty"` // it was fitted on
+	RmsUs   float64   `json:"rms_us,omitempty"`  // of its residuals
+	WorstUs float64   `json:"worst_us,omitempty"`
 }
 
 // At evaluates the curve; it never goes below zero.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -80,3 +80,21 @@
 		}
 	}
 }
+
+// A known polynomial is found again; too few lengths are refused.
+func TestFitFindsAKnownCurve(t *testing.T) {
+	var l []Sample
+	for n := 100; n <= 4000; n += 100 {
+		l = append(l, Sample{n, 1500 + 38*float64(n) + 0.005*float64(n*n)})
+	}
+	c, err := Fit(l, 2)
+	if err != nil || math.Abs(c.C[0]-1500) > 0.01 || math.Abs(c.C[1]-38) > 1e-6 || math.Abs(c.C[2]-0.005) > 1e-9 || c.RmsUs > 0.01 {
+		t.Errorf("%+v, %v", c, err)
+	}
+	if _, err := Fit([]Sample{{5, 1}, {5, 1}, {5, 1}, {5, 1}}, 2); err == nil {
+		t.Error("one length gave a curve")
+	}
+	if d := Default(); d.Samples < 50 || d.At(3000) <= d.At(1000) || d.RmsUs > 0.2*d.At(1000) {
+		t.Errorf("the curve that is kept: %+v", d)
+	}
+}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -67,6 +67,11 @@
 	return m
 }
 
+// SetSeeds changes the seeds at run time, as the setup in force names them.
+//
+// Example: m.SetSeeds(setup.Seeds)
+func (m *Member) SetSeeds(l []string) { m.desk.Tell(func(c *Core) { c.SetSeeds(l) }) }
+
 func (m *Member) show(c *Core) {
 	if v := m.view.Load(); v != nil && v.Epoch == c.Epoch() {
 		return
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -29,6 +29,7 @@
 	waiting  map[chan struct{}]bool
 	shownAt  uint64
 	lastRows []*wire.Worker
+	decided  []*wire.Decided // the latest, oldest first
 }
 
 // Runner is the agent of one machine.
@@ -116,6 +117,9 @@
 			r.life.Log.Error("setup can't be read", "epoch", t.fresh.Epoch(), "error", err)
 		}
 		t.setup = s
+		if s != nil && len(s.Seeds) == 3 {
+			r.ros.SetSeeds(s.Seeds)
+		}
 		r.life.Log.Info("setup adopted", "epoch", t.fresh.Epoch())
 	}
 	t.changed()
@@ -211,6 +215,23 @@
 	}
 }
 
+const maxDecided = 1024
+
+// Explain tells what the dispatcher beside it decided on a request.
+//
+// Example: wire.NewRunnerProtobufClient(url, h).Explain(ctx, &wire.ExplainAsk{Request: "r1"})
+func (r *Runner) Explain(_ context.Context, a *wire.ExplainAsk) (*wire.ExplainTell, error) {
+	t := &wire.ExplainTell{}
+	r.desk.Ask(func(x *table) {
+		for _, d := range x.decided {
+			if d.Request == a.Request {
+				t.List = append(t.List, d)
+			}
+		}
+	})
+	return t, nil
+}
+
 // Feed answers the processes beside it: at once when there is news, else when the hold is over.
 //
 // Example: wire.NewRunnerProtobufClient(url, h).Feed(ctx, &wire.FeedAsk{Have: 9, HoldNs: 2e8})
@@ -230,6 +251,8 @@
 		ok := r.desk.Ask(func(t *table) {
 			if first {
 				r.goes(t, a.Goes)
+				t.decided = append(t.decided, a.Decided...)
+				t.decided = t.decided[max(0, len(t.decided)-maxDecided):]
 			}
 			if t.number > a.Have || over || a.HoldNs == 0 || len(t.waiting) > 64 {
 				tell = r.tell(t)
--- a/internal/setup/model.go
+++ b/internal/setup/model.go
@@ -7,6 +7,7 @@
 	Services  map[string]Service `json:"services,omitempty"`
 	Ways      map[string]Way     `json:"ways,omitempty"` // model -> the service that answers it
 	Drains    map[string]bool    `json:"drains,omitempty"`
+	Seeds     []string           `json:"seeds,omitempty"` // three addresses that go before those of the settings
 	WaitMaxMs int                `json:"wait_max_ms,omitempty"`
 
 	byKey map[string]string
--- a/internal/setup/model_easyjson.go
+++ b/internal/setup/model_easyjson.go
@@ -368,6 +368,33 @@
 				}
 				in.Delim('}')
 			}
+		case "seeds":
+			if in.IsNull() {
+				in.Skip()
+				out.Seeds = nil
+			} else {
+				in.Delim('[')
+				if out.Seeds == nil {
+					if !in.IsDelim(']') {
+						out.Seeds = make([]string, 0, 4)
+					} else {
+						out.Seeds = []string{}
+					}
+				} else {
+					out.Seeds = (out.Seeds)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v9 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v9 = string(in.String())
+					}
+					out.Seeds = append(out.Seeds, v9)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "wait_max_ms":
 			if in.IsNull() {
 				in.Skip()
@@ -398,16 +425,16 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('{')
-			v9First := true
-			for v9Name, v9Value := range in.Tenants {
-				if v9First {
-					v9First = false
+			v10First := true
+			for v10Name, v10Value := range in.Tenants {
+				if v10First {
+					v10First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v9Name))
+				out.String(string(v10Name))
 				out.RawByte(':')
-				(v9Value).MarshalEasyJSON(out)
+				(v10Value).MarshalEasyJSON(out)
 			}
 			out.RawByte('}')
 		}
@@ -422,16 +449,16 @@
 		}
 		{
 			out.RawByte('{')
-			v10First := true
-			for v10Name, v10Value := range in.Models {
-				if v10First {
-					v10First = false
+			v11First := true
+			for v11Name, v11Value := range in.Models {
+				if v11First {
+					v11First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v10Name))
+				out.String(string(v11Name))
 				out.RawByte(':')
-				(v10Value).MarshalEasyJSON(out)
+				(v11Value).MarshalEasyJSON(out)
 			}
 			out.RawByte('}')
 		}
@@ -446,16 +473,16 @@
 		}
 		{
 			out.RawByte('{')
-			v11First := true
-			for v11Name, v11Value := range in.Services {
-				if v11First {
-					v11First = false
+			v12First := true
+			for v12Name, v12Value := range in.Services {
+				if v12First {
+					v12First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v11Name))
+				out.String(string(v12Name))
 				out.RawByte(':')
-				(v11Value).MarshalEasyJSON(out)
+				(v12Value).MarshalEasyJSON(out)
 			}
 			out.RawByte('}')
 		}
@@ -470,16 +497,16 @@
 		}
 		{
 			out.RawByte('{')
-			v12First := true
-			for v12Name, v12Value := range in.Ways {
-				if v12First {
-					v12First = false
+			v13First := true
+			for v13Name, v13Value := range in.Ways {
+				if v13First {
+					v13First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v12Name))
+				out.String(string(v13Name))
 				out.RawByte(':')
-				(v12Value).MarshalEasyJSON(out)
+				(v13Value).MarshalEasyJSON(out)
 			}
 			out.RawByte('}')
 		}
@@ -494,20 +521,39 @@
 		}
 		{
 			out.RawByte('{')
-			v13First := true
-			for v13Name, v13Value := range in.Drains {
-				if v13First {
-					v13First = false
+			v14First := true
+			for v14Name, v14Value := range in.Drains {
+				if v14First {
+					v14First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v13Name))
+				out.String(string(v14Name))
 				out.RawByte(':')
-				out.Bool(bool(v13Value))
+				out.Bool(bool(v14Value))
 			}
 			out.RawByte('}')
 		}
 	}
+	if len(in.Seeds) != 0 {
+		const prefix string = ",\"seeds\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('[')
+			for v15, v16 := range in.Seeds {
+				if v15 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v16))
+			}
+			out.RawByte(']')
+		}
+	}
 	if in.WaitMaxMs != 0 {
 		const prefix string = ",\"wait_max_ms\":"
 		if first {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"sort"
 	"strings"
 
@@ -139,6 +140,14 @@
 			bad("ways."+n, "no such model: a way is named by the model it serves")
 		}
 	}
+	if n := len(s.Seeds); n != 0 && n != 3 {
+		bad("seeds", "%d given: give three, or none to follow each machine's settings", n)
+	}
+	for i, a := range s.Seeds {
+		if x, err := netip.ParseAddrPort(a); err != nil || x.Port() == 0 {
+			bad(fmt.Sprintf("seeds[%d]", i), "%q: give IP:port, by number", a)
+		}
+	}
 	if s.WaitMaxMs < 0 || s.WaitMaxMs > 600000 {
 		bad("wait_max_ms", "%d: give 0 (the default, 30000) to 600000", s.WaitMaxMs)
 	}
--- /dev/null
+++ b/internal/yard/compare.go
@@ -0,0 +1,60 @@
+package yard
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"text/tabwriter"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fares"
+)
+
+// Modes are the placements that can be compared.
+//
+// Example: for _, m := range yard.Modes() { run(m) }
+func Modes() []string { return []string{"hrcs", "all-replicated", "all-sharded", "no-index"} }
+
+// Compare runs a site under each placement in turn, seed by seed, so that a slow minute of
+// the machine hits all alike, and prints medians with their spread.
+//
+// Example: err := yard.Compare(ctx, yard.Options{Site: "paramo", Seconds: 20, Seeds: 3, Seed: 1}, os.Stdout)
+func Compare(ctx context.Context, o Options, out io.Writer) error {
+	got := map[string][]fares.Sum{}
+	base := o.Dir
+	for i := range o.Seeds {
+		for _, m := range Modes() {
+			p := o
+			p.Mode, p.Seed, p.Dir = m, o.Seed+uint64(i), filepath.Join(base, fmt.Sprintf("%s-%d", m, i))
+			if err := os.MkdirAll(p.Dir, 0o755); err != nil {
+				return errs.Wrap(err, "make folder")
+			}
+			s, err := Run(ctx, p)
+			if err != nil {
+				return errs.Wrap(err, m)
+			}
+			got[m] = append(got[m], s)
+		}
+	}
+	w := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "%s, %d s, seeds %d to %d: median (least to most)\n", o.Site, o.Seconds, o.Seed, o.Seed+uint64(o.Seeds)-1)
+	fmt.Fprintln(w, "placement\thit share\tfetched share\tprefilled tokens\tload max/mean\tsealed\tfaults")
+	for _, m := range Modes() {
+		row := func(f func(fares.Sum) float64, form string) string {
+			var l []float64
+			for _, s := range got[m] {
+				l = append(l, f(s))
+			}
+			sort.Float64s(l)
+			return fmt.Sprintf(form+" ("+form+" to "+form+")", l[len(l)/2], l[0], l[len(l)-1])
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m, row(func(s fares.Sum) float64 { return s.HitShare }, "%.3f"),
+			row(func(s fares.Sum) float64 { return s.FetchPart }, "%.3f"), row(func(s fares.Sum) float64 { return float64(s.Prefilled) }, "%.0f"),
+			row(func(s fares.Sum) float64 { return s.MaxToMean }, "%.2f"), row(func(s fares.Sum) float64 { return float64(s.Sealed) / float64(s.Requests) }, "%.3f"),
+			row(func(s fares.Sum) float64 { return float64(len(s.Faults)) }, "%.0f"))
+	}
+	return errs.Wrap(w.Flush(), "write table")
+}
--- /dev/null
+++ b/internal/yard/fit.go
@@ -0,0 +1,64 @@
+package yard
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/placement"
+)
+
+// Fit starts one worker, has it prefill prompts of many lengths that it doesn't hold, and
+// fits the curve that the placement estimates prefill time with.
+//
+// Example: c, err := yard.Fit(ctx, yard.Options{Site: "paramo", Dir: dir, Bin: "bin", Net: 10})
+func Fit(ctx context.Context, o Options) (placement.Curve, error) {
+	s, err := Plan(o.Site, o.Dir, o.Net, []string{"piece_us=1"})
+	if err != nil {
+		return placement.Curve{}, err
+	}
+	f := newFleet(s, o.Dir, o.Bin)
+	if err := s.Write(o.Dir); err != nil {
+		return placement.Curve{}, err
+	}
+	if err := f.Start("cab-1"); err != nil {
+		return placement.Curve{}, err
+	}
+	defer f.Down()
+	be := contract.NewBackends()
+	for i := 0; ; i++ {
+		if _, err := be.State(ctx, s.Cabs["cab-1"]); err == nil {
+			break
+		} else if i > 50 || ctx.Err() != nil {
+			return placement.Curve{}, errs.Wrap(err, "wait for worker")
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	var l []placement.Sample
+	for round := range 3 {
+		for n := 50; n <= 4000; n += 200 {
+			p := strings.Repeat(fmt.Sprintf("%02d%06d", round, n), n/2)
+			id := fmt.Sprintf("fit-%d-%d", round, n)
+			g := be.Begin(ctx, s.Cabs["cab-1"], contract.Start{RequestID: id, Domain: "fit", Model: s.Traffic.Model, Weights: 1, Parts: []string{p}, Pieces: 1, WaitMs: 5000}, nil)
+			if g.Err != nil {
+				return placement.Curve{}, errs.Wrap(g.Err, "measure")
+			}
+			c := contract.NewCheck(id, "cab-1")
+			for sc := bufio.NewScanner(g.Body); sc.Scan(); {
+				if w := c.Line(sc.Bytes()); w != "" {
+					return placement.Curve{}, errs.New(errs.Inside, "measure: %s", w)
+				}
+			}
+			g.Body.Close()
+			if c.Last == nil || c.Last.Prefilled != n {
+				return placement.Curve{}, errs.New(errs.Inside, "measure: %d tokens asked for, seal says %+v", n, c.Last)
+			}
+			l = append(l, placement.Sample{Tokens: n, Us: float64(c.Last.PrefillUs)})
+		}
+	}
+	return placement.Fit(l, 2)
+}
--- a/internal/yard/fleet.go
+++ b/internal/yard/fleet.go
@@ -26,11 +26,15 @@
 	done map[string]chan struct{}
 }
 
+func newFleet(s *Site, dir, bin string) *Fleet {
+	return &Fleet{Site: s, Dir: dir, bin: bin, proc: map[string]*exec.Cmd{}, done: map[string]chan struct{}{}}
+}
+
 // Up starts every process of a site and waits until it serves its first setup.
 //
 // Example: f, err := yard.Up(ctx, site, "/tmp/run", "bin")
 func Up(ctx context.Context, s *Site, dir, bin string) (*Fleet, error) {
-	f := &Fleet{Site: s, Dir: dir, bin: bin, proc: map[string]*exec.Cmd{}, done: map[string]chan struct{}{}}
+	f := newFleet(s, dir, bin)
 	if err := s.Write(dir); err != nil {
 		return nil, err
 	}
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -20,7 +20,7 @@
 // Options are what the yard's commands take.
 type Options struct {
 	Site, Dir, Bin, Mode string
-	Seconds, Net         int
+	Seconds, Net, Seeds  int
 	Seed                 uint64
 	Rate                 float64
 }
@@ -29,13 +29,15 @@
 //
 // Example: os.Exit(yard.Main([]string{"up", "--site", "paramo"}, os.Stdout, os.Stderr))
 func Main(args []string, out, bad io.Writer) int {
-	o := Options{Site: "paramo", Seconds: 20, Seed: 1, Net: 10}
+	o := Options{Site: "paramo", Seconds: 20, Seed: 1, Net: 10, Seeds: 3}
 	ps := flaggy.NewParser("yard")
-	ps.Description = "runs a whole site on this machine\n\n  yard up --site paramo              run until interrupted\n  yard run --site daegu --seconds 20  run with callers, check, report, stop"
+	ps.Description = "runs a whole site on this machine\n\n  yard up --site paramo              run until interrupted\n  yard run --site daegu --seconds 20  run with callers, check, report, stop\n  yard fit > curve.json               fit the prefill curve on a worker"
 	ps.ShowHelpOnUnexpected = false
 	ps.DisableShowVersionWithVersion()
 	sub := map[string]*flaggy.Subcommand{}
-	for _, c := range [][2]string{{"up", "start a site and keep it until interrupted"}, {"run", "start a site, send callers' traffic, check it all, stop"}} {
+	for _, c := range [][2]string{{"up", "start a site and keep it until interrupted"}, {"run", "start a site, send callers' traffic, check it all, stop"},
+		{"compare", "run a site under each placement in turn, over several seeds, and print a table"},
+		{"fit", "measure a worker's prefill and fit the curve (JSON, to be kept as internal/placement/curve.json)"}} {
 		s := flaggy.NewSubcommand(c[0])
 		s.Description = c[1]
 		s.String(&o.Site, "s", "site", "paramo or daegu")
@@ -44,6 +46,7 @@
 		s.String(&o.Mode, "m", "mode", "placement: hrcs, all-replicated, all-sharded or no-index")
 		s.Int(&o.Seconds, "t", "seconds", "how long callers send")
 		s.Int(&o.Net, "n", "net", "second byte of the loopback addresses")
+		s.Int(&o.Seeds, "k", "seeds", "with compare: how many seeds")
 		s.UInt64(&o.Seed, "e", "seed", "seed of the callers")
 		s.Float64(&o.Rate, "r", "rate", "requests a second; 0: the site's own")
 		ps.AttachSubcommand(s, 1)
@@ -56,8 +59,14 @@
 	if err := ps.ParseArgs(args); err != nil {
 		return fail(errs.As(err, errs.BadInput, "flags"))
 	}
-	if !sub["up"].Used && !sub["run"].Used {
-		return fail(errs.New(errs.BadInput, "no command: give up or run (see --help)"))
+	used := ""
+	for n, c := range sub {
+		if c.Used {
+			used = n
+		}
+	}
+	if used == "" {
+		return fail(errs.New(errs.BadInput, "no command: give up, run, compare or fit (see --help)"))
 	}
 	if o.Bin == "" {
 		exe, err := os.Executable()
@@ -75,14 +84,30 @@
 	}
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer end()
-	if sub["up"].Used {
+	if used == "up" {
 		return up(ctx, o, out, fail)
 	}
+	enc := json.NewEncoder(out)
+	if used == "fit" {
+		c, err := Fit(ctx, o)
+		if err == nil {
+			err = enc.Encode(c)
+		}
+		if err != nil {
+			return fail(err)
+		}
+		return 0
+	}
+	if used == "compare" {
+		if err := Compare(ctx, o, out); err != nil {
+			return fail(err)
+		}
+		return 0
+	}
 	sum, err := Run(ctx, o)
 	if err != nil {
 		return fail(err)
 	}
-	enc := json.NewEncoder(out)
 	enc.SetIndent("", " ")
 	if err := enc.Encode(sum); err != nil {
 		return fail(errs.Wrap(err, "write report"))
--- a/internal/yard/site.go
+++ b/internal/yard/site.go
@@ -60,7 +60,7 @@
 		s.Traffic = fares.Traffic{Site: name, Model: "gisa", App: "jeonpyo", Rate: 30, WaitMs: 8000, Once: 0.4, AppPart: 0.05, Kinds: []fares.Kind{
 			{Name: "ruling", Share: 0.4, Openings: 40, Tokens: 2600, Skew: 1.1, Tail: 30, Pieces: 4},
 			{Name: "route", Share: 0.3, Openings: 120, Tokens: 800, Skew: 0.8, Tail: 50, Pieces: 5},
-			{Name: "booking", Share: 0.3, Openings: 40, Tokens: 180, Skew: 0.9, Session: 120, Sessions: 200, Tail: 40, Pieces: 10}}}
+			{Name: "booking", Share: 0.3, Openings: 40, Tokens: 180, Skew: 0.9, Session: 400, Sessions: 120, Tail: 40, Pieces: 10}}}
 	default:
 		return nil, errs.New(errs.BadInput, "site %q: give one of %v", name, Sites())
 	}
