--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -46,7 +46,7 @@
 //
 // Example: daemon.Main("appraiser", "placement under a lease", need, appraiser.Start)
 func Start(l *daemon.Life) error {
-	a := &Appraiser{life: l, clk: clock.Boot(), calls: daemon.NewCalls(), be: contract.NewBackends(), duties: map[string]*duty{}}
+	a := &Appraiser{life: l, clk: clock.Boot(), calls: daemon.NewCalls(l.Place), be: contract.NewBackends(l.Place.Dialer()), duties: map[string]*duty{}}
 	a.holder = fmt.Sprintf("%s/%x", l.Place.Name, a.clk.Now())
 	a.ros = roster.Start(l.Ctx, l.Place, "appraiser", a.clk, l.Log, a.calls.Roster, nil)
 	view := func() roster.View { return a.ros.View() }
--- a/internal/appraiser/choose.go
+++ b/internal/appraiser/choose.go
@@ -12,9 +12,9 @@
 
 // The constants of the choice, as ratios.
 const (
-	stay     = 0.7 // an entry leaves the replicated set only below this share of the threshold
-	burst    = 1.3 // an entry swaps in between recomputations only above this multiple of the coldest
-	roomPart = 0.5 // of a worker's room the replicated set may take
+	stay     = 0.7     // an entry leaves the replicated set only below this share of the threshold
+	burst    = 1.3     // an entry swaps in between recomputations only above this multiple of the coldest
+	roomPart = 0.5     // of a worker's room the replicated set may take
 	coldB    = 50000.0 // tokens a second, believed until fetches have shown more
 	coldS    = 0.02    // seconds of fetching that the belief weighs as much as
 )
--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -20,6 +21,7 @@
 	"pebbleloom/internal/link"
 	"pebbleloom/internal/queue"
 	"pebbleloom/internal/roster"
+	"pebbleloom/internal/settings"
 	"pebbleloom/internal/setup"
 	"pebbleloom/internal/shelf"
 	"pebbleloom/internal/wire"
@@ -38,7 +40,7 @@
 //
 // Example: daemon.Main("archive", "control node", need, archive.Start)
 func Start(l *daemon.Life) error {
-	n := &Node{life: l, parts: map[uint32]*part{}, out: map[string]*queue.Ring[*wire.Letter]{}, calls: daemon.NewCalls()}
+	n := &Node{life: l, parts: map[uint32]*part{}, out: map[string]*queue.Ring[*wire.Letter]{}, calls: daemon.NewCalls(l.Place)}
 	clk := clock.Boot()
 	core := append([]string(nil), l.Place.Core...)
 	sort.Strings(core)
@@ -62,7 +64,7 @@
 		if !contains(ms, l.Place.Name) {
 			continue
 		}
-		p, err := openPart(l.Ctx, cfg, shelf.Folder(filepath.Join(l.Place.Data, fmt.Sprintf("part-%d", i))), inc, clk, l.Log, n.post)
+		p, err := openPart(l.Ctx, cfg, disk(l.Place, fmt.Sprintf("part-%d", i)), inc, clk, l.Log, n.post)
 		if err != nil {
 			// One part's bad disk doesn't take the others out.
 			l.Log.Error("part stays closed", "part", i, "error", errs.Text(err))
@@ -73,6 +75,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(wire.ArchivePathPrefix, wire.NewArchiveServer(n))
+	mux.HandleFunc("GET /v1/parts", n.standings)
 	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(n.ros))
 	if err := l.Serve(l.Place.Listen, mux); err != nil {
 		return err
@@ -87,6 +90,22 @@
 	return nil
 }
 
+// standings shows how this node stands in each of its parts.
+func (n *Node) standings(w http.ResponseWriter, r *http.Request) {
+	m := map[string]any{}
+	for i, p := range n.parts {
+		p.ask(r.Context(), func() {
+			s := map[string]any{"stands": p.core.Stands(), "disk": p.sh.Size(), "state": p.st.bytes}
+			if p.bad != nil {
+				s["bad"] = errs.Text(p.bad)
+			}
+			m[fmt.Sprintf("part-%d", i)] = s
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(m) // a caller that hung up can't be told
+}
+
 // followSeeds takes the seeds that the setup in force names.
 func (n *Node) followSeeds(ctl *link.Control) {
 	t, err := ctl.Read(n.life.Ctx, &wire.ReadAsk{Key: link.SetupKey})
@@ -107,6 +126,15 @@
 	return false
 }
 
+// disk is a part's folder; where the place names a switch, faults can be brought about.
+func disk(p settings.Place, part string) shelf.Disk {
+	d := shelf.Folder(filepath.Join(p.Data, part))
+	if f := p.Word("faults", ""); f != "" {
+		return shelf.Faulty(d, f)
+	}
+	return d
+}
+
 // incarnation names this life of the data folder: a lost disk gets a new one.
 func incarnation(dir, name string) (string, error) {
 	d := shelf.Folder(dir)
--- a/internal/cab/cab.go
+++ b/internal/cab/cab.go
@@ -5,14 +5,15 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
 
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
 )
 
 // Speed is how fast a stand-in works.
@@ -69,6 +70,7 @@
 	drop    float64
 	mute    bool
 	h       *http.Client
+	file    *os.File // the journal on disk, where one is named: it outlives a kill
 }
 
 func num(l *daemon.Life, key string, or float64) float64 {
@@ -90,7 +92,13 @@
 		slots: make(chan struct{}, int(num(l, "slots", 4))), prefill: make(chan struct{}, 1), room: int(num(l, "room", 12)),
 		weights: uint64(num(l, "weights", 1)), drop: num(l, "drop", 0), mute: l.Place.Word("mute", "") == "yes",
 		rnd: rand.New(rand.NewPCG(seed, 7)), h: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4,
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+			DialContext: l.Place.Dialer().DialContext}}}
+	if f := l.Place.Word("journal", ""); f != "" {
+		var err error
+		if c.file, err = os.OpenFile(f, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err != nil {
+			return errs.As(err, errs.BadInput, "open journal")
+		}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/state", c.state)
 	mux.HandleFunc("POST /v1/start", c.start)
@@ -253,6 +261,11 @@
 		if c.runs = append(c.runs, run); len(c.runs) > maxRuns {
 			c.runs = c.runs[1:]
 		}
+		if c.file != nil {
+			if err := json.NewEncoder(c.file).Encode(run); err != nil {
+				c.life.Log.Error("journal", "error", err)
+			}
+		}
 	}
 	c.mu.Unlock()
 	if got {
--- a/internal/contract/backend.go
+++ b/internal/contract/backend.go
@@ -21,10 +21,10 @@
 
 // NewBackends makes the adapter with its own pool of connections.
 //
-// Example: be := contract.NewBackends()
-func NewBackends() *Backends {
+// Example: be := contract.NewBackends(life.Place.Dialer())
+func NewBackends(d *net.Dialer) *Backends {
 	return &Backends{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxConnsPerHost: 128,
-		IdleConnTimeout: 30 * time.Second, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+		IdleConnTimeout: 30 * time.Second, DialContext: d.DialContext}}}
 }
 
 func (b *Backends) get(ctx context.Context, url string, v any) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -151,10 +151,10 @@
 
 // NewCalls makes the pool.
 //
-// Example: c := daemon.NewCalls()
-func NewCalls() *Calls {
+// Example: c := daemon.NewCalls(life.Place)
+func NewCalls(p settings.Place) *Calls {
 	return &Calls{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+		DialContext: p.Dialer().DialContext}}}
 }
 
 // Archive is the link to a control node.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -60,13 +60,13 @@
 //
 // Example: daemon.Main("dispatcher", "edge proxy", need, dispatcher.Start)
 func Start(l *daemon.Life) error {
-	d := &Dispatcher{life: l, b: l.Place.Bounds, clk: clock.Boot(), be: contract.NewBackends(), curve: placement.Default(), log: queue.NewRing[*wire.Decided](512)}
+	d := &Dispatcher{life: l, b: l.Place.Bounds, clk: clock.Boot(), be: contract.NewBackends(l.Place.Dialer()), curve: placement.Default(), log: queue.NewRing[*wire.Decided](512)}
 	d.near.Store(50000)
 	d.far.Store(50000)
 	d.storeB.Store(50000)
 	d.gate = queue.NewDesk(newGate(), 4096)
 	d.index = newIndex(l, d.clk)
-	calls := daemon.NewCalls()
+	calls := daemon.NewCalls(l.Place)
 	d.fol = feed.Follow(l.Ctx, d.clk, l.Log, func() wire.Runner { return calls.Runner(l.Place.Runner) }, d.b.Setup(0.1), d.goes, func(s *feed.Snapshot) {
 		d.index.shards.Store(catalogue.NewShards(s.Nodes))
 		l.Ready.Store(s.Fresh(d.clk.Now(), d.b.Setup(0.8)))
--- a/internal/fares/check.go
+++ b/internal/fares/check.go
@@ -127,6 +127,15 @@
 	Faults    []string       `json:"faults"`
 }
 
+// All gives the outcomes.
+//
+// Example: for _, o := range book.All() { fmt.Println(o.Denied) }
+func (b *Book) All() []Outcome {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Outcome(nil), b.all...)
+}
+
 // Settle adds everything up. Journals are what the workers say they ran; whole tells
 // that no journal was lost with a killed worker.
 //
@@ -169,6 +178,9 @@
 		default:
 			s.Denied[o.Denied]++
 		}
+		if o.Denied == "held-past-wait" {
+			fault(o, "held past its wait")
+		}
 		if o.Request.Once && n > 1 {
 			fault(o, "a once-only request ran %d times", n)
 		}
@@ -198,7 +210,7 @@
 // Example: fares.NotRun("over-budget")
 func NotRun(kind string) bool {
 	switch kind {
-	case "not-run", "overloaded", "over-budget", "bad-key", "no-such-model", "too-big", "bad-input":
+	case refused, "not-run", "overloaded", "over-budget", "bad-key", "no-such-model", "too-big", "bad-input":
 		return true
 	}
 	return false
--- a/internal/fares/fares.go
+++ b/internal/fares/fares.go
@@ -11,8 +11,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"pebbleloom/internal/cab"
@@ -145,6 +147,8 @@
 	return &Caller{edges, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
 }
 
+const refused = "refused" // no connection was made
+
 // Ask sends one request to an edge and checks the answer.
 //
 // Example: out := c.Ask(ctx, 0, q)
@@ -153,6 +157,9 @@
 	ctx, end := context.WithTimeout(ctx, time.Duration(q.WaitMs)*time.Millisecond+2*time.Second)
 	defer end()
 	o := c.ask(ctx, c.Edges[edge%len(c.Edges)], q)
+	for i := 1; i < len(c.Edges) && o.Denied == refused; i++ {
+		o = c.ask(ctx, c.Edges[(edge+i)%len(c.Edges)], q) // nothing was sent: another edge may be asked
+	}
 	o.SentMs, o.TookMs = t0.UnixMilli(), time.Since(t0).Milliseconds()
 	return o
 }
@@ -175,6 +182,9 @@
 	a, err := c.h.Do(r)
 	if err != nil {
 		o.Denied = "unreachable"
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			o.Denied = refused
+		}
 		if errors.Is(err, context.DeadlineExceeded) {
 			o.Denied = "held-past-wait"
 		}
@@ -220,6 +230,28 @@
 	wg.Wait()
 }
 
+// ReadJournal reads the journal that a worker has kept on disk; a line cut off by a kill
+// is its last.
+//
+// Example: runs, err := fares.ReadJournal("/tmp/run/cab-1.runs")
+func ReadJournal(file string) ([]cab.Run, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errs.Wrap(err, "open journal")
+	}
+	defer f.Close()
+	var l []cab.Run
+	for d := json.NewDecoder(f); ; {
+		var r cab.Run
+		if err := d.Decode(&r); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return l, nil
+		} else if err != nil {
+			return l, errs.Wrap(err, "read journal")
+		}
+		l = append(l, r)
+	}
+}
+
 // Journals asks workers what they ran.
 //
 // Example: js, err := fares.Journals(ctx, map[string]string{"cab-1": "127.10.1.21:9000"})
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -60,7 +60,7 @@
 func Start(ctx context.Context, p settings.Place, role string, clk clock.Clock, log hclog.Logger,
 	call func(string) wire.Roster, hook func(View)) *Member {
 	self := &wire.Node{Name: role + "/" + p.Name, Incarnation: uint64(clk.Now()), Role: role, District: p.District,
-		Addr: p.Listen, Operator: p.Operator}
+		Addr: p.Told(), Operator: p.Operator}
 	m := &Member{desk: queue.NewDesk(New(p.Bounds, self, p.Seeds), 256), clk: clk, b: p.Bounds, log: log, call: call, hook: hook}
 	m.desk.Ask(func(c *Core) { m.show(c) })
 	go m.run(ctx)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -47,7 +47,7 @@
 // Example: daemon.Main("runner", "the agent on an edge machine", need, runner.Start)
 func Start(l *daemon.Life) error {
 	b := l.Place.Bounds
-	r := &Runner{life: l, clk: clock.Boot(), calls: daemon.NewCalls(), be: contract.NewBackends()}
+	r := &Runner{life: l, clk: clock.Boot(), calls: daemon.NewCalls(l.Place), be: contract.NewBackends(l.Place.Dialer())}
 	ms := link.Members(0, l.Place.Core)
 	r.desk = queue.NewDesk(&table{fresh: NewFresh(len(ms)), workers: NewWorkers(b), places: map[string]*wire.Doc{},
 		links: map[string]*wire.LinkSeen{}, waiting: map[chan struct{}]bool{}}, 1024)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/netip"
 	"os"
 	"sort"
@@ -20,6 +21,7 @@
 	Name     string   `json:"name"`     // the machine's or worker's name; stays over restarts
 	District string   `json:"district"` // one of the site's districts
 	Listen   string   `json:"listen"`   // own address towards pebbleloom's processes
+	Tell     string   `json:"tell"`     // the address that others are told, where it isn't Listen
 	Public   string   `json:"public"`   // own address towards downstreams, or a stand-in's
 	Operator string   `json:"operator"` // own address towards operators
 	Seeds    []string `json:"seeds"`    // three addresses of other processes
@@ -154,7 +156,7 @@
 		b.Fault(errs.BadInput, "%s: not a JSON object (%v): write one with `name`, `district`, `listen`, `seeds`", file, err)
 		return
 	}
-	fields := map[string]any{"name": &p.Name, "district": &p.District, "listen": &p.Listen, "public": &p.Public,
+	fields := map[string]any{"name": &p.Name, "district": &p.District, "listen": &p.Listen, "tell": &p.Tell, "public": &p.Public,
 		"operator": &p.Operator, "seeds": &p.Seeds, "core": &p.Core, "data": &p.Data, "runner": &p.Runner,
 		"rank": &p.Rank, "extra": &p.Extra}
 	bf := map[string]*int{"setup_ms": &p.Bounds.SetupMs, "key_ms": &p.Bounds.KeyMs, "leave_ms": &p.Bounds.LeaveMs,
@@ -216,6 +218,7 @@
 		}
 	}
 	addr("listen", p.Listen, true)
+	addr("tell", p.Tell, false)
 	addr("public", p.Public, need.Public)
 	addr("operator", p.Operator, need.Operator)
 	addr("runner", p.Runner, need.Runner)
@@ -249,6 +252,27 @@
 	rng("entries", p.Bounds.Entries, 100, 10000000)
 }
 
+// Told is the address that others are told.
+//
+// Example: node.Addr = p.Told()
+func (p Place) Told() string {
+	if p.Tell != "" {
+		return p.Tell
+	}
+	return p.Listen
+}
+
+// Dialer makes connections that come from this place's own address.
+//
+// Example: c, err := p.Dialer().DialContext(ctx, "tcp", addr)
+func (p Place) Dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: p.Bounds.Leave(1.0 / 3)}
+	if a, err := netip.ParseAddrPort(p.Listen); err == nil {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(a.Addr(), 0))
+	}
+	return d
+}
+
 // Word finds a program's own word among the extras.
 //
 // Example: p.Word("slots", "2") gives "4" when the extras hold "slots=4"
--- a/internal/yard/fit.go
+++ b/internal/yard/fit.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"time"
 
@@ -29,7 +30,7 @@
 		return placement.Curve{}, err
 	}
 	defer f.Down()
-	be := contract.NewBackends()
+	be := contract.NewBackends(&net.Dialer{})
 	for i := 0; ; i++ {
 		if _, err := be.State(ctx, s.Cabs["cab-1"]); err == nil {
 			break
--- a/internal/yard/fleet.go
+++ b/internal/yard/fleet.go
@@ -13,7 +13,9 @@
 	"syscall"
 	"time"
 
+	"pebbleloom/internal/cab"
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fares"
 )
 
 // Fleet is a site that runs.
@@ -174,6 +176,20 @@
 	return code == 200
 }
 
+// Journals reads what every worker has run, killed ones included.
+//
+// Example: js, err := f.Journals()
+func (f *Fleet) Journals() (map[string][]cab.Run, error) {
+	m := map[string][]cab.Run{}
+	var b errs.Batch
+	for n := range f.Site.Cabs {
+		l, err := fares.ReadJournal(filepath.Join(f.Dir, n+".runs"))
+		b.Note(n, err)
+		m[n] = l
+	}
+	return m, b.Look()
+}
+
 func do(q *http.Request, err error) (int, string) {
 	if err != nil {
 		return 0, err.Error()
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,6 +21,7 @@
 // Options are what the yard's commands take.
 type Options struct {
 	Site, Dir, Bin, Mode string
+	Scenario             string
 	Seconds, Net, Seeds  int
 	Seed                 uint64
 	Rate                 float64
@@ -29,7 +31,7 @@
 //
 // Example: os.Exit(yard.Main([]string{"up", "--site", "paramo"}, os.Stdout, os.Stderr))
 func Main(args []string, out, bad io.Writer) int {
-	o := Options{Site: "paramo", Seconds: 20, Seed: 1, Net: 10, Seeds: 3}
+	o := Options{Seconds: 20, Seed: 1, Net: 10}
 	ps := flaggy.NewParser("yard")
 	ps.Description = "runs a whole site on this machine\n\n  yard up --site paramo              run until interrupted\n  yard run --site daegu --seconds 20  run with callers, check, report, stop\n  yard fit > curve.json               fit the prefill curve on a worker"
 	ps.ShowHelpOnUnexpected = false
@@ -37,6 +39,8 @@
 	sub := map[string]*flaggy.Subcommand{}
 	for _, c := range [][2]string{{"up", "start a site and keep it until interrupted"}, {"run", "start a site, send callers' traffic, check it all, stop"},
 		{"compare", "run a site under each placement in turn, over several seeds, and print a table"},
+		{"scenarios", "list the runs with failures"},
+		{"play", "run one scenario, or all: yard play --scenario owner-killed"},
 		{"fit", "measure a worker's prefill and fit the curve (JSON, to be kept as internal/placement/curve.json)"}} {
 		s := flaggy.NewSubcommand(c[0])
 		s.Description = c[1]
@@ -46,6 +50,7 @@
 		s.String(&o.Mode, "m", "mode", "placement: hrcs, all-replicated, all-sharded or no-index")
 		s.Int(&o.Seconds, "t", "seconds", "how long callers send")
 		s.Int(&o.Net, "n", "net", "second byte of the loopback addresses")
+		s.String(&o.Scenario, "c", "scenario", "with play: its name; all of them without")
 		s.Int(&o.Seeds, "k", "seeds", "with compare: how many seeds")
 		s.UInt64(&o.Seed, "e", "seed", "seed of the callers")
 		s.Float64(&o.Rate, "r", "rate", "requests a second; 0: the site's own")
@@ -66,7 +71,7 @@
 		}
 	}
 	if used == "" {
-		return fail(errs.New(errs.BadInput, "no command: give up, run, compare or fit (see --help)"))
+		return fail(errs.New(errs.BadInput, "no command: give up, run, compare, scenarios, play or fit (see --help)"))
 	}
 	if o.Bin == "" {
 		exe, err := os.Executable()
@@ -76,7 +81,7 @@
 		o.Bin = filepath.Dir(exe)
 	}
 	if o.Dir == "" {
-		d, err := os.MkdirTemp("", "yard-"+o.Site+"-")
+		d, err := os.MkdirTemp("", "yard-")
 		if err != nil {
 			return fail(errs.Wrap(err, "make folder"))
 		}
@@ -85,9 +90,19 @@
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer end()
 	if used == "up" {
+		if o.Site == "" {
+			o.Site = "paramo"
+		}
 		return up(ctx, o, out, fail)
 	}
 	enc := json.NewEncoder(out)
+	enc.SetIndent("", " ")
+	if used == "scenarios" || used == "play" {
+		return scenarios(ctx, o, used, out, bad, fail)
+	}
+	if o.Site == "" {
+		o.Site = "paramo"
+	}
 	if used == "fit" {
 		c, err := Fit(ctx, o)
 		if err == nil {
@@ -99,6 +114,7 @@
 		return 0
 	}
 	if used == "compare" {
+		o.Seeds = max(1, o.Seeds)
 		if err := Compare(ctx, o, out); err != nil {
 			return fail(err)
 		}
@@ -108,7 +124,6 @@
 	if err != nil {
 		return fail(err)
 	}
-	enc.SetIndent("", " ")
 	if err := enc.Encode(sum); err != nil {
 		return fail(errs.Wrap(err, "write report"))
 	}
@@ -160,9 +175,50 @@
 	one, end := context.WithTimeout(ctx, time.Duration(o.Seconds)*2*time.Second)
 	defer end()
 	fares.Drive(one, f.Site.Traffic, fares.NewCaller(f.Site.Edges), o.Seed, "r", n, book)
-	js, err := fares.Journals(ctx, f.Site.Cabs)
+	js, err := f.Journals()
 	if err != nil {
 		return fares.Sum{}, errs.Wrap(err, "journals")
 	}
 	return book.Settle(js, true), nil
 }
+
+// scenarios lists them, or plays one or all, over as many seeds as asked for.
+func scenarios(ctx context.Context, o Options, used string, out, bad io.Writer, fail func(error) int) int {
+	l, err := Scenarios()
+	if err != nil {
+		return fail(err)
+	}
+	found, code, base := false, 0, o.Dir
+	for _, sc := range l {
+		if used == "scenarios" {
+			fmt.Fprintf(out, "%-16s %-7s %s\n", sc.Name, sc.Site, sc.About)
+			continue
+		}
+		if o.Scenario != "" && o.Scenario != sc.Name {
+			continue
+		}
+		found = true
+		for i := range uint64(max(1, o.Seeds)) {
+			p := o
+			p.Seed, p.Dir = o.Seed+i, filepath.Join(base, fmt.Sprintf("%s-%d", sc.Name, o.Seed+i))
+			rep, err := Play(ctx, sc, p)
+			if err != nil {
+				return fail(errs.Wrap(err, "scenario "+sc.Name))
+			}
+			fmt.Fprintf(out, "%-16s %-7s seed %d: sealed %d of %d, during %.3f, after healing %.3f, extra runs %d, denied %v, broken %d, faults %d\n",
+				sc.Name, rep.Site, p.Seed, rep.Sum.Sealed, rep.Sum.Requests, rep.During, rep.Healed, rep.Extra, rep.Sum.Denied, rep.Sum.Broken, len(rep.Faults))
+			for _, f := range rep.Faults {
+				code = 1
+				fmt.Fprintln(out, "  FAULT "+f)
+			}
+			if len(rep.Faults) > 0 {
+				fmt.Fprintf(out, "  steps: %s\n  replay: yard play --scenario %s --seed %d (logs in %s)\n", strings.Join(rep.Steps, "; "), sc.Name, p.Seed, p.Dir)
+			}
+		}
+	}
+	if used == "play" && !found {
+		fmt.Fprintln(bad, "yard: no scenario "+o.Scenario+": see yard scenarios")
+		return errs.NotFound.Exit
+	}
+	return code
+}
--- /dev/null
+++ b/internal/yard/scenario.go
@@ -0,0 +1,307 @@
+package yard
+
+import (
+	"context"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fares"
+)
+
+// Scenario is a run of a whole site with failures, as a file describes it.
+type Scenario struct {
+	Name    string   `json:"name"`
+	About   string   `json:"about"`
+	Site    string   `json:"site"`
+	Rate    float64  `json:"rate"`
+	Links   bool     `json:"links"` // relays stand in the path of every link
+	Cab     []string `json:"cab"`   // words of every worker
+	Steps   []Step   `json:"steps"`
+	HealMs  int      `json:"heal_ms"`  // after the last step all is well again within this; 0: the bound
+	TailMs  int      `json:"tail_ms"`  // how long callers go on after that
+	Least   float64  `json:"least"`    // share of requests that is sealed over the whole run
+	Kinds   []string `json:"kinds"`    // denials that may occur; empty: any typed one
+	ReadAll bool     `json:"read_all"` // every operator address gives the same setup in the end
+}
+
+// Step is one thing that happens.
+type Step struct {
+	At  int    `json:"at_ms"`
+	Do  string `json:"do"`  // see Fleet.do
+	Who string `json:"who"` // names or patterns; "pattern:2" picks two; "@owner" owns the setup's part
+	To  string `json:"to"`  // the other end of a link, or a value
+}
+
+//go:embed scenarios/*.json
+var scenarioFiles embed.FS
+
+// Scenarios reads all scenario files, by name.
+//
+// Example: l, err := yard.Scenarios()
+func Scenarios() ([]Scenario, error) {
+	es, err := scenarioFiles.ReadDir("scenarios")
+	if err != nil {
+		return nil, errs.Wrap(err, "list scenarios")
+	}
+	var l []Scenario
+	for _, e := range es {
+		raw, err := scenarioFiles.ReadFile("scenarios/" + e.Name())
+		if err != nil {
+			return nil, errs.Wrap(err, "read scenario")
+		}
+		var s Scenario
+		d := json.NewDecoder(strings.NewReader(string(raw)))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&s); err != nil {
+			return nil, errs.As(err, errs.BadInput, "scenario "+e.Name())
+		}
+		if s.Name+".json" != e.Name() {
+			return nil, errs.New(errs.BadInput, "scenario %s calls itself %q", e.Name(), s.Name)
+		}
+		l = append(l, s)
+	}
+	return l, nil
+}
+
+// Report is what a scenario has shown.
+type Report struct {
+	Scenario string    `json:"scenario"`
+	Site     string    `json:"site"`
+	Seed     uint64    `json:"seed"`
+	Sum      fares.Sum `json:"sum"`
+	Steps    []string  `json:"steps"`
+	Healed   float64   `json:"sealed_share_after_healing"`
+	During   float64   `json:"sealed_share_during"`
+	Extra    int       `json:"extra_runs"`
+	Faults   []string  `json:"faults"`
+}
+
+// play is a scenario under way.
+type play struct {
+	sc     Scenario
+	f      *Fleet
+	links  *Links
+	r      *rand.Rand
+	mu     sync.Mutex
+	rep    *Report
+	picked map[string][]string
+	// What was acknowledged, and when, in the wall's milliseconds of this one machine.
+	revoked map[string]int64
+	weights map[uint64]int64
+	drained map[string]int64
+	acked   int64 // the latest epoch
+}
+
+// Play runs a scenario and gives its report.
+//
+// Example: rep, err := yard.Play(ctx, scenario, yard.Options{Seed: 1, Net: 10, Dir: dir, Bin: "bin"})
+func Play(ctx context.Context, sc Scenario, o Options) (*Report, error) {
+	if o.Site != "" {
+		sc.Site = o.Site
+	}
+	s, err := Plan(sc.Site, o.Dir, o.Net, sc.Cab)
+	if err != nil {
+		return nil, err
+	}
+	if s.Traffic.Rate = sc.Rate; sc.Rate == 0 {
+		s.Traffic.Rate = 25
+	}
+	for i := range s.Processes {
+		if p := &s.Processes[i]; p.Program == "archive" {
+			p.Place.Extra = append(p.Place.Extra, "faults="+filepath.Join(o.Dir, p.Place.Name+".fault"))
+		}
+	}
+	p := &play{sc: sc, r: rand.New(rand.NewPCG(o.Seed, 11)), rep: &Report{Scenario: sc.Name, Site: sc.Site, Seed: o.Seed, Faults: []string{}},
+		picked: map[string][]string{}, revoked: map[string]int64{}, weights: map[uint64]int64{}, drained: map[string]int64{}}
+	if sc.Links {
+		p.links = NewLinks()
+		defer p.links.Down()
+		if err := s.relay(p.links, o.Net); err != nil {
+			return nil, err
+		}
+	}
+	if p.f, err = Up(ctx, s, o.Dir, o.Bin); err != nil {
+		return nil, err
+	}
+	defer p.f.Down()
+	heal := s.Processes[0].Place.Bounds.HealMs
+	if sc.HealMs > 0 {
+		heal = sc.HealMs
+	}
+	tail, last := sc.TailMs, 0
+	if tail == 0 {
+		tail = 4000
+	}
+	for _, x := range sc.Steps {
+		last = max(last, x.At)
+	}
+	total := last + heal + tail
+	book, t0 := &fares.Book{}, time.Now()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		fares.Drive(ctx, s.Traffic, fares.NewCaller(s.Edges), o.Seed, "s", int(s.Traffic.Rate*float64(total)/1000), book)
+	})
+	for _, x := range sc.Steps {
+		if err := p.await(ctx, t0, x.At); err != nil {
+			return nil, err
+		}
+		said := "done"
+		if err := p.step(ctx, x); err != nil {
+			said = err.Error()
+			p.fault("step %s %s: %v", x.Do, x.Who, err)
+		}
+		p.rep.Steps = append(p.rep.Steps, fmt.Sprintf("%d ms: %s %s %s: %s", time.Since(t0).Milliseconds(), x.Do, strings.Join(p.picked[x.Who], " "), x.To, said))
+	}
+	wg.Wait()
+	return p.rep, p.settle(ctx, book, t0.UnixMilli()+int64(last), heal)
+}
+
+func (p *play) await(ctx context.Context, t0 time.Time, ms int) error {
+	t := time.NewTimer(time.Until(t0.Add(time.Duration(ms) * time.Millisecond)))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return errs.Wrap(ctx.Err(), "scenario")
+	case <-t.C:
+		return nil
+	}
+}
+
+func (p *play) fault(format string, a ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.rep.Faults) < 50 {
+		p.rep.Faults = append(p.rep.Faults, fmt.Sprintf(format, a...))
+	}
+}
+
+// who names the processes that a step means; the same words mean the same ones throughout a run.
+func (p *play) who(ctx context.Context, w string) ([]string, error) {
+	if l := p.picked[w]; l != nil {
+		return l, nil
+	}
+	var l []string
+	for _, x := range strings.Fields(w) {
+		if x == "@owner" {
+			n, err := p.f.owner(ctx)
+			if err != nil {
+				return nil, err
+			}
+			l = append(l, "archive-"+n)
+			continue
+		}
+		pat, n, few := strings.Cut(x, ":")
+		var hit []string
+		for _, q := range p.f.Site.Processes {
+			if ok, err := path.Match(pat, q.Name); ok && err == nil {
+				hit = append(hit, q.Name)
+			}
+		}
+		if few {
+			var k int
+			if _, err := fmt.Sscan(n, &k); err != nil {
+				return nil, errs.New(errs.BadInput, "%q: give pattern:count", x)
+			}
+			p.r.Shuffle(len(hit), func(i, j int) { hit[i], hit[j] = hit[j], hit[i] })
+			hit = hit[:min(k, len(hit))]
+		}
+		l = append(l, hit...)
+	}
+	if len(l) == 0 {
+		return nil, errs.New(errs.BadInput, "%q names no process", w)
+	}
+	sort.Strings(l)
+	p.picked[w] = l
+	return l, nil
+}
+
+// step carries out one step.
+func (p *play) step(ctx context.Context, x Step) error {
+	switch x.Do {
+	case "heal":
+		p.links.Heal()
+		return nil
+	case "weights", "revoke", "drain", "undrain", "storm", "grow", "race", "seeds":
+		return p.operate(ctx, x)
+	case "cut", "slow", "off":
+		return p.link(x)
+	}
+	l, err := p.who(ctx, x.Who)
+	if err != nil {
+		return err
+	}
+	var b errs.Batch
+	for _, n := range l {
+		switch x.Do {
+		case "kill":
+			b.Note(n, p.f.Signal(n, syscall.SIGKILL))
+		case "warn":
+			code, said := Post(ctx, p.f.rank(), "/v1/warn/"+n, nil)
+			if code != 200 {
+				b.Fault(errs.Inside, "warn %s: %d %s", n, code, said)
+			}
+			p.mu.Lock()
+			p.drained[n] = time.Now().UnixMilli()
+			p.mu.Unlock()
+		case "term":
+			b.Note(n, p.f.Signal(n, syscall.SIGTERM))
+		case "freeze":
+			b.Note(n, p.f.Signal(n, syscall.SIGSTOP))
+		case "thaw":
+			b.Note(n, p.f.Signal(n, syscall.SIGCONT))
+		case "start":
+			b.Note(n, p.f.Start(n))
+		case "wipe":
+			b.Note(n, os.RemoveAll(p.f.place(n).Data))
+		case "move":
+			b.Note(n, p.f.move(n))
+		case "disk":
+			f := filepath.Join(p.f.Dir, p.f.place(n).Name+".fault")
+			if x.To == "" {
+				b.Note(n, os.Remove(f))
+			} else {
+				b.Note(n, os.WriteFile(f, []byte(x.To), 0o644))
+			}
+		default:
+			b.Fault(errs.BadInput, "%q: no such step", x.Do)
+		}
+	}
+	return b.Look()
+}
+
+// link sets rules; machines are named, "*" is any, and several are joined by spaces.
+func (p *play) link(x Step) error {
+	if p.links == nil {
+		return errs.New(errs.BadInput, "%s: the scenario has no links: set \"links\": true", x.Do)
+	}
+	for _, a := range strings.Fields(x.Who) {
+		to, r := x.To, Rule{Cut: true}
+		if x.Do == "slow" {
+			to, r = "*", Rule{}
+			if _, err := fmt.Sscan(x.To, &r.Bytes); err != nil {
+				return errs.New(errs.BadInput, "slow: %q: give bytes a second", x.To)
+			}
+		}
+		if x.Do == "off" {
+			to = "*"
+		}
+		for _, b := range strings.Fields(to) {
+			p.links.Set(a, b, r)
+			if x.Do != "cut" {
+				p.links.Set(b, a, r)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/yard/settle.go
@@ -0,0 +1,208 @@
+package yard
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"pebbleloom/internal/cab"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fares"
+)
+
+func writeFile(name string, raw []byte) error { return os.WriteFile(name, append(raw, '\n'), 0o644) }
+
+// settle checks a finished run against what must never happen.
+func (p *play) settle(ctx context.Context, book *fares.Book, closed int64, heal int) error {
+	js, err := p.f.Journals()
+	if err != nil {
+		return errs.Wrap(err, "journals")
+	}
+	p.rep.Sum = book.Settle(js, true)
+	for _, f := range p.rep.Sum.Faults {
+		p.fault("%s", f)
+	}
+	p.shares(book, closed, int64(heal))
+	p.keys(book)
+	p.workers(js)
+	p.extra(book, js)
+	if p.sc.ReadAll {
+		p.readAll(ctx)
+	}
+	sort.Strings(p.rep.Faults)
+	return nil
+}
+
+// shares: service is back within the bound, and only allowed denials occur.
+func (p *play) shares(book *fares.Book, closed, heal int64) {
+	n, ok, dn, dok := 0, 0, 0, 0
+	for _, o := range book.All() {
+		if _, gone := p.revoked[o.Request.Key]; gone {
+			continue
+		}
+		if o.SentMs >= closed+heal {
+			if n++; o.Sealed {
+				ok++
+			}
+		} else if dn++; o.Sealed {
+			dok++
+		}
+		if o.Denied == "" {
+			continue
+		}
+		allowed := len(p.sc.Kinds) == 0
+		for _, k := range p.sc.Kinds {
+			allowed = allowed || k == o.Denied
+		}
+		if !allowed || strings.HasPrefix(o.Denied, "untyped") {
+			p.fault("%s: denied as %s", o.Request.ID, o.Denied)
+		}
+	}
+	if n > 0 {
+		p.rep.Healed = float64(ok) / float64(n)
+	}
+	if dn > 0 {
+		p.rep.During = float64(dok) / float64(dn)
+	}
+	if p.rep.Healed < 0.97 {
+		p.fault("service is not back: %.3f of %d requests sealed from %d ms after the last step on", p.rep.Healed, n, heal)
+	}
+	if all := float64(p.rep.Sum.Sealed) / float64(max(1, p.rep.Sum.Requests)); all < p.sc.Least {
+		p.fault("only %.3f of all requests sealed, at least %.3f are due", all, p.sc.Least)
+	}
+}
+
+// keys: a revoked key works no longer than its bound.
+func (p *play) keys(book *fares.Book) {
+	bound := int64(p.f.Site.Processes[0].Place.Bounds.KeyMs)
+	late, denied := 0, 0
+	for _, o := range book.All() {
+		at, gone := p.revoked[o.Request.Key]
+		if !gone || o.SentMs < at+bound {
+			continue
+		}
+		if o.Sealed || o.Broken != "" {
+			late++
+			p.fault("%s: a key revoked %d ms before was let in", o.Request.ID, o.SentMs-at)
+		} else if o.Denied == "bad-key" {
+			denied++
+		}
+	}
+	if len(p.revoked) > 0 && late == 0 && denied == 0 {
+		p.fault("no request came with the revoked key: the check saw nothing")
+	}
+}
+
+// workers: older weights start no later than their bound; drained workers get nothing.
+func (p *play) workers(js map[string][]cab.Run) {
+	b := p.f.Site.Processes[0].Place.Bounds
+	newer := map[uint64]int{}
+	for name, l := range js {
+		for _, r := range l {
+			for w, at := range p.weights {
+				if r.Weights < w && r.AtMs > at+int64(b.WeightsMs) {
+					p.fault("%s started %s on weights %d, %d ms after %d were acknowledged", name, r.RequestID, r.Weights, r.AtMs-at, w)
+				}
+				if r.Weights >= w {
+					newer[w]++
+				}
+			}
+			if at, ok := p.drained[name]; ok && r.AtMs > at+int64(b.LeaveMs) {
+				p.fault("%s started %s %d ms after it was drained", name, r.RequestID, r.AtMs-at)
+			}
+		}
+	}
+	for w := range p.weights {
+		if newer[w] == 0 {
+			p.fault("nothing ever ran on weights %d", w)
+		}
+	}
+}
+
+// extra: second runs of a request, in any ten seconds, against the share and the allowances.
+func (p *play) extra(book *fares.Book, js map[string][]cab.Run) {
+	b := p.f.Site.Processes[0].Place.Bounds
+	seen := map[string]bool{}
+	var all []cab.Run
+	for _, l := range js {
+		all = append(all, l...)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].AtMs < all[j].AtMs })
+	var extra, first []int64
+	for _, r := range all {
+		if seen[r.RequestID] {
+			extra = append(extra, r.AtMs)
+		}
+		seen[r.RequestID] = true
+	}
+	for _, o := range book.All() {
+		if !o.Request.App {
+			first = append(first, o.SentMs)
+		}
+	}
+	sort.Slice(first, func(i, j int) bool { return first[i] < first[j] })
+	p.rep.Extra = len(extra)
+	count := func(l []int64, from, to int64) int {
+		return sort.Search(len(l), func(i int) bool { return l[i] > to }) - sort.Search(len(l), func(i int) bool { return l[i] > from })
+	}
+	for _, to := range extra {
+		from := to - int64(b.TrySpan)
+		e, f := count(extra, from, to), count(first, from, to)
+		if float64(e) > float64(b.TryShare)/100*float64(f)+float64(len(p.f.Site.Edges)) {
+			p.fault("%d extra runs on %d requests in ten seconds", e, f)
+			return
+		}
+	}
+}
+
+// readAll: every operator address tells the same setup, no older than what was acknowledged.
+func (p *play) readAll(ctx context.Context) {
+	bodies := map[string][]string{}
+	for _, a := range p.f.Site.Operators {
+		code, said := Get(ctx, a, "/v1/setup")
+		var s struct {
+			Epoch int64           `json:"epoch"`
+			Setup json.RawMessage `json:"setup"`
+		}
+		if code != 200 || json.Unmarshal([]byte(said), &s) != nil {
+			p.fault("%s doesn't read the setup back: %d %.200s", a, code, said)
+			continue
+		}
+		if s.Epoch < p.acked {
+			p.fault("%s reads epoch %d back, %d was acknowledged", a, s.Epoch, p.acked)
+		}
+		k := fmt.Sprintf("%d %s", s.Epoch, s.Setup)
+		bodies[k] = append(bodies[k], a)
+	}
+	if len(bodies) > 1 {
+		p.fault("%d different setups are read back", len(bodies))
+	}
+}
+
+// relay puts links into the path of a site: others are told a relay's address.
+func (s *Site) relay(l *Links, net int) error {
+	old, via := fmt.Sprintf("127.%d.", net), fmt.Sprintf("127.%d.", net+100)
+	to := func(a string) string { return strings.Replace(a, old, via, 1) }
+	var b errs.Batch
+	for i := range s.Processes {
+		p := &s.Processes[i].Place
+		l.Name(strings.Split(p.Listen, ":")[0], p.Name)
+		b.Note("relay", l.Relay(to(p.Listen), p.Listen, p.Name))
+		p.Tell = to(p.Listen)
+		switch s.Processes[i].Program {
+		case "cab", "depot", "appservice", "rank":
+			b.Note("relay", l.Relay(to(p.Public), p.Public, p.Name))
+		}
+		for j := range p.Seeds {
+			p.Seeds[j] = strings.Replace(p.Seeds[j], old, via, 1)
+		}
+		p.Rank = to(p.Rank)
+	}
+	for i := range s.List {
+		s.List[i].Addr = to(s.List[i].Addr)
+	}
+	return b.Look()
+}
--- a/internal/yard/site.go
+++ b/internal/yard/site.go
@@ -83,7 +83,8 @@
 	core := []string{"core-1", "core-2", "core-3", "core-4"}
 	rank := at(ip(9, 1), 9100)
 	add := func(n, prog string, p settings.Place) {
-		p.Bounds, p.Seeds, p.Core, p.Rank = b, seeds, core, rank
+		p.Seeds = append([]string(nil), seeds...)
+		p.Bounds, p.Core, p.Rank = b, core, rank
 		s.Processes = append(s.Processes, Process{n, prog, p})
 	}
 	for z := 1; z <= 4; z++ {
@@ -106,7 +107,8 @@
 		s.List = append(s.List, contract.Listed{Name: n, Addr: at(a, 9000), Kind: "lm", Service: lm + "-main", District: d})
 		s.Cabs[n] = at(a, 9000)
 		add(n, "cab", settings.Place{Name: n, District: d, Listen: at(a, 9001), Public: at(a, 9000),
-			Extra: append([]string{"service=" + lm + "-main", "model=" + lm, link, far, fmt.Sprintf("weights=%d", weights)}, cabWords...)})
+			Extra: append([]string{"service=" + lm + "-main", "model=" + lm, link, far, fmt.Sprintf("weights=%d", weights),
+				"journal=" + filepath.Join(dir, n+".runs")}, cabWords...)})
 	}
 	s.List = append(s.List, contract.Listed{Name: "app-1", Addr: at(ip(2, 40), 9000), Kind: "app", Service: app + "-main", District: "district-2"},
 		contract.Listed{Name: "depot-1", Addr: at(ip(3, 40), 9000), Kind: "store", District: "district-3"})
