A broken stream is broken off: the error handler didn't see that it had begun

Found by the new test of every step of a go, which failed first: after the first piece, a lost, doubled, mixed or unsealed stream was closed with an error document and a proper end of body. Cause: the server's generated code wraps the response writer, so the handler's type check never matched. Ruled out: the stream's own check (it reported every case). Also: a setup is sent to the processes beside a runner only when it changed.

--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -138,8 +138,8 @@
 		}
 		tried[c.Worker.Name] = true
 		d.life.Log.Debug("go failed", "request", q.RequestID, "worker", c.Worker.Name, "not_run", notRun, "error", err)
-		again := false
-		if (notRun || !q.Once.Or(false)) && ctx.Err() == nil {
+		again, late := false, ctx.Err() != nil
+		if (notRun || !q.Once.Or(false)) && !late {
 			d.gate.Ask(func(g *gate) { again = d.tries(g, way.Service).Extra(d.clk.Now()) })
 		}
 		if again {
@@ -151,7 +151,7 @@
 			return nil, deny(errs.NotRun, q.RequestID, d.b.Heal(1.0/24), "worker %s: %v", c.Worker.Name, err)
 		case q.Once.Or(false):
 			return nil, deny(errs.MayHaveRun, q.RequestID, 0, "worker %s: %v", c.Worker.Name, err)
-		case ctx.Err() != nil:
+		case late:
 			return nil, deny(errs.Expired, q.RequestID, d.b.Heal(1.0/24), "worker %s didn't begin in time", c.Worker.Name)
 		}
 		return nil, deny(errs.MayHaveRun, q.RequestID, d.b.Heal(1.0/24), "worker %s: %v", c.Worker.Name, err)
--- /dev/null
+++ b/internal/dispatcher/answer_test.go
@@ -0,0 +1,328 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pebbleloom/api/caller"
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/fares"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/placement"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/queue"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+// bench is one dispatcher with its real HTTP server, before workers that die at a chosen
+// step. Nothing sleeps: the workers act on what they are asked.
+type bench struct {
+	d       *Dispatcher
+	edge    *httptest.Server
+	mu      sync.Mutex
+	starts  map[string]int // goes that reached a worker and began, by request
+	granted map[string]bool
+	snap    *feed.Snapshot
+	clk     *clock.Hand
+}
+
+type fakeClaims struct{ b *bench }
+
+func (f fakeClaims) take(_ context.Context, id []byte) (uint64, bool, error) {
+	f.b.mu.Lock()
+	defer f.b.mu.Unlock()
+	if f.b.granted[string(id)] {
+		return 1, false, nil
+	}
+	f.b.granted[string(id)] = true
+	return 1, true, nil
+}
+
+func (f fakeClaims) back(id []byte, _ uint64) {
+	f.b.mu.Lock()
+	defer f.b.mu.Unlock()
+	delete(f.b.granted, string(id))
+}
+
+// worker answers a start as its mode says.
+func (b *bench) worker(name, mode string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var s contract.Start
+		if json.NewDecoder(r.Body).Decode(&s) != nil {
+			return
+		}
+		die := func() { panic(http.ErrAbortHandler) }
+		if mode == "refuse" {
+			w.WriteHeader(409)
+			fmt.Fprint(w, `{"not_run":true,"reason":"full"}`)
+			return
+		}
+		if mode == "odd" {
+			w.WriteHeader(500)
+			fmt.Fprint(w, `oops`)
+			return
+		}
+		b.mu.Lock()
+		b.starts[s.RequestID]++
+		b.mu.Unlock()
+		if mode == "dies-before" {
+			die()
+		}
+		seal, enc := contract.NewSeal(s.RequestID, name), json.NewEncoder(w)
+		es := prefix.Chain(s.Domain, s.Model, s.Weights, s.Parts)
+		for n := range s.Pieces {
+			p := contract.Piece{R: s.RequestID, N: n, T: contract.Text(es[len(es)-1].Key.String(), s.Weights, n)}
+			seal.Add(n, p.T)
+			switch {
+			case n == 2 && mode == "loses":
+				continue
+			case n == 2 && mode == "mixes":
+				p.R = "another"
+			case n == 2 && mode == "long":
+				p.T = strings.Repeat("x", contract.MaxLine)
+			case n == 2 && mode == "dies-within":
+				die()
+			case n == 0 && mode == "hangs":
+				<-r.Context().Done()
+				return
+			}
+			if enc.Encode(p) != nil {
+				return
+			}
+			if n == 2 && mode == "doubles" {
+				_ = enc.Encode(p)
+			}
+			http.NewResponseController(w).Flush()
+		}
+		last := contract.Piece{R: s.RequestID, N: s.Pieces, Seal: seal.Close(), Worker: name, Weights: s.Weights}
+		switch mode {
+		case "unsealed":
+			return
+		case "forges":
+			last.Seal = strings.Repeat("0", 64)
+		}
+		_ = enc.Encode(last)
+	}
+}
+
+func newBench(t *testing.T, modes ...string) *bench {
+	t.Helper()
+	p := settings.Place{Name: "edge-1", District: "d", Listen: "127.0.0.1:1", Bounds: settings.Default(), Extra: []string{"log=off"}}
+	l := daemon.New("dispatcher", p)
+	b := &bench{starts: map[string]int{}, granted: map[string]bool{}, clk: &clock.Hand{T: time.Hour}}
+	b.snap = &feed.Snapshot{Epoch: 1, ProofAt: time.Hour, Placements: map[string]*placement.Placement{}, WeightsAt: map[string]feed.Seen{"m": {Weights: 1}},
+		Setup: (&setup.Setup{Tenants: map[string]setup.Tenant{"t": {Keys: []string{"key-of-t"}}}, Models: map[string]setup.Model{"m": {Weights: 1}},
+			Services: map[string]setup.Service{"s": {Model: "m"}}, Ways: map[string]setup.Way{"m": {Service: "s"}}}).Ready()}
+	for i, m := range modes {
+		n := fmt.Sprintf("w%d", i)
+		addr := ""
+		if m == "gone" {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			addr = ln.Addr().String()
+			ln.Close()
+		} else {
+			s := httptest.NewServer(b.worker(n, m))
+			t.Cleanup(s.Close)
+			addr = s.Listener.Addr().String()
+		}
+		b.snap.Workers = append(b.snap.Workers, &wire.Worker{Name: n, Addr: addr, Service: "s", Kind: "lm", Weights: 1, Slots: 4, Model: "m"})
+	}
+	d := &Dispatcher{life: l, b: p.Bounds, clk: b.clk, be: contract.NewBackends(&net.Dialer{}), curve: placement.Default(), log: queue.NewRing[*wire.Decided](8), claims: fakeClaims{b}}
+	d.gate = queue.NewDesk(newGate(), 64)
+	d.index = newIndex(l, b.clk)
+	d.fol = feed.Fixed(func() *feed.Snapshot { b.mu.Lock(); defer b.mu.Unlock(); return b.snap })
+	srv, err := caller.NewServer(d, caller.WithErrorHandler(refuse))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.d, b.edge = d, httptest.NewServer(http.MaxBytesHandler(flushing(srv), 1<<20))
+	t.Cleanup(func() { b.edge.Close(); l.Stop(time.Second); d.gate.Stop() })
+	return b
+}
+
+func (b *bench) began(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.starts[id]
+}
+
+func (b *bench) ask(id string, once bool) fares.Outcome {
+	q := fares.Request{ID: id, Tenant: "t", Key: "key-of-t", Domain: "shared", Model: "m", Parts: []string{"opening", "question"}, Pieces: 5, WaitMs: 5000, Once: once}
+	return fares.NewCaller([]string{b.edge.Listener.Addr().String()}).Ask(context.Background(), 0, q)
+}
+
+// A worker dies, refuses or misbehaves at every step of a go, and the other worker is well
+// or as bad. What the caller learns, and how often the request began, is said for each.
+func TestEveryStepOfAGo(t *testing.T) {
+	for _, c := range []struct {
+		mode         string
+		once         string // sealed, broken, or the denial's kind
+		many         string
+		starts, more int // that began: once-only, repeatable
+	}{
+		{"well", "sealed", "sealed", 1, 1},
+		{"gone", "not-run", "not-run", 0, 0},
+		{"refuse", "not-run", "not-run", 0, 0},
+		{"odd", "may-have-run", "may-have-run", 0, 0},
+		{"dies-before", "may-have-run", "may-have-run", 1, 2},
+		{"dies-within", "broken", "broken", 1, 1},
+		{"loses", "broken", "broken", 1, 1},
+		{"doubles", "broken", "broken", 1, 1},
+		{"mixes", "broken", "broken", 1, 1},
+		{"long", "broken", "broken", 1, 1},
+		{"unsealed", "broken", "broken", 1, 1},
+		{"forges", "broken", "broken", 1, 1},
+	} {
+		for _, once := range []bool{true, false} {
+			b := newBench(t, c.mode, c.mode)
+			o := b.ask("r", once)
+			want, starts := c.many, c.more
+			if once {
+				want, starts = c.once, c.starts
+			}
+			got := o.Denied
+			if o.Sealed {
+				got = "sealed"
+			} else if o.Broken != "" {
+				got = "broken"
+			}
+			if got != want || b.began("r") != starts || len(o.Faults) > 0 {
+				t.Errorf("%s, once %v: %s after %d starts, want %s after %d; faults %v, %s", c.mode, once, got, b.began("r"), want, starts, o.Faults, o.Message)
+			}
+			if strings.HasPrefix(got, "not") && o.BackMs <= 0 {
+				t.Errorf("%s, once %v: no time to come back", c.mode, once)
+			}
+		}
+	}
+}
+
+// A once-only go is made again on proof alone, and then runs once.
+func TestProofLeadsToTheOtherWorker(t *testing.T) {
+	for _, mode := range []string{"gone", "refuse"} {
+		for i := range 6 { // whichever of the two is asked first
+			b := newBench(t, mode, "well")
+			id := fmt.Sprint("r", i)
+			if o := b.ask(id, true); !o.Sealed || b.began(id) != 1 {
+				t.Errorf("%s: %+v after %d starts", mode, o, b.began(id))
+			}
+		}
+	}
+}
+
+// The same once-only id again: refused while it may have run, let in when it is proved not to have.
+func TestOnceOnlyIdsAgain(t *testing.T) {
+	b := newBench(t, "well")
+	if o := b.ask("r", true); !o.Sealed {
+		t.Fatalf("%+v", o)
+	}
+	if o := b.ask("r", true); o.Denied != "may-have-run" || b.began("r") != 1 {
+		t.Errorf("%+v after %d starts", o, b.began("r"))
+	}
+	b = newBench(t, "refuse")
+	for range 2 {
+		if o := b.ask("r", true); o.Denied != "not-run" {
+			t.Errorf("%+v", o)
+		}
+	}
+}
+
+// Without proof that the setup is the newest nothing starts; nor with a key or a way that
+// was taken out of force. All of it is said at once.
+func TestWhatIsDeniedBeforeAGo(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(*bench)
+		kind string
+	}{
+		"the proof is too old":    {func(b *bench) { b.clk.T += settings.Default().Setup(0.81) }, "not-run"},
+		"there is no setup":       {func(b *bench) { b.snap = &feed.Snapshot{} }, "not-run"},
+		"the key is unknown":      {func(b *bench) { b.snap.Setup.Tenants = nil; b.snap.Setup.Ready() }, "bad-key"},
+		"no way leads there":      {func(b *bench) { b.snap.Setup.Ways = nil }, "no-such-model"},
+		"all workers are leaving": {func(b *bench) { b.snap.Workers[0].State = feed.WorkerDraining }, "not-run"},
+		"older weights alone": {func(b *bench) {
+			b.snap.WeightsAt = map[string]feed.Seen{"m": {Weights: 2}}
+		}, "not-run"},
+	} {
+		b := newBench(t, "well")
+		c.do(b)
+		if o := b.ask("r", true); o.Denied != c.kind || b.began("r") > 0 {
+			t.Errorf("%s: %+v after %d starts", name, o, b.began("r"))
+		}
+	}
+	b := newBench(t, "well")
+	b.snap.WeightsAt = map[string]feed.Seen{"m": {Weights: 2, Since: time.Hour - time.Second}}
+	if o := b.ask("r", true); !o.Sealed {
+		t.Errorf("older weights within their bound: %+v", o)
+	}
+}
+
+// A caller that hangs up ends the worker's side, and its place at the gate is free again.
+func TestHangingUpReachesTheWorker(t *testing.T) {
+	b := newBench(t, "hangs")
+	ctx, hangUp := context.WithCancel(context.Background())
+	raw := `{"request_id":"r","model":"m","parts":["x"],"wait_ms":60000}`
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, b.edge.URL+"/v1/answers", strings.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("X-Tenant-Key", "key-of-t")
+	q.Header.Set("Content-Type", "application/json")
+	done := make(chan error, 1)
+	go func() { _, err := http.DefaultClient.Do(q); done <- err }()
+	for b.began("r") == 0 {
+		runtime.Gosched()
+	}
+	hangUp()
+	if err := <-done; err == nil {
+		t.Fatal("the call went on")
+	}
+	// The worker's handler waits for its own caller's end; closing the edge waits for it.
+	b.edge.Close()
+	left := -1
+	b.d.gate.Ask(func(g *gate) { left = g.inflight })
+	if left != 0 {
+		t.Errorf("%d still under way at the gate", left)
+	}
+}
+
+func TestBadRequestsAreTyped(t *testing.T) {
+	b := newBench(t, "well")
+	for body, kind := range map[string]string{
+		`{`: "bad-input", `{}`: "bad-input", `{"request_id":"r","model":"m","parts":[],"wait_ms":1}`: "bad-input",
+		`{"request_id":"r r","model":"m","parts":["x"],"wait_ms":1}`: "bad-input", `{"request_id":"r","model":"m","parts":["x"],"wait_ms":1,"odd":1}`: "bad-input",
+		`{"request_id":"r","model":"m","wait_ms":1,"parts":["` + strings.Repeat("x", 2<<20) + `"]}`: "too-big",
+	} {
+		q, err := http.NewRequest(http.MethodPost, b.edge.URL+"/v1/answers", bytes.NewReader([]byte(body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Header.Set("X-Tenant-Key", "key-of-t")
+		q.Header.Set("Content-Type", "application/json")
+		r, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, _ := io.ReadAll(r.Body)
+		r.Body.Close()
+		if !strings.Contains(string(raw), `"kind":"`+kind+`"`) || !strings.Contains(string(raw), `"remedy"`) {
+			t.Errorf("%.60s: %d %s", body, r.StatusCode, raw)
+		}
+	}
+}
--- a/internal/dispatcher/claim.go
+++ b/internal/dispatcher/claim.go
@@ -16,6 +16,12 @@
 	"pebbleloom/internal/wire"
 )
 
+// claims is what a request needs of the claimer.
+type claims interface {
+	take(ctx context.Context, id []byte) (nonce uint64, granted bool, err error)
+	back(id []byte, nonce uint64)
+}
+
 // claimer takes once-only ids at the control state before anything starts, so that one id
 // can't run through two dispatchers. Ids are spread over the parts; what waits for a part
 // goes into one command.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -38,7 +38,7 @@
 	fol    *feed.Follower
 	gate   *queue.Desk[gate]
 	index  *index
-	claims *claimer
+	claims claims
 	be     *contract.Backends
 	curve  placement.Curve
 	near   rate
@@ -160,7 +160,7 @@
 
 // refuse answers what never reached Answer, and breaks what had begun.
 func refuse(ctx context.Context, w http.ResponseWriter, r *http.Request, err error) {
-	if f, ok := w.(*flusher); ok && f.begun {
+	if f, ok := ctx.Value(flusher{}).(*flusher); ok && f.begun {
 		panic(http.ErrAbortHandler) // the caller must see that the stream is broken
 	}
 	k := errs.BadInput
@@ -200,7 +200,10 @@
 }
 
 func flushing(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.ServeHTTP(&flusher{ResponseWriter: w}, r) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f := &flusher{ResponseWriter: w} // others may wrap it: whether it has begun is asked by way of the context
+		h.ServeHTTP(f, r.WithContext(context.WithValue(r.Context(), flusher{}, f)))
+	})
 }
 
 // Decision says why one request went where it went.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -60,6 +60,7 @@
 	log  hclog.Logger
 	Ring func(*Snapshot) // told of every new snapshot; may be nil
 	goes func(*wire.FeedAsk)
+	test func() *Snapshot
 }
 
 // Follow starts to follow the runner that link gives; goes, if not nil, puts what the
@@ -89,15 +90,24 @@
 // Now gives the newest snapshot; nil before the first.
 //
 // Example: s := f.Now()
-func (f *Follower) Now() *Snapshot { return f.cur.Load() }
+func (f *Follower) Now() *Snapshot {
+	if f.test != nil {
+		return f.test()
+	}
+	return f.cur.Load()
+}
+
+// Fixed is a follower of nobody, for tests.
+//
+// Example: f := feed.Fixed(func() *feed.Snapshot { return snap })
+func Fixed(now func() *Snapshot) *Follower { return &Follower{test: now} }
 
 func (f *Follower) run(ctx context.Context, link func() wire.Runner, hold time.Duration) {
 	for ctx.Err() == nil {
-		var have uint64
+		a := &wire.FeedAsk{HoldNs: uint64(hold)}
 		if s := f.cur.Load(); s != nil {
-			have = s.Number
+			a.Have, a.HaveSetup = s.Number, s.Epoch
 		}
-		a := &wire.FeedAsk{Have: have, HoldNs: uint64(hold)}
 		if f.goes != nil {
 			f.goes(a)
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -255,7 +255,7 @@
 				t.decided = t.decided[max(0, len(t.decided)-maxDecided):]
 			}
 			if t.number > a.Have || over || a.HoldNs == 0 || len(t.waiting) > 64 {
-				tell = r.tell(t)
+				tell = r.tell(t, a.HaveSetup)
 				return
 			}
 			t.waiting[c] = true
@@ -293,10 +293,13 @@
 	}
 }
 
-func (r *Runner) tell(t *table) *wire.FeedTell {
+// tell shows the table; a setup that the asker has isn't sent again.
+func (r *Runner) tell(t *table, have uint64) *wire.FeedTell {
 	f := &wire.FeedTell{Number: t.number, ProofAt: uint64(t.fresh.Proof()), Setup: t.fresh.Doc(), Nodes: t.view.Nodes,
 		Workers: t.lastRows, WorkersAt: uint64(t.workers.listed)}
 	if t.setup == nil {
+		f.Setup, f.ProofAt = nil, 0 // a setup that can't be read is no setup
+	} else if f.Setup.GetEpoch() == have {
 		f.Setup = nil
 	}
 	for _, n := range sortedKeys(t.places) {
