--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -21,6 +21,10 @@
 
 // Invoker invokes operations described by OpenAPI v3 specification.
 type Invoker interface {
+	// AskMove invokes askMove operation.
+	//
+	// POST /v1/calendar/{service}/{name}/{verb}
+	AskMove(ctx context.Context, params AskMoveParams) (*Changed, error)
 	// ChangeSetup invokes changeSetup operation.
 	//
 	// POST /v1/setup
@@ -41,6 +45,10 @@
 	//
 	// GET /v1/setup
 	GetSetup(ctx context.Context) (*SetupInForce, error)
+	// ListMoves invokes listMoves operation.
+	//
+	// GET /v1/calendar
+	ListMoves(ctx context.Context) (*Moves, error)
 	// ListNodes invokes listNodes operation.
 	//
 	// GET /v1/nodes
@@ -61,6 +69,10 @@
 	//
 	// POST /v1/keys/revoke
 	RevokeKey(ctx context.Context, request *Revoke) (*Changed, error)
+	// WriteMove invokes writeMove operation.
+	//
+	// POST /v1/calendar
+	WriteMove(ctx context.Context, request *NewMove) (*Changed, error)
 }
 
 // Client implements OAS client.
@@ -102,6 +114,103 @@
 	return u
 }
 
+// AskMove invokes askMove operation.
+//
+// POST /v1/calendar/{service}/{name}/{verb}
+func (c *Client) AskMove(ctx context.Context, params AskMoveParams) (*Changed, error) {
+	res, err := c.sendAskMove(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendAskMove(ctx context.Context, params AskMoveParams) (res *Changed, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [6]string
+	pathParts[0] = "/v1/calendar/"
+	{
+		// Encode "service" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "service",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Service))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Name))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[3] = encoded
+	}
+	pathParts[4] = "/"
+	{
+		// Encode "verb" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "verb",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(string(params.Verb)))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[5] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeAskMoveResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ChangeSetup invokes changeSetup operation.
 //
 // POST /v1/setup
@@ -349,6 +458,47 @@
 	return result, nil
 }
 
+// ListMoves invokes listMoves operation.
+//
+// GET /v1/calendar
+func (c *Client) ListMoves(ctx context.Context) (*Moves, error) {
+	res, err := c.sendListMoves(ctx)
+	return res, err
+}
+
+func (c *Client) sendListMoves(ctx context.Context) (res *Moves, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/calendar"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListMovesResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListNodes invokes listNodes operation.
 //
 // GET /v1/nodes
@@ -562,3 +712,47 @@
 
 	return result, nil
 }
+
+// WriteMove invokes writeMove operation.
+//
+// POST /v1/calendar
+func (c *Client) WriteMove(ctx context.Context, request *NewMove) (*Changed, error) {
+	res, err := c.sendWriteMove(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendWriteMove(ctx context.Context, request *NewMove) (res *Changed, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/calendar"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeWriteMoveRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeWriteMoveResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/api/operator/oas_defaults_gen.go
+++ b/api/operator/oas_defaults_gen.go
@@ -2,6 +2,14 @@
 
 package operator
 
+// setDefaults set default value of fields.
+func (s *NewMove) setDefaults() {
+	{
+		val := bool(false)
+		s.Dry.SetTo(val)
+	}
+}
+
 // setDefaults set default value of fields.
 func (s *SetupChange) setDefaults() {
 	{
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -28,6 +28,107 @@
 
 func recordError(string, error) {}
 
+// handleAskMoveRequest handles askMove operation.
+//
+// POST /v1/calendar/{service}/{name}/{verb}
+func (s *Server) handleAskMoveRequest(args [3]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: AskMoveOperation,
+			ID:   "askMove",
+		}
+	)
+	params, err := decodeAskMoveParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Changed
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    AskMoveOperation,
+			OperationSummary: "",
+			OperationID:      "askMove",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "service",
+					In:   "path",
+				}: params.Service,
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+				{
+					Name: "verb",
+					In:   "path",
+				}: params.Verb,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = AskMoveParams
+			Response = *Changed
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackAskMoveParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.AskMove(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.AskMove(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeAskMoveResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleChangeSetupRequest handles changeSetup operation.
 //
 // POST /v1/setup
@@ -474,6 +575,80 @@
 	}
 }
 
+// handleListMovesRequest handles listMoves operation.
+//
+// GET /v1/calendar
+func (s *Server) handleListMovesRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *Moves
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListMovesOperation,
+			OperationSummary: "",
+			OperationID:      "listMoves",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Moves
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListMoves(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListMoves(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListMovesResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListNodesRequest handles listNodes operation.
 //
 // GET /v1/nodes
@@ -900,3 +1075,96 @@
 		return
 	}
 }
+
+// handleWriteMoveRequest handles writeMove operation.
+//
+// POST /v1/calendar
+func (s *Server) handleWriteMoveRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: WriteMoveOperation,
+			ID:   "writeMove",
+		}
+	)
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeWriteMoveRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *Changed
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    WriteMoveOperation,
+			OperationSummary: "",
+			OperationID:      "writeMove",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = *NewMove
+			Params   = struct{}
+			Response = *Changed
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.WriteMove(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.WriteMove(ctx, request)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeWriteMoveResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -901,6 +901,232 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Moves) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Moves) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("moves")
+		e.ArrStart()
+		for _, elem := range s.Moves {
+			if len(elem) != 0 {
+				e.Raw(elem)
+			}
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfMoves = [1]string{
+	0: "moves",
+}
+
+// Decode decodes Moves from json.
+func (s *Moves) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Moves to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "moves":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Moves = make([]jx.Raw, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem jx.Raw
+					v, err := d.RawAppend(nil)
+					elem = jx.Raw(v)
+					if err != nil {
+						return err
+					}
+					s.Moves = append(s.Moves, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"moves\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Moves")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfMoves) {
+					name = jsonFieldsNameOfMoves[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Moves) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Moves) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *NewMove) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *NewMove) encodeFields(e *jx.Encoder) {
+	{
+		if len(s.Move) != 0 {
+			e.FieldStart("move")
+			e.Raw(s.Move)
+		}
+	}
+	{
+		if s.Dry.Set {
+			e.FieldStart("dry")
+			s.Dry.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfNewMove = [2]string{
+	0: "move",
+	1: "dry",
+}
+
+// Decode decodes NewMove from json.
+func (s *NewMove) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode NewMove to nil")
+	}
+	var requiredBitSet [1]uint8
+	s.setDefaults()
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "move":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.RawAppend(nil)
+				s.Move = jx.Raw(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"move\"")
+			}
+		case "dry":
+			if err := func() error {
+				s.Dry.Reset()
+				if err := s.Dry.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"dry\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode NewMove")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfNewMove) {
+					name = jsonFieldsNameOfNewMove[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *NewMove) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *NewMove) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *NodeList) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/operator/oas_operations_gen.go
+++ b/api/operator/oas_operations_gen.go
@@ -6,14 +6,17 @@
 type OperationName = string
 
 const (
+	AskMoveOperation      OperationName = "AskMove"
 	ChangeSetupOperation  OperationName = "ChangeSetup"
 	DrainOperation        OperationName = "Drain"
 	ExplainOperation      OperationName = "Explain"
 	GetPlacementOperation OperationName = "GetPlacement"
 	GetSetupOperation     OperationName = "GetSetup"
+	ListMovesOperation    OperationName = "ListMoves"
 	ListNodesOperation    OperationName = "ListNodes"
 	ListWorkersOperation  OperationName = "ListWorkers"
 	LookUpOperation       OperationName = "LookUp"
 	NameWeightsOperation  OperationName = "NameWeights"
 	RevokeKeyOperation    OperationName = "RevokeKey"
+	WriteMoveOperation    OperationName = "WriteMove"
 )
--- a/api/operator/oas_request_encoders_gen.go
+++ b/api/operator/oas_request_encoders_gen.go
@@ -79,3 +79,17 @@
 	ht.SetBody(r, bytes.NewReader(encoded), contentType)
 	return nil
 }
+
+func encodeWriteMoveRequest(
+	req *NewMove,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
--- a/api/operator/oas_response_encoders_gen.go
+++ b/api/operator/oas_response_encoders_gen.go
@@ -10,6 +10,19 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodeAskMoveResponse(response *Changed, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeChangeSetupResponse(response *Changed, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -75,6 +88,19 @@
 	return nil
 }
 
+func encodeListMovesResponse(response *Moves, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListNodesResponse(response *NodeList, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -140,6 +166,19 @@
 	return nil
 }
 
+func encodeWriteMoveResponse(response *Changed, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeErrorResponse(response *DeniedStatusCode, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	code := response.StatusCode
--- a/api/operator/oas_router_gen.go
+++ b/api/operator/oas_router_gen.go
@@ -11,19 +11,22 @@
 )
 
 var (
-	rn3AllowedHeaders = map[string]string{
+	rn14AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn10AllowedHeaders = map[string]string{
+	rn9AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn13AllowedHeaders = map[string]string{
+	rn17AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn1AllowedHeaders = map[string]string{
+	rn20AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn12AllowedHeaders = map[string]string{
+	rn8AllowedHeaders = map[string]string{
+		"POST": "Content-Type",
+	}
+	rn19AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -58,7 +61,7 @@
 		s.notFound(w, r)
 		return
 	}
-	args := [1]string{}
+	args := [3]string{}
 
 	// Static code generated router with unwrapped path search.
 	switch {
@@ -79,6 +82,118 @@
 				break
 			}
 			switch elem[0] {
+			case 'c': // Prefix: "calendar"
+
+				if l := len("calendar"); len(elem) >= l && elem[0:l] == "calendar" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleListMovesRequest([0]string{}, elemIsEscaped, w, r)
+					case "POST":
+						s.handleWriteMoveRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET,POST",
+							allowedHeaders: rn14AllowedHeaders,
+							acceptPost:     "application/json",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "service"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "name"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[1] = elem[:idx]
+						elem = elem[idx:]
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case '/': // Prefix: "/"
+
+							if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							// Param: "verb"
+							// Leaf parameter, slashes are prohibited
+							idx := strings.IndexByte(elem, '/')
+							if idx >= 0 {
+								break
+							}
+							args[2] = elem
+							elem = ""
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "POST":
+									s.handleAskMoveRequest([3]string{
+										args[0],
+										args[1],
+										args[2],
+									}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "POST",
+										allowedHeaders: nil,
+										acceptPost:     "",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						}
+
+					}
+
+				}
+
 			case 'd': // Prefix: "drain"
 
 				if l := len("drain"); len(elem) >= l && elem[0:l] == "drain" {
@@ -95,7 +210,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn3AllowedHeaders,
+							allowedHeaders: rn9AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -156,7 +271,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn10AllowedHeaders,
+							allowedHeaders: rn17AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -181,7 +296,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn13AllowedHeaders,
+							allowedHeaders: rn20AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -269,7 +384,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET,POST",
-							allowedHeaders: rn1AllowedHeaders,
+							allowedHeaders: rn8AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -306,7 +421,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn12AllowedHeaders,
+								allowedHeaders: rn19AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -357,7 +472,7 @@
 	operationGroup string
 	pathPattern    string
 	count          int
-	args           [1]string
+	args           [3]string
 }
 
 // Name returns ogen operation name.
@@ -442,6 +557,121 @@
 				break
 			}
 			switch elem[0] {
+			case 'c': // Prefix: "calendar"
+
+				if l := len("calendar"); len(elem) >= l && elem[0:l] == "calendar" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = ListMovesOperation
+						r.summary = ""
+						r.operationID = "listMoves"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/calendar"
+						r.args = args
+						r.count = 0
+						return r, true
+					case "POST":
+						r.name = WriteMoveOperation
+						r.summary = ""
+						r.operationID = "writeMove"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/calendar"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "service"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "name"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[1] = elem[:idx]
+						elem = elem[idx:]
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case '/': // Prefix: "/"
+
+							if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							// Param: "verb"
+							// Leaf parameter, slashes are prohibited
+							idx := strings.IndexByte(elem, '/')
+							if idx >= 0 {
+								break
+							}
+							args[2] = elem
+							elem = ""
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "POST":
+									r.name = AskMoveOperation
+									r.summary = ""
+									r.operationID = "askMove"
+									r.operationGroup = ""
+									r.pathPattern = "/v1/calendar/{service}/{name}/{verb}"
+									r.args = args
+									r.count = 3
+									return r, true
+								default:
+									return
+								}
+							}
+
+						}
+
+					}
+
+				}
+
 			case 'd': // Prefix: "drain"
 
 				if l := len("drain"); len(elem) >= l && elem[0:l] == "drain" {
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 
+	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
 )
 
@@ -12,6 +13,61 @@
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
+type AskMoveVerb string
+
+const (
+	AskMoveVerbPause  AskMoveVerb = "pause"
+	AskMoveVerbResume AskMoveVerb = "resume"
+	AskMoveVerbCancel AskMoveVerb = "cancel"
+	AskMoveVerbUndo   AskMoveVerb = "undo"
+)
+
+// AllValues returns all AskMoveVerb values.
+func (AskMoveVerb) AllValues() []AskMoveVerb {
+	return []AskMoveVerb{
+		AskMoveVerbPause,
+		AskMoveVerbResume,
+		AskMoveVerbCancel,
+		AskMoveVerbUndo,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s AskMoveVerb) MarshalText() ([]byte, error) {
+	switch s {
+	case AskMoveVerbPause:
+		return []byte(s), nil
+	case AskMoveVerbResume:
+		return []byte(s), nil
+	case AskMoveVerbCancel:
+		return []byte(s), nil
+	case AskMoveVerbUndo:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *AskMoveVerb) UnmarshalText(data []byte) error {
+	switch AskMoveVerb(data) {
+	case AskMoveVerbPause:
+		*s = AskMoveVerbPause
+		return nil
+	case AskMoveVerbResume:
+		*s = AskMoveVerbResume
+		return nil
+	case AskMoveVerbCancel:
+		*s = AskMoveVerbCancel
+		return nil
+	case AskMoveVerbUndo:
+		*s = AskMoveVerbUndo
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/Changed
 type Changed struct {
 	Epoch   int64     `json:"epoch"`
@@ -252,6 +308,47 @@
 	s.Parts = val
 }
 
+// Ref: #/components/schemas/Moves
+type Moves struct {
+	Moves []jx.Raw `json:"moves"`
+}
+
+// GetMoves returns the value of Moves.
+func (s *Moves) GetMoves() []jx.Raw {
+	return s.Moves
+}
+
+// SetMoves sets the value of Moves.
+func (s *Moves) SetMoves(val []jx.Raw) {
+	s.Moves = val
+}
+
+// Ref: #/components/schemas/NewMove
+type NewMove struct {
+	Move jx.Raw  `json:"move"`
+	Dry  OptBool `json:"dry"`
+}
+
+// GetMove returns the value of Move.
+func (s *NewMove) GetMove() jx.Raw {
+	return s.Move
+}
+
+// GetDry returns the value of Dry.
+func (s *NewMove) GetDry() OptBool {
+	return s.Dry
+}
+
+// SetMove sets the value of Move.
+func (s *NewMove) SetMove(val jx.Raw) {
+	s.Move = val
+}
+
+// SetDry sets the value of Dry.
+func (s *NewMove) SetDry(val OptBool) {
+	s.Dry = val
+}
+
 // Ref: #/components/schemas/NodeList
 type NodeList struct {
 	SeenBy string              `json:"seen_by"`
--- a/api/operator/oas_server_gen.go
+++ b/api/operator/oas_server_gen.go
@@ -8,6 +8,10 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
+	// AskMove implements askMove operation.
+	//
+	// POST /v1/calendar/{service}/{name}/{verb}
+	AskMove(ctx context.Context, params AskMoveParams) (*Changed, error)
 	// ChangeSetup implements changeSetup operation.
 	//
 	// POST /v1/setup
@@ -28,6 +32,10 @@
 	//
 	// GET /v1/setup
 	GetSetup(ctx context.Context) (*SetupInForce, error)
+	// ListMoves implements listMoves operation.
+	//
+	// GET /v1/calendar
+	ListMoves(ctx context.Context) (*Moves, error)
 	// ListNodes implements listNodes operation.
 	//
 	// GET /v1/nodes
@@ -48,6 +56,10 @@
 	//
 	// POST /v1/keys/revoke
 	RevokeKey(ctx context.Context, req *Revoke) (*Changed, error)
+	// WriteMove implements writeMove operation.
+	//
+	// POST /v1/calendar
+	WriteMove(ctx context.Context, req *NewMove) (*Changed, error)
 	// NewError creates *DeniedStatusCode from error returned by handler.
 	//
 	// Used for common default response.
--- a/api/operator/oas_validators_gen.go
+++ b/api/operator/oas_validators_gen.go
@@ -9,6 +9,21 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s AskMoveVerb) Validate() error {
+	switch s {
+	case "pause":
+		return nil
+	case "resume":
+		return nil
+	case "cancel":
+		return nil
+	case "undo":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *Explained) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -137,6 +152,29 @@
 	return nil
 }
 
+func (s *Moves) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Moves == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "moves",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *NodeList) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"time"
 
+	"pebbleloom/internal/calendar"
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/daemon"
@@ -41,6 +42,7 @@
 	full  time.Duration // when the whole was last recomputed
 	fence uint64
 	roll  Roll
+	pacer *calendar.Pacer
 }
 
 // Start runs the appraiser.
@@ -83,7 +85,7 @@
 		d := a.duties[name]
 		if d == nil {
 			ttl := a.life.Place.Bounds.Heal(0.25)
-			d = &duty{lease: link.NewLease(a.ctl, a.clk, "appraise/"+name, link.PartOf(name), a.holder, ttl)}
+			d = &duty{lease: link.NewLease(a.ctl, a.clk, "appraise/"+name, link.PartOf(name), a.holder, ttl), pacer: calendar.NewPacer()}
 			a.duties[name] = d
 		}
 		if err := d.lease.Renew(a.life.Ctx); err != nil {
@@ -101,6 +103,7 @@
 		var b errs.Batch
 		b.Note("roll out weights", a.rollOut(d, s, name, svc))
 		b.Note("place", a.place(d, s, name, svc))
+		b.Note("calendar", a.pace(d, s, name))
 		if err := b.Look(); err != nil {
 			a.life.Log.Warn("duty step failed", "service", name, "error", errs.Text(err))
 		}
@@ -170,7 +173,7 @@
 	var p *placement.Placement
 	changed := true
 	if names := namesOf(ws); d.last == nil || now-d.full > b.Heal(0.5) || !reflect.DeepEqual(names, d.last.Workers) || d.last.Mode != mode(svc) {
-		f := Facts{Service: name, Mode: mode(svc), Alpha: svc.Alpha, Workers: names, Hot: hot, Curve: placement.Default(), Links: a.links()}
+		f := Facts{Service: name, Mode: mode(svc), Alpha: svc.Alpha, Workers: names, Hot: hot, Curve: placement.Default(), Links: a.seen().links}
 		if f.Alpha == 0 {
 			f.Alpha = 1
 		}
@@ -252,29 +255,3 @@
 	}
 	return l
 }
-
-// links adds up what all dispatchers have seen of fetches.
-func (a *Appraiser) links() []*wire.LinkSeen {
-	sum := map[string]*wire.LinkSeen{}
-	for _, n := range a.ros.View().Role("runner") {
-		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
-		t, err := a.calls.Runner(n.Addr).Feed(ctx, &wire.FeedAsk{})
-		end()
-		if err != nil {
-			continue
-		}
-		for _, l := range t.Links {
-			s := sum[l.Class]
-			if s == nil {
-				s = &wire.LinkSeen{Class: l.Class}
-				sum[l.Class] = s
-			}
-			s.Tokens, s.Ns = s.Tokens+l.Tokens, s.Ns+l.Ns
-		}
-	}
-	l := make([]*wire.LinkSeen, 0, len(sum))
-	for _, s := range sum {
-		l = append(l, s)
-	}
-	return l
-}
--- /dev/null
+++ b/internal/appraiser/pace.go
@@ -0,0 +1,151 @@
+package appraiser
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"pebbleloom/internal/calendar"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/wire"
+)
+
+// seen is what all dispatchers together have seen lately.
+type seen struct {
+	links   []*wire.LinkSeen
+	ok, bad map[string]float64 // by worker
+}
+
+// seen adds up what the runners tell of their dispatchers.
+func (a *Appraiser) seen() seen {
+	all := seen{ok: map[string]float64{}, bad: map[string]float64{}}
+	sum := map[string]*wire.LinkSeen{}
+	for _, n := range a.ros.View().Role("runner") {
+		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
+		t, err := a.calls.Runner(n.Addr).Feed(ctx, &wire.FeedAsk{})
+		end()
+		if err != nil {
+			continue
+		}
+		for _, l := range t.Links {
+			s := sum[l.Class]
+			if s == nil {
+				s = &wire.LinkSeen{Class: l.Class}
+				sum[l.Class] = s
+				all.links = append(all.links, s)
+			}
+			s.Tokens, s.Ns = s.Tokens+l.Tokens, s.Ns+l.Ns
+		}
+		for _, w := range t.Workers {
+			all.ok[w.Name] += w.Ok
+			all.bad[w.Name] += w.Bad
+		}
+	}
+	return all
+}
+
+// wall is the median of the core machines' clocks, when a majority tells its own: one
+// machine's clock that jumps moves nothing.
+func (a *Appraiser) wall() time.Time {
+	var l []int64
+	for _, c := range a.life.Place.Core {
+		addr, ok := a.ros.View().Addr("archive/" + c)
+		if !ok {
+			continue
+		}
+		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
+		t, err := a.calls.Archive(addr).Time(ctx, &wire.TimeAsk{})
+		end()
+		if err == nil {
+			l = append(l, t.WallNs)
+		}
+	}
+	return median(l, len(a.life.Place.Core))
+}
+
+func median(l []int64, of int) time.Time {
+	if 2*len(l) <= of {
+		return time.Time{}
+	}
+	slices.Sort(l)
+	return time.Unix(0, l[(len(l)-1)/2])
+}
+
+// pace carries the service's calendar on by one step. Entries are read by majority, written
+// under the lease's fence onto the epoch they were read at, and moves are made onto the
+// setup's epoch: a holder that comes late changes nothing.
+func (a *Appraiser) pace(d *duty, s *feed.Snapshot, name string) error {
+	part := link.PartOf(name)
+	t, err := a.ctl.Read(a.life.Ctx, &wire.ReadAsk{Part: part, Key: "calendar/" + name + "/", Prefix: true})
+	if err != nil {
+		return errs.Wrap(err, "read calendar")
+	}
+	var b errs.Batch
+	for _, doc := range t.Docs {
+		e, err := calendar.Read(doc.Body)
+		if b.Note(doc.Key, err); err != nil || !e.Active() || e.State == calendar.Paused {
+			continue
+		}
+		w := a.world(s, name, e)
+		next, move, changed := d.pacer.Next(e, w)
+		if move.Patch != nil {
+			if _, ok := d.lease.Held(); !ok {
+				return b.Look()
+			}
+			put := &wire.Put{Key: link.SetupKey, Body: move.Patch, IfEpoch: w.Epoch, Token: move.Token}
+			_, err := a.ctl.Change(a.life.Ctx, &wire.ChangeAsk{Patch: true, Command: &wire.Command{Kind: &wire.Command_Put{Put: put}}})
+			if errs.KindOf(err) == errs.BadInput && err != nil { // the setup can't take it: people must look
+				next = e
+				next.State, next.Why, changed = calendar.Paused, "stopped: "+err.Error(), true
+			} else if err != nil {
+				b.Note("move of "+e.Name, err)
+				continue
+			} else {
+				next, changed = calendar.Acted(e), true
+			}
+		}
+		if changed {
+			b.Note("write "+e.Name, a.write(d, part, doc, next))
+		}
+	}
+	return b.Look()
+}
+
+func (a *Appraiser) write(d *duty, part uint32, doc *wire.Doc, e *calendar.Entry) error {
+	fence, ok := d.lease.Held()
+	if !ok {
+		return nil
+	}
+	body, err := e.Write()
+	if err != nil {
+		return err
+	}
+	put := &wire.Put{Key: doc.Key, Body: body, IfEpoch: doc.Epoch, Duty: d.lease.Duty, Fence: fence, Holder: a.holder}
+	_, err = a.ctl.Change(a.life.Ctx, &wire.ChangeAsk{Part: part, Command: &wire.Command{Kind: &wire.Command_Put{Put: put}}})
+	if err == nil {
+		a.life.Log.Info("calendar", "entry", e.Name, "service", e.Service, "state", e.State, "step", e.Step, "why", e.Why)
+	}
+	return errs.Wrap(err, "write entry")
+}
+
+func (a *Appraiser) world(s *feed.Snapshot, name string, e *calendar.Entry) calendar.World {
+	w := calendar.World{Clock: a.clk.Now(), Epoch: s.Epoch, Setup: s.Setup}
+	if e.State == calendar.Planned && e.At != "" {
+		w.Wall = a.wall()
+	}
+	all := a.seen()
+	for _, x := range s.Workers {
+		if x.Service != name {
+			if e.Kind == calendar.Handover && x.Service == e.To { // the new service's failures stop it too
+				w.Ok, w.Bad = w.Ok+all.ok[x.Name], w.Bad+all.bad[x.Name]
+			}
+			continue
+		}
+		w.Workers = append(w.Workers, calendar.Worker{Name: x.Name, Incarnation: x.Incarnation, Weights: x.Weights,
+			Up: x.State == feed.WorkerUp, Here: x.State < feed.WorkerGone, Busy: int(x.Busy)})
+		w.Ok, w.Bad = w.Ok+all.ok[x.Name], w.Bad+all.bad[x.Name]
+	}
+	return w
+}
--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -217,6 +217,13 @@
 	return &wire.ReadTell{Outcome: "not-owner"}, nil
 }
 
+// Time tells this machine's wall clock.
+//
+// Example: t, err := a.Time(ctx, &wire.TimeAsk{})
+func (n *Node) Time(context.Context, *wire.TimeAsk) (*wire.TimeTell, error) {
+	return &wire.TimeTell{WallNs: time.Now().UnixNano()}, nil
+}
+
 // News answers a long poll: news, or the vouch that there was none.
 //
 // Example: t, err := a.News(ctx, &wire.NewsAsk{Key: "setup", Have: 7, HoldNs: 3e8})
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
+	"pebbleloom/internal/calendar"
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/ledger"
@@ -281,12 +283,43 @@
 	if !u.AnyEpoch && u.IfEpoch != old.GetEpoch() {
 		return &wire.ChangeTell{Outcome: "epoch-conflict", Epoch: old.GetEpoch()}
 	}
+	if strings.HasPrefix(u.Key, "calendar/") {
+		if err := p.entry(u); err != nil {
+			return &wire.ChangeTell{Outcome: errs.KindOf(err).Name, Epoch: old.GetEpoch(), Faults: []string{err.Error()}}
+		}
+	}
 	if a.Dry {
 		return &wire.ChangeTell{Outcome: "valid", Epoch: old.GetEpoch()}
 	}
 	return nil
 }
 
+// entry checks a calendar entry against the others of its service.
+func (p *part) entry(u *wire.Put) error {
+	e, err := calendar.Read(u.Body)
+	if err != nil {
+		return err
+	}
+	var b errs.Batch
+	if e.Check(&b); calendar.Key(e.Service, e.Name) != u.Key {
+		b.Fault(errs.BadInput, "entry %q of service %q doesn't belong under %s", e.Name, e.Service, u.Key)
+	}
+	if len(p.core.Unsettled()) > 0 {
+		return errs.New(errs.Overloaded, "another change is under way: ask again")
+	}
+	var others []*calendar.Entry
+	for k, d := range p.st.docs {
+		if strings.HasPrefix(k, "calendar/") {
+			o, err := calendar.Read(d.Body)
+			if b.Note(k, err); err == nil {
+				others = append(others, o)
+			}
+		}
+	}
+	b.Note("calendar", e.Clash(others))
+	return b.Look()
+}
+
 // read answers from the applied state, once a majority confirms that this member owns the part.
 func (p *part) read(ctx context.Context, a *wire.ReadAsk) *wire.ReadTell {
 	w := make(chan bool, 1)
--- a/internal/desk/commands.go
+++ b/internal/desk/commands.go
@@ -191,6 +191,8 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", n.Name, n.Service, n.District, n.Addr, n.State, n.Weights, n.Busy, n.Queued, n.Slots)
 		}
 		fmt.Fprintf(w, "as seen by %s\n", x.SeenBy)
+	case *operator.Moves:
+		plainMoves(w, x)
 	case *operator.Explained:
 		for _, g := range x.Goes {
 			fmt.Fprintln(w, indent(g))
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -32,6 +32,9 @@
   desk drain --worker cab-3            (--back takes it into use again)
   desk nodes | desk workers
   desk placement show --service lector-main
+  desk calendar write --file move.json     (check: without writing it)
+  desk calendar list
+  desk calendar pause --service lector-main --name spring     (resume, cancel, undo)
   desk explain --request r1
   desk index lookup --model lector --tenant hotline --part "opening" --part "question"
 
@@ -40,11 +43,11 @@
 
 // request is one command line, read.
 type request struct {
-	node, file, token, model, tenant, key, worker, service, request string
-	asJSON, back                                                    bool
-	ifEpoch                                                         int64
-	weights                                                         int64
-	parts                                                           []string
+	node, file, token, model, tenant, key, worker, service, request, name string
+	asJSON, back                                                          bool
+	ifEpoch                                                               int64
+	weights                                                               int64
+	parts                                                                 []string
 }
 
 type command struct {
@@ -66,6 +69,13 @@
 		{"nodes", "list the nodes", nodes},
 		{"workers", "list the workers", workers},
 		{"placement show", "show a service's placement", place},
+		{"calendar list", "list the planned moves and how far they have come", listMoves},
+		{"calendar write", "write a planned move", writeMove(false)},
+		{"calendar check", "check a planned move without writing it", writeMove(true)},
+		{"calendar pause", "hold a move where it is", askMove("pause")},
+		{"calendar resume", "let it go on", askMove("resume")},
+		{"calendar cancel", "take out a move that hasn't begun", askMove("cancel")},
+		{"calendar undo", "take back what a move has done", askMove("undo")},
 		{"explain", "tell why a request went where it went", explain},
 		{"index lookup", "ask who holds a prompt's prefixes", lookup},
 	}
@@ -95,6 +105,7 @@
 	ps.String(&r.worker, "", "worker", "worker")
 	ps.Bool(&r.back, "b", "back", "with drain: take the worker into use again")
 	ps.String(&r.service, "s", "service", "service")
+	ps.String(&r.name, "", "name", "name of a planned move")
 	ps.String(&r.request, "r", "request", "request id")
 	ps.StringSlice(&r.parts, "p", "part", "prompt part, in order")
 	used := attach(ps)
--- /dev/null
+++ b/internal/desk/moves.go
@@ -0,0 +1,54 @@
+package desk
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/go-faster/jx"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/calendar"
+	"pebbleloom/internal/errs"
+)
+
+func listMoves(ctx context.Context, c *operator.Client, _ *request, _ io.Reader) (any, error) {
+	return c.ListMoves(ctx)
+}
+
+func writeMove(dry bool) func(context.Context, *operator.Client, *request, io.Reader) (any, error) {
+	return func(ctx context.Context, c *operator.Client, r *request, in io.Reader) (any, error) {
+		b, err := read(r, in)
+		if err != nil {
+			return nil, err
+		}
+		return c.WriteMove(ctx, &operator.NewMove{Move: jx.Raw(b), Dry: operator.NewOptBool(dry)})
+	}
+}
+
+func askMove(verb operator.AskMoveVerb) func(context.Context, *operator.Client, *request, io.Reader) (any, error) {
+	return func(ctx context.Context, c *operator.Client, r *request, _ io.Reader) (any, error) {
+		if err := need("service", r.service, "name", r.name); err != nil {
+			return nil, err
+		}
+		return c.AskMove(ctx, operator.AskMoveParams{Service: r.service, Name: r.name, Verb: verb})
+	}
+}
+
+func plainMoves(w io.Writer, l *operator.Moves) {
+	fmt.Fprintf(w, "SERVICE\tNAME\tKIND\tSTATE\tSTEP\tWHY\n")
+	for _, m := range l.Moves {
+		e, err := calendar.Read(m)
+		if err != nil {
+			fmt.Fprintf(w, "?\t?\t?\t?\t?\t%s\n", errs.Text(err))
+			continue
+		}
+		step := fmt.Sprintf("%d of %d", e.Step, len(e.Steps))
+		if e.Step < len(e.Steps) {
+			s := e.Steps[e.Step]
+			step += ": " + s.Do + " " + strings.Join(s.On, " ")
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", e.Service, e.Name, e.Kind, e.State, step, e.Why)
+	}
+}
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -106,7 +106,8 @@
 			leave()
 			return nil, deny(errs.NoModel, q.RequestID, 0, "no way leads to model %q", q.Model)
 		}
-		c, err := d.choose(s, q, tenant, way.Service, found, tried)
+		service := way.For(q.RequestID)
+		c, err := d.choose(s, q, tenant, service, found, tried)
 		if err != nil {
 			leave()
 			return nil, err
@@ -121,7 +122,7 @@
 		}
 		if n == 0 {
 			n++
-			d.gate.Tell(func(g *gate) { d.tries(g, way.Service).First(d.clk.Now()) })
+			d.gate.Tell(func(g *gate) { d.tries(g, service).First(d.clk.Now()) })
 		}
 		if !d.current(s) { // a new setup came while this was thought over
 			d.gate.Tell(func(g *gate) { g.release(c.Worker.Name) })
@@ -129,7 +130,7 @@
 		}
 		var out *stream
 		var notRun bool
-		out, notRun, err = d.start(ctx, s, q, tenant, way.Service, c, wait-(d.clk.Now()-t0))
+		out, notRun, err = d.start(ctx, s, q, tenant, service, c, wait-(d.clk.Now()-t0))
 		mayHaveRun = mayHaveRun || !notRun
 		if err == nil {
 			out.leave = leave
@@ -140,7 +141,7 @@
 		d.life.Log.Debug("go failed", "request", q.RequestID, "worker", c.Worker.Name, "not_run", notRun, "error", err)
 		again, late := false, ctx.Err() != nil
 		if (notRun || !q.Once.Or(false)) && !late {
-			d.gate.Ask(func(g *gate) { again = d.tries(g, way.Service).Extra(d.clk.Now()) })
+			d.gate.Ask(func(g *gate) { again = d.tries(g, service).Extra(d.clk.Now()) })
 		}
 		if again {
 			continue
@@ -180,10 +181,10 @@
 func (d *Dispatcher) entries(s *feed.Snapshot, q *caller.Ask, tenant string) map[uint64][]prefix.Entry {
 	m := map[uint64][]prefix.Entry{}
 	w := s.WeightsAt[q.Model]
-	way := s.Setup.Ways[q.Model]
+	service := s.Setup.Ways[q.Model].For(q.RequestID)
 	old := w.Since > 0 && d.clk.Now()-w.Since < time.Duration(float64(d.b.WeightsMs)*0.85)*time.Millisecond
 	for _, x := range s.Workers {
-		if _, ok := m[x.Weights]; ok || x.Service != way.Service || x.State == feed.WorkerGone {
+		if _, ok := m[x.Weights]; ok || x.Service != service || x.State == feed.WorkerGone {
 			continue
 		}
 		if x.Weights == w.Weights || old && x.Weights < w.Weights && x.Weights > 0 {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -79,14 +79,47 @@
 		return errs.Wrap(err, "caller API")
 	}
 	body := int64(d.b.BodyKB)<<10 + int64(d.b.BodyKB)<<9 // JSON escapes take room
-	if err := l.Serve(l.Place.Public, http.MaxBytesHandler(flushing(srv), body)); err != nil {
-		return err
-	}
+	l.Go(func() { d.open(http.MaxBytesHandler(flushing(srv), body)) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/counts", d.counts)
 	return l.Serve(l.Place.Listen, mux)
 }
 
+// open takes callers in once there is a proved setup with workers: before that they are
+// better refused a connection, and ask another edge.
+func (d *Dispatcher) open(h http.Handler) {
+	t := clock.Every(d.b.Setup(0.02))
+	defer t.Stop()
+	for {
+		s := d.fol.Now()
+		if s.Fresh(d.clk.Now(), d.b.Setup(0.8)) && up(s) {
+			break
+		}
+		select {
+		case <-d.life.Ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+	if err := d.life.Serve(d.life.Place.Public, h); err != nil {
+		d.life.Log.Error("callers can't be taken in", "error", errs.Text(err))
+	}
+}
+
+// up tells whether every service that a way leads to has a worker up.
+func up(s *feed.Snapshot) bool {
+	has := map[string]bool{}
+	for _, w := range s.Workers {
+		has[w.Service] = has[w.Service] || w.State == feed.WorkerUp
+	}
+	for _, w := range s.Setup.Ways {
+		if has[w.Service] {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) stopping() bool {
 	select {
 	case <-d.life.Draining:
--- /dev/null
+++ b/internal/frontdesk/moves.go
@@ -0,0 +1,123 @@
+package frontdesk
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-faster/jx"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/calendar"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/wire"
+)
+
+// moves reads all entries of the calendar, part by part, each by majority.
+func (d *Desk) moves(ctx context.Context) ([]*wire.Doc, error) {
+	var l []*wire.Doc
+	for p := range uint32(link.Parts) {
+		t, err := d.ctl.Read(ctx, &wire.ReadAsk{Part: p, Key: "calendar/", Prefix: true})
+		if err != nil {
+			return nil, errs.Wrap(err, "read calendar")
+		}
+		l = append(l, t.Docs...)
+	}
+	return l, nil
+}
+
+// ListMoves lists the calendar.
+//
+// Example: GET /v1/calendar
+func (d *Desk) ListMoves(ctx context.Context) (*operator.Moves, error) {
+	ds, err := d.moves(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l := &operator.Moves{Moves: []jx.Raw{}}
+	for _, x := range ds {
+		l.Moves = append(l.Moves, jx.Raw(x.Body))
+	}
+	return l, nil
+}
+
+// WriteMove writes a planned move. Clashes within a service are seen by the part's owner
+// itself; those with another service's moves are looked for here.
+//
+// Example: POST /v1/calendar {"move": {"name": "spring", "service": "lector-main", "kind": "weights", "model": "lector", "weights": 4}}
+func (d *Desk) WriteMove(ctx context.Context, q *operator.NewMove) (*operator.Changed, error) {
+	e, err := calendar.Read(q.Move)
+	if err != nil {
+		return nil, err
+	}
+	e.State, e.Why, e.Steps, e.Step = calendar.Planned, "", nil, 0
+	ds, err := d.moves(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var b errs.Batch
+	e.Check(&b)
+	var others []*calendar.Entry
+	old := uint64(0)
+	for _, x := range ds {
+		o, err := calendar.Read(x.Body)
+		if b.Note(x.Key, err); err != nil {
+			continue
+		}
+		if o.Name == e.Name && o.Service == e.Service {
+			if old = x.Epoch; o.Active() {
+				b.Fault(errs.Conflict, "entry %q of %s is %s: give another name, or end it first", o.Name, o.Service, o.State)
+			}
+			continue
+		}
+		others = append(others, o)
+	}
+	b.Note("calendar", e.Clash(others))
+	if err := b.Look(); err != nil {
+		return nil, err
+	}
+	return d.putMove(ctx, e, old, q.Dry.Or(false))
+}
+
+func (d *Desk) putMove(ctx context.Context, e *calendar.Entry, epoch uint64, dry bool) (*operator.Changed, error) {
+	body, err := e.Write()
+	if err != nil {
+		return nil, err
+	}
+	p := &wire.Put{Key: calendar.Key(e.Service, e.Name), Body: body, IfEpoch: epoch}
+	t, err := d.ctl.Change(ctx, &wire.ChangeAsk{Part: link.PartOf(e.Service), Command: &wire.Command{Kind: &wire.Command_Put{Put: p}}, Dry: dry})
+	if err != nil {
+		return nil, errs.Wrap(err, "write calendar")
+	}
+	return &operator.Changed{Epoch: int64(t.Epoch), Outcome: t.Outcome, Note: operator.NewOptString(e.State)}, nil
+}
+
+// AskMove pauses, resumes, cancels or undoes a move. The system writes the same entry as
+// it goes on, so a change that crosses with a step is made again on what is then there.
+//
+// Example: POST /v1/calendar/lector-main/spring/pause
+func (d *Desk) AskMove(ctx context.Context, q operator.AskMoveParams) (*operator.Changed, error) {
+	var last error
+	for range 5 {
+		t, err := d.ctl.Read(ctx, &wire.ReadAsk{Part: link.PartOf(q.Service), Key: calendar.Key(q.Service, q.Name)})
+		if err != nil {
+			return nil, errs.Wrap(err, "read calendar")
+		}
+		if len(t.Docs) == 0 {
+			return nil, errs.New(errs.NotFound, "service %q has no entry %q", q.Service, q.Name)
+		}
+		e, err := calendar.Read(t.Docs[0].Body)
+		if err != nil {
+			return nil, err
+		}
+		if err := e.Ask(string(q.Verb)); err != nil {
+			return nil, err
+		}
+		c, err := d.putMove(ctx, e, t.Docs[0].Epoch, false)
+		if errs.KindOf(err) != errs.Conflict || err == nil {
+			return c, err
+		}
+		last = err
+	}
+	return nil, errs.As(last, errs.Conflict, fmt.Sprintf("entry %q keeps changing", q.Name))
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sort"
 	"time"
@@ -25,6 +26,7 @@
 	places   map[string]*wire.Doc
 	setup    *setup.Setup
 	links    map[string]*wire.LinkSeen
+	health   map[string]*health
 	number   uint64
 	waiting  map[chan struct{}]bool
 	shownAt  uint64
@@ -50,7 +52,7 @@
 	r := &Runner{life: l, clk: clock.Boot(), calls: daemon.NewCalls(l.Place), be: contract.NewBackends(l.Place.Dialer())}
 	ms := link.Members(0, l.Place.Core)
 	r.desk = queue.NewDesk(&table{fresh: NewFresh(len(ms)), workers: NewWorkers(b), places: map[string]*wire.Doc{},
-		links: map[string]*wire.LinkSeen{}, waiting: map[chan struct{}]bool{}}, 1024)
+		links: map[string]*wire.LinkSeen{}, health: map[string]*health{}, waiting: map[chan struct{}]bool{}}, 1024)
 	r.ros = roster.Start(l.Ctx, l.Place, "runner", r.clk, l.Log, r.calls.Roster, func(v roster.View) {
 		r.desk.Tell(func(t *table) { t.view = v; t.changed() })
 	})
@@ -278,9 +280,29 @@
 	}
 }
 
+// health is how a worker's goes have ended lately, as the dispatcher here saw them.
+type health struct {
+	ok, bad float64
+	at      time.Duration
+}
+
+func (h *health) fade(now, window time.Duration) {
+	f := math.Exp(-float64(now-h.at) / float64(window))
+	h.ok, h.bad, h.at = h.ok*f, h.bad*f, now
+}
+
 func (r *Runner) goes(t *table, l []*wire.GoReport) {
 	t.workers.Goes(l, r.clk.Now())
 	for _, g := range l {
+		if g.Ok+g.Errors > 0 && (t.health[g.Worker] != nil || len(t.health) < maxWorkers) {
+			h := t.health[g.Worker]
+			if h == nil {
+				h = &health{}
+				t.health[g.Worker] = h
+			}
+			h.fade(r.clk.Now(), r.life.Place.Bounds.Heal(1))
+			h.ok, h.bad = h.ok+float64(g.Ok), h.bad+float64(g.Errors)
+		}
 		if g.LinkNs <= 0 || len(t.links) > 8 && t.links[g.From] == nil {
 			continue
 		}
@@ -310,6 +332,10 @@
 		f.Links = append(f.Links, &wire.LinkSeen{Class: s.Class, Tokens: s.Tokens, Ns: s.Ns})
 	}
 	for _, w := range t.lastRows {
+		if h := t.health[w.Name]; h != nil {
+			h.fade(r.clk.Now(), r.life.Place.Bounds.Heal(1))
+			w.Ok, w.Bad = h.ok, h.bad
+		}
 		if w.Kind == "store" && w.State < 2 {
 			f.Stores = append(f.Stores, w.Addr)
 		}
--- a/internal/setup/model.go
+++ b/internal/setup/model.go
@@ -1,5 +1,7 @@
 package setup
 
+import "pebbleloom/internal/queue"
+
 // Setup is the whole configuration of a site, as operators write it.
 type Setup struct {
 	Tenants   map[string]Tenant  `json:"tenants,omitempty"`
@@ -37,4 +39,16 @@
 // Way leads a model's requests to a service.
 type Way struct {
 	Service string `json:"service"`
+	Next    string `json:"next,omitempty"`  // a handover is under way to this service
+	Share   int    `json:"share,omitempty"` // percent of requests that go there already
+}
+
+// For names the service of one request: a request id always gets the same answer under one setup.
+//
+// Example: service := s.Ways["lector"].For("r-17")
+func (w Way) For(request string) string {
+	if w.Next != "" && int(queue.Hash(request)%100) < w.Share {
+		return w.Next
+	}
+	return w.Service
 }
--- a/internal/setup/model_easyjson.go
+++ b/internal/setup/model_easyjson.go
@@ -37,6 +37,18 @@
 			} else {
 				out.Service = string(in.String())
 			}
+		case "next":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Next = string(in.String())
+			}
+		case "share":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Share = int(in.Int())
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -60,6 +72,16 @@
 		out.RawString(prefix[1:])
 		out.String(string(in.Service))
 	}
+	if in.Next != "" {
+		const prefix string = ",\"next\":"
+		out.RawString(prefix)
+		out.String(string(in.Next))
+	}
+	if in.Share != 0 {
+		const prefix string = ",\"share\":"
+		out.RawString(prefix)
+		out.Int(int(in.Share))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -136,6 +136,14 @@
 		if _, ok := s.Services[s.Ways[n].Service]; !ok {
 			bad("ways."+n+".service", "%q is not among services: add it there or name another", s.Ways[n].Service)
 		}
+		if w := s.Ways[n]; w.Next != "" {
+			if v, ok := s.Services[w.Next]; !ok || v.Model != n {
+				bad("ways."+n+".next", "%q is no service of model %s: name one that is", w.Next, n)
+			}
+		}
+		if w := s.Ways[n]; w.Share < 0 || w.Share > 100 {
+			bad("ways."+n+".share", "%d: give a percent", w.Share)
+		}
 		if _, ok := s.Models[n]; !ok {
 			bad("ways."+n, "no such model: a way is named by the model it serves")
 		}
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -232,6 +232,8 @@
 	case "heal":
 		p.links.Heal()
 		return nil
+	case "write", "platform", "ask", "ended", "patch", "second", "clash":
+		return p.calendar(ctx, x)
 	case "weights", "revoke", "drain", "undrain", "storm", "grow", "race", "seeds":
 		return p.operate(ctx, x)
 	case "cut", "slow", "off":
