--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -45,6 +45,10 @@
 	//
 	// GET /v1/setup
 	GetSetup(ctx context.Context) (*SetupInForce, error)
+	// GetStatus invokes getStatus operation.
+	//
+	// GET /v1/status
+	GetStatus(ctx context.Context) (*Status, error)
 	// ListMoves invokes listMoves operation.
 	//
 	// GET /v1/calendar
@@ -458,6 +462,47 @@
 	return result, nil
 }
 
+// GetStatus invokes getStatus operation.
+//
+// GET /v1/status
+func (c *Client) GetStatus(ctx context.Context) (*Status, error) {
+	res, err := c.sendGetStatus(ctx)
+	return res, err
+}
+
+func (c *Client) sendGetStatus(ctx context.Context) (res *Status, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/status"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetStatusResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListMoves invokes listMoves operation.
 //
 // GET /v1/calendar
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -575,6 +575,80 @@
 	}
 }
 
+// handleGetStatusRequest handles getStatus operation.
+//
+// GET /v1/status
+func (s *Server) handleGetStatusRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *Status
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetStatusOperation,
+			OperationSummary: "",
+			OperationID:      "getStatus",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Status
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetStatus(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetStatus(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetStatusResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListMovesRequest handles listMoves operation.
 //
 // GET /v1/calendar
--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -2063,6 +2063,535 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Status) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Status) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("ok")
+		e.Bool(s.Ok)
+	}
+	{
+		e.FieldStart("problems")
+		e.ArrStart()
+		for _, elem := range s.Problems {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("parts")
+		e.ArrStart()
+		for _, elem := range s.Parts {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfStatus = [3]string{
+	0: "ok",
+	1: "problems",
+	2: "parts",
+}
+
+// Decode decodes Status from json.
+func (s *Status) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Status to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "ok":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Bool()
+				s.Ok = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"ok\"")
+			}
+		case "problems":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Problems = make([]StatusProblemsItem, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem StatusProblemsItem
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Problems = append(s.Problems, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"problems\"")
+			}
+		case "parts":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Parts = make([]StatusPartsItem, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem StatusPartsItem
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Parts = append(s.Parts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"parts\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Status")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStatus) {
+					name = jsonFieldsNameOfStatus[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Status) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Status) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *StatusPartsItem) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *StatusPartsItem) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("part")
+		e.Int(s.Part)
+	}
+	{
+		e.FieldStart("member")
+		e.Str(s.Member)
+	}
+	{
+		e.FieldStart("owner")
+		e.Str(s.Owner)
+	}
+	{
+		e.FieldStart("state")
+		e.Str(s.State)
+	}
+	{
+		e.FieldStart("applied")
+		e.Int64(s.Applied)
+	}
+	{
+		e.FieldStart("last")
+		e.Int64(s.Last)
+	}
+	{
+		e.FieldStart("state_bytes")
+		e.Int64(s.StateBytes)
+	}
+	{
+		e.FieldStart("log_bytes")
+		e.Int64(s.LogBytes)
+	}
+}
+
+var jsonFieldsNameOfStatusPartsItem = [8]string{
+	0: "part",
+	1: "member",
+	2: "owner",
+	3: "state",
+	4: "applied",
+	5: "last",
+	6: "state_bytes",
+	7: "log_bytes",
+}
+
+// Decode decodes StatusPartsItem from json.
+func (s *StatusPartsItem) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode StatusPartsItem to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "part":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int()
+				s.Part = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"part\"")
+			}
+		case "member":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Member = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"member\"")
+			}
+		case "owner":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Owner = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"owner\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.State = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "applied":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int64()
+				s.Applied = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"applied\"")
+			}
+		case "last":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Int64()
+				s.Last = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"last\"")
+			}
+		case "state_bytes":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Int64()
+				s.StateBytes = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state_bytes\"")
+			}
+		case "log_bytes":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Int64()
+				s.LogBytes = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"log_bytes\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode StatusPartsItem")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b11111111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStatusPartsItem) {
+					name = jsonFieldsNameOfStatusPartsItem[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *StatusPartsItem) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *StatusPartsItem) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *StatusProblemsItem) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *StatusProblemsItem) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("kind")
+		e.Str(s.Kind)
+	}
+	{
+		e.FieldStart("where")
+		e.Str(s.Where)
+	}
+	{
+		e.FieldStart("text")
+		e.Str(s.Text)
+	}
+	{
+		e.FieldStart("remedy")
+		e.Str(s.Remedy)
+	}
+	{
+		e.FieldStart("runbook")
+		e.Str(s.Runbook)
+	}
+}
+
+var jsonFieldsNameOfStatusProblemsItem = [5]string{
+	0: "kind",
+	1: "where",
+	2: "text",
+	3: "remedy",
+	4: "runbook",
+}
+
+// Decode decodes StatusProblemsItem from json.
+func (s *StatusProblemsItem) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode StatusProblemsItem to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "kind":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Kind = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"kind\"")
+			}
+		case "where":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Where = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"where\"")
+			}
+		case "text":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Text = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"text\"")
+			}
+		case "remedy":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Remedy = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"remedy\"")
+			}
+		case "runbook":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Runbook = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"runbook\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode StatusProblemsItem")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStatusProblemsItem) {
+					name = jsonFieldsNameOfStatusProblemsItem[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *StatusProblemsItem) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *StatusProblemsItem) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Weights) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/operator/oas_operations_gen.go
+++ b/api/operator/oas_operations_gen.go
@@ -12,6 +12,7 @@
 	ExplainOperation      OperationName = "Explain"
 	GetPlacementOperation OperationName = "GetPlacement"
 	GetSetupOperation     OperationName = "GetSetup"
+	GetStatusOperation    OperationName = "GetStatus"
 	ListMovesOperation    OperationName = "ListMoves"
 	ListNodesOperation    OperationName = "ListNodes"
 	ListWorkersOperation  OperationName = "ListWorkers"
--- a/api/operator/oas_response_encoders_gen.go
+++ b/api/operator/oas_response_encoders_gen.go
@@ -88,6 +88,19 @@
 	return nil
 }
 
+func encodeGetStatusResponse(response *Status, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListMovesResponse(response *Moves, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/operator/oas_router_gen.go
+++ b/api/operator/oas_router_gen.go
@@ -11,22 +11,22 @@
 )
 
 var (
-	rn14AllowedHeaders = map[string]string{
+	rn16AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 	rn9AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn17AllowedHeaders = map[string]string{
+	rn19AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn20AllowedHeaders = map[string]string{
+	rn22AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 	rn8AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn19AllowedHeaders = map[string]string{
+	rn21AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -99,7 +99,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET,POST",
-							allowedHeaders: rn14AllowedHeaders,
+							allowedHeaders: rn16AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -271,7 +271,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn17AllowedHeaders,
+							allowedHeaders: rn19AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -296,7 +296,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn20AllowedHeaders,
+							allowedHeaders: rn22AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -366,31 +366,70 @@
 					return
 				}
 
-			case 's': // Prefix: "setup"
+			case 's': // Prefix: "s"
 
-				if l := len("setup"); len(elem) >= l && elem[0:l] == "setup" {
+				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "GET":
-						s.handleGetSetupRequest([0]string{}, elemIsEscaped, w, r)
-					case "POST":
-						s.handleChangeSetupRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "GET,POST",
-							allowedHeaders: rn8AllowedHeaders,
-							acceptPost:     "application/json",
-							acceptPatch:    "",
-						})
+					break
+				}
+				switch elem[0] {
+				case 'e': // Prefix: "etup"
+
+					if l := len("etup"); len(elem) >= l && elem[0:l] == "etup" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleGetSetupRequest([0]string{}, elemIsEscaped, w, r)
+						case "POST":
+							s.handleChangeSetupRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET,POST",
+								allowedHeaders: rn8AllowedHeaders,
+								acceptPost:     "application/json",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				case 't': // Prefix: "tatus"
+
+					if l := len("tatus"); len(elem) >= l && elem[0:l] == "tatus" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleGetStatusRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
 					}
 
-					return
 				}
 
 			case 'w': // Prefix: "w"
@@ -421,7 +460,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn19AllowedHeaders,
+								allowedHeaders: rn21AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -840,38 +879,77 @@
 					}
 				}
 
-			case 's': // Prefix: "setup"
+			case 's': // Prefix: "s"
 
-				if l := len("setup"); len(elem) >= l && elem[0:l] == "setup" {
+				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "GET":
-						r.name = GetSetupOperation
-						r.summary = ""
-						r.operationID = "getSetup"
-						r.operationGroup = ""
-						r.pathPattern = "/v1/setup"
-						r.args = args
-						r.count = 0
-						return r, true
-					case "POST":
-						r.name = ChangeSetupOperation
-						r.summary = ""
-						r.operationID = "changeSetup"
-						r.operationGroup = ""
-						r.pathPattern = "/v1/setup"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
+					break
+				}
+				switch elem[0] {
+				case 'e': // Prefix: "etup"
+
+					if l := len("etup"); len(elem) >= l && elem[0:l] == "etup" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = GetSetupOperation
+							r.summary = ""
+							r.operationID = "getSetup"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/setup"
+							r.args = args
+							r.count = 0
+							return r, true
+						case "POST":
+							r.name = ChangeSetupOperation
+							r.summary = ""
+							r.operationID = "changeSetup"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/setup"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
+				case 't': // Prefix: "tatus"
+
+					if l := len("tatus"); len(elem) >= l && elem[0:l] == "tatus" {
+						elem = elem[l:]
+					} else {
+						break
 					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = GetStatusOperation
+							r.summary = ""
+							r.operationID = "getStatus"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/status"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
 				}
 
 			case 'w': // Prefix: "w"
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -730,6 +730,192 @@
 	s.Setup = val
 }
 
+// Ref: #/components/schemas/Status
+type Status struct {
+	Ok       bool                 `json:"ok"`
+	Problems []StatusProblemsItem `json:"problems"`
+	Parts    []StatusPartsItem    `json:"parts"`
+}
+
+// GetOk returns the value of Ok.
+func (s *Status) GetOk() bool {
+	return s.Ok
+}
+
+// GetProblems returns the value of Problems.
+func (s *Status) GetProblems() []StatusProblemsItem {
+	return s.Problems
+}
+
+// GetParts returns the value of Parts.
+func (s *Status) GetParts() []StatusPartsItem {
+	return s.Parts
+}
+
+// SetOk sets the value of Ok.
+func (s *Status) SetOk(val bool) {
+	s.Ok = val
+}
+
+// SetProblems sets the value of Problems.
+func (s *Status) SetProblems(val []StatusProblemsItem) {
+	s.Problems = val
+}
+
+// SetParts sets the value of Parts.
+func (s *Status) SetParts(val []StatusPartsItem) {
+	s.Parts = val
+}
+
+type StatusPartsItem struct {
+	Part       int    `json:"part"`
+	Member     string `json:"member"`
+	Owner      string `json:"owner"`
+	State      string `json:"state"`
+	Applied    int64  `json:"applied"`
+	Last       int64  `json:"last"`
+	StateBytes int64  `json:"state_bytes"`
+	LogBytes   int64  `json:"log_bytes"`
+}
+
+// GetPart returns the value of Part.
+func (s *StatusPartsItem) GetPart() int {
+	return s.Part
+}
+
+// GetMember returns the value of Member.
+func (s *StatusPartsItem) GetMember() string {
+	return s.Member
+}
+
+// GetOwner returns the value of Owner.
+func (s *StatusPartsItem) GetOwner() string {
+	return s.Owner
+}
+
+// GetState returns the value of State.
+func (s *StatusPartsItem) GetState() string {
+	return s.State
+}
+
+// GetApplied returns the value of Applied.
+func (s *StatusPartsItem) GetApplied() int64 {
+	return s.Applied
+}
+
+// GetLast returns the value of Last.
+func (s *StatusPartsItem) GetLast() int64 {
+	return s.Last
+}
+
+// GetStateBytes returns the value of StateBytes.
+func (s *StatusPartsItem) GetStateBytes() int64 {
+	return s.StateBytes
+}
+
+// GetLogBytes returns the value of LogBytes.
+func (s *StatusPartsItem) GetLogBytes() int64 {
+	return s.LogBytes
+}
+
+// SetPart sets the value of Part.
+func (s *StatusPartsItem) SetPart(val int) {
+	s.Part = val
+}
+
+// SetMember sets the value of Member.
+func (s *StatusPartsItem) SetMember(val string) {
+	s.Member = val
+}
+
+// SetOwner sets the value of Owner.
+func (s *StatusPartsItem) SetOwner(val string) {
+	s.Owner = val
+}
+
+// SetState sets the value of State.
+func (s *StatusPartsItem) SetState(val string) {
+	s.State = val
+}
+
+// SetApplied sets the value of Applied.
+func (s *StatusPartsItem) SetApplied(val int64) {
+	s.Applied = val
+}
+
+// SetLast sets the value of Last.
+func (s *StatusPartsItem) SetLast(val int64) {
+	s.Last = val
+}
+
+// SetStateBytes sets the value of StateBytes.
+func (s *StatusPartsItem) SetStateBytes(val int64) {
+	s.StateBytes = val
+}
+
+// SetLogBytes sets the value of LogBytes.
+func (s *StatusPartsItem) SetLogBytes(val int64) {
+	s.LogBytes = val
+}
+
+type StatusProblemsItem struct {
+	Kind    string `json:"kind"`
+	Where   string `json:"where"`
+	Text    string `json:"text"`
+	Remedy  string `json:"remedy"`
+	Runbook string `json:"runbook"`
+}
+
+// GetKind returns the value of Kind.
+func (s *StatusProblemsItem) GetKind() string {
+	return s.Kind
+}
+
+// GetWhere returns the value of Where.
+func (s *StatusProblemsItem) GetWhere() string {
+	return s.Where
+}
+
+// GetText returns the value of Text.
+func (s *StatusProblemsItem) GetText() string {
+	return s.Text
+}
+
+// GetRemedy returns the value of Remedy.
+func (s *StatusProblemsItem) GetRemedy() string {
+	return s.Remedy
+}
+
+// GetRunbook returns the value of Runbook.
+func (s *StatusProblemsItem) GetRunbook() string {
+	return s.Runbook
+}
+
+// SetKind sets the value of Kind.
+func (s *StatusProblemsItem) SetKind(val string) {
+	s.Kind = val
+}
+
+// SetWhere sets the value of Where.
+func (s *StatusProblemsItem) SetWhere(val string) {
+	s.Where = val
+}
+
+// SetText sets the value of Text.
+func (s *StatusProblemsItem) SetText(val string) {
+	s.Text = val
+}
+
+// SetRemedy sets the value of Remedy.
+func (s *StatusProblemsItem) SetRemedy(val string) {
+	s.Remedy = val
+}
+
+// SetRunbook sets the value of Runbook.
+func (s *StatusProblemsItem) SetRunbook(val string) {
+	s.Runbook = val
+}
+
 // Ref: #/components/schemas/Weights
 type Weights struct {
 	Model   string    `json:"model"`
--- a/api/operator/oas_server_gen.go
+++ b/api/operator/oas_server_gen.go
@@ -32,6 +32,10 @@
 	//
 	// GET /v1/setup
 	GetSetup(ctx context.Context) (*SetupInForce, error)
+	// GetStatus implements getStatus operation.
+	//
+	// GET /v1/status
+	GetStatus(ctx context.Context) (*Status, error)
 	// ListMoves implements listMoves operation.
 	//
 	// GET /v1/calendar
--- a/api/operator/oas_validators_gen.go
+++ b/api/operator/oas_validators_gen.go
@@ -240,6 +240,40 @@
 	return nil
 }
 
+func (s *Status) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Problems == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "problems",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Parts == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "parts",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Weights) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -34,6 +33,8 @@
 	out   map[string]*queue.Ring[*wire.Letter]
 	ros   *roster.Member
 	calls *daemon.Calls
+	core  []string
+	inc   string
 }
 
 // Start runs a control node.
@@ -48,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	n.core, n.inc = core, inc
 	n.ros = roster.Start(l.Ctx, l.Place, "archive", clk, l.Log, n.calls.Roster, nil)
 	for _, m := range core {
 		if m != l.Place.Name {
@@ -75,7 +77,6 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(wire.ArchivePathPrefix, wire.NewArchiveServer(n))
-	mux.HandleFunc("GET /v1/parts", n.standings)
 	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(n.ros))
 	if err := l.Serve(l.Place.Listen, mux); err != nil {
 		return err
@@ -90,22 +91,6 @@
 	return nil
 }
 
-// standings shows how this node stands in each of its parts.
-func (n *Node) standings(w http.ResponseWriter, r *http.Request) {
-	m := map[string]any{}
-	for i, p := range n.parts {
-		p.ask(r.Context(), func() {
-			s := map[string]any{"stands": p.core.Stands(), "disk": p.sh.Size(), "state": p.st.bytes}
-			if p.bad != nil {
-				s["bad"] = errs.Text(p.bad)
-			}
-			m[fmt.Sprintf("part-%d", i)] = s
-		})
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(m) // a caller that hung up can't be told
-}
-
 // followSeeds takes the seeds that the setup in force names.
 func (n *Node) followSeeds(ctl *link.Control) {
 	t, err := ctl.Read(n.life.Ctx, &wire.ReadAsk{Key: link.SetupKey})
@@ -224,6 +209,34 @@
 	return &wire.TimeTell{WallNs: time.Now().UnixNano()}, nil
 }
 
+// Stand tells how this node stands in each of its parts.
+//
+// Example: t, err := a.Stand(ctx, &wire.StandAsk{})
+func (n *Node) Stand(ctx context.Context, _ *wire.StandAsk) (*wire.StandTell, error) {
+	t := &wire.StandTell{Incarnation: n.inc}
+	for i := range uint32(link.Parts) {
+		p := n.parts[i]
+		if p == nil {
+			if contains(link.Members(i, n.core), n.life.Place.Name) {
+				t.Parts = append(t.Parts, &wire.PartStand{Part: i, Member: n.life.Place.Name, Bad: "its folder can't be read: see the log at the start"})
+			}
+			continue
+		}
+		x := &wire.PartStand{Part: i, Member: n.life.Place.Name, Bad: "its thread doesn't answer: the disk may be stalled"}
+		p.ask(ctx, func() {
+			s := p.core.Stands()
+			y := &wire.PartStand{Part: i, Member: n.life.Place.Name, Owner: s.Owner, Owns: s.Owns, Blank: s.Blank, Stuck: s.Stuck, Applied: s.Applied,
+				Last: s.Last, Term: s.Term, StateBytes: uint64(p.st.bytes), LogBytes: uint64(p.sh.Size())}
+			if p.bad != nil {
+				y.Bad = errs.Text(p.bad)
+			}
+			x = y
+		})
+		t.Parts = append(t.Parts, x)
+	}
+	return t, nil
+}
+
 // News answers a long poll: news, or the vouch that there was none.
 //
 // Example: t, err := a.News(ctx, &wire.NewsAsk{Key: "setup", Have: 7, HoldNs: 3e8})
--- a/internal/desk/commands.go
+++ b/internal/desk/commands.go
@@ -116,6 +116,10 @@
 	return c.Drain(ctx, &operator.Drain{Worker: r.worker, Drain: !r.back})
 }
 
+func status(ctx context.Context, c *operator.Client, _ *request, _ io.Reader) (any, error) {
+	return c.GetStatus(ctx)
+}
+
 func nodes(ctx context.Context, c *operator.Client, _ *request, _ io.Reader) (any, error) {
 	return c.ListNodes(ctx)
 }
@@ -179,6 +183,13 @@
 		if len(x) == 0 {
 			fmt.Fprintln(w, "no difference")
 		}
+	case *operator.Status:
+		if x.Ok {
+			fmt.Fprintln(w, "all is well")
+		}
+		for _, p := range x.Problems {
+			fmt.Fprintf(w, "%s\t%s\t%s\n\tdo:\t%s (desk runbook run %s)\n", p.Kind, p.Where, p.Text, p.Remedy, p.Runbook)
+		}
 	case *operator.NodeList:
 		fmt.Fprintf(w, "NAME\tROLE\tDISTRICT\tADDRESS\tSTATE\n")
 		for _, n := range x.Nodes {
@@ -191,6 +202,10 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", n.Name, n.Service, n.District, n.Addr, n.State, n.Weights, n.Busy, n.Queued, n.Slots)
 		}
 		fmt.Fprintf(w, "as seen by %s\n", x.SeenBy)
+	case *Listing:
+		plainBooks(w, x)
+	case *Ran:
+		fmt.Fprintf(w, "run %s is through; record: %s\n", x.Run, x.Record)
 	case *operator.Moves:
 		plainMoves(w, x)
 	case *operator.Explained:
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -30,24 +30,27 @@
   desk weights name --model lector --weights 4
   desk keys revoke --tenant hotline --key KEY
   desk drain --worker cab-3            (--back takes it into use again)
+  desk status                              exit code 1 when something is wrong
   desk nodes | desk workers
   desk placement show --service lector-main
   desk calendar write --file move.json     (check: without writing it)
   desk calendar list
   desk calendar pause --service lector-main --name spring     (resume, cancel, undo)
+  desk runbook list
+  desk runbook run --name worker-gone --set worker=cab-3      (--dry-run, --resume RECORD, --yes)
   desk explain --request r1
   desk index lookup --model lector --tenant hotline --part "opening" --part "question"
 
-exit codes: 0 done, 2 bad input, 3 bad key, 4 not found, 5 epoch conflict, 6 denied for now,
+exit codes: 0 done, 1 something is wrong (status, runbook), 2 bad input, 3 bad key, 4 not found, 5 epoch conflict, 6 denied for now,
 7 may have taken effect, 8 can't say, 9 an error inside`
 
 // request is one command line, read.
 type request struct {
 	node, file, token, model, tenant, key, worker, service, request, name string
-	asJSON, back                                                          bool
-	ifEpoch                                                               int64
-	weights                                                               int64
-	parts                                                                 []string
+	record, resume                                                        string
+	asJSON, back, dry, yes                                                bool
+	ifEpoch, weights                                                      int64
+	parts, set                                                            []string
 }
 
 type command struct {
@@ -66,6 +69,7 @@
 		{"weights name", "name new weights for a model", nameWeights},
 		{"keys revoke", "take a tenant's key out of force", revoke},
 		{"drain", "take a worker out of use", drain},
+		{"status", "say what is wrong and what to do about it", status},
 		{"nodes", "list the nodes", nodes},
 		{"workers", "list the workers", workers},
 		{"placement show", "show a service's placement", place},
@@ -76,6 +80,9 @@
 		{"calendar resume", "let it go on", askMove("resume")},
 		{"calendar cancel", "take out a move that hasn't begun", askMove("cancel")},
 		{"calendar undo", "take back what a move has done", askMove("undo")},
+		{"runbook list", "list the runbooks that come with the programs", listBooks},
+		{"runbook check", "check a runbook, shipped or a .json file", checkBook},
+		{"runbook run", "carry a runbook out, step by step", runBook},
 		{"explain", "tell why a request went where it went", explain},
 		{"index lookup", "ask who holds a prompt's prefixes", lookup},
 	}
@@ -105,7 +112,12 @@
 	ps.String(&r.worker, "", "worker", "worker")
 	ps.Bool(&r.back, "b", "back", "with drain: take the worker into use again")
 	ps.String(&r.service, "s", "service", "service")
-	ps.String(&r.name, "", "name", "name of a planned move")
+	ps.String(&r.name, "", "name", "name of a planned move or a runbook")
+	ps.String(&r.record, "", "record", "where a run's record is kept")
+	ps.String(&r.resume, "", "resume", "the record to go on from")
+	ps.Bool(&r.dry, "", "dry-run", "look, but neither wait, act nor ask")
+	ps.Bool(&r.yes, "y", "yes", "confirm everything")
+	ps.StringSlice(&r.set, "", "set", "a parameter, name=value")
 	ps.String(&r.request, "r", "request", "request id")
 	ps.StringSlice(&r.parts, "p", "part", "prompt part, in order")
 	used := attach(ps)
@@ -145,6 +157,9 @@
 	if err != nil {
 		return fail(errs.Wrap(err, "write answer"))
 	}
+	if s, ok := v.(*operator.Status); ok && !s.Ok {
+		return 1
+	}
 	return 0
 }
 
--- /dev/null
+++ b/internal/frontdesk/status.go
@@ -0,0 +1,119 @@
+package frontdesk
+
+import (
+	"context"
+	"fmt"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/calendar"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/wire"
+)
+
+// finder collects what is wrong.
+type finder struct{ list []operator.StatusProblemsItem }
+
+func (f *finder) add(kind, where, text, remedy, book string) {
+	f.list = append(f.list, operator.StatusProblemsItem{Kind: kind, Where: where, Text: text, Remedy: remedy, Runbook: book})
+}
+
+// GetStatus looks at everything and says what is wrong, and what to do.
+//
+// Example: GET /v1/status
+func (d *Desk) GetStatus(ctx context.Context) (*operator.Status, error) {
+	f := &finder{list: []operator.StatusProblemsItem{}}
+	s := &operator.Status{Parts: []operator.StatusPartsItem{}}
+	if l, err := d.ListNodes(ctx); err != nil {
+		f.add("nodes-unknown", "site", err.Error(), "see whether any core machine runs", "core-gone")
+	} else {
+		for _, n := range l.Nodes {
+			if n.State == "gone" {
+				book := map[string]string{"archive": "core-gone", "appraiser": "core-gone"}[n.Role]
+				if book == "" {
+					book = "edge-gone"
+				}
+				f.add("node-gone", n.Name, "no watcher hears it", "start it again, under the same name", book)
+			}
+		}
+	}
+	d.parts(ctx, s, f)
+	if _, snap, err := d.feed(ctx); err != nil {
+		f.add("workers-unknown", "site", err.Error(), "see whether any edge machine runs", "edge-gone")
+	} else {
+		workers(snap, f)
+	}
+	if ds, err := d.moves(ctx); err != nil {
+		f.add("calendar-unknown", "site", err.Error(), errs.KindOf(err).Remedy, "core-gone")
+	} else {
+		for _, x := range ds {
+			if e, err := calendar.Read(x.Body); err == nil && e.State == calendar.Paused {
+				f.add("move-paused", e.Service+"/"+e.Name, e.Why, "find out why, then resume or undo it", "move-paused")
+			}
+		}
+	}
+	s.Problems, s.Ok = f.list, len(f.list) == 0
+	return s, nil
+}
+
+// parts asks every core machine how it stands.
+func (d *Desk) parts(ctx context.Context, s *operator.Status, f *finder) {
+	owned := map[uint32]bool{}
+	for _, n := range d.view().Role("archive") {
+		one, end := context.WithTimeout(ctx, d.b.Heal(1.0/12))
+		t, err := d.calls.Archive(n.Addr).Stand(one, &wire.StandAsk{})
+		end()
+		if err != nil {
+			f.add("core-silent", n.Name, "it doesn't answer", "see whether it is cut off, frozen or stopped", "machine-cut")
+			continue
+		}
+		for _, p := range t.Parts {
+			st := "follows"
+			switch {
+			case p.Bad != "":
+				st = "out"
+				f.add("member-out", fmt.Sprintf("%s part %d", p.Member, p.Part), p.Bad, errs.DiskBad.Remedy, "disk-full")
+			case p.Stuck != "":
+				st = "stuck"
+				f.add("member-stuck", fmt.Sprintf("%s part %d", p.Member, p.Part), p.Stuck, "bring one of the two data folders back", "disk-lost")
+			case p.Blank:
+				st = "blank"
+				f.add("member-blank", fmt.Sprintf("%s part %d", p.Member, p.Part), "it hasn't caught up from both others", "see that both other members run", "disk-lost")
+			case p.Owns:
+				st, owned[p.Part] = "owns", true
+			}
+			s.Parts = append(s.Parts, operator.StatusPartsItem{Part: int(p.Part), Member: p.Member, Owner: p.Owner, State: st, Applied: int64(p.Applied),
+				Last: int64(p.Last), StateBytes: int64(p.StateBytes), LogBytes: int64(p.LogBytes)})
+		}
+	}
+	for p := range uint32(link.Parts) {
+		if !owned[p] {
+			f.add("part-unowned", fmt.Sprintf("part %d", p), "no core machine that answers owns it", "see that two of its three members run and reach each other", "core-split")
+		}
+	}
+}
+
+func workers(snap *feed.Snapshot, f *finder) {
+	if snap.Setup == nil {
+		f.add("no-setup", "site", "no setup is in force", "apply one: desk setup apply --file …", "setup-wrong")
+	}
+	stores := 0
+	for _, w := range snap.Workers {
+		switch {
+		case w.State == feed.WorkerGone:
+			book := "worker-gone"
+			if w.Kind == "store" {
+				book = "store-empty"
+			}
+			f.add("worker-gone", w.Name, "it is listed, yet doesn't answer probes", "have the platform replace it, or take it out of its list", book)
+		case w.Kind == "store":
+			stores++
+		case snap.Setup != nil && w.Kind == "lm" && w.Weights > 0 && w.Weights < snap.WeightsAt[w.Model].Weights:
+			f.add("older-weights", w.Name, fmt.Sprintf("weights %d, %d are named", w.Weights, snap.WeightsAt[w.Model].Weights), "wait for the roll-out; else see the appraisers' logs", "weights-midday")
+		}
+	}
+	if stores == 0 {
+		f.add("no-store", "site", "no prompt store answers", "service goes on without it; start it again", "store-empty")
+	}
+}
--- a/internal/yard/operate.go
+++ b/internal/yard/operate.go
@@ -10,8 +10,10 @@
 	"sync"
 	"time"
 
+	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
 )
 
 // place is where a process stands.
@@ -35,12 +37,13 @@
 		if p.Program != "archive" {
 			continue
 		}
-		_, said := Get(ctx, p.Place.Listen, "/v1/parts")
-		var m map[string]struct {
-			Stands struct{ Owns bool }
-		}
-		if json.Unmarshal([]byte(said), &m) == nil && m["part-0"].Stands.Owns {
-			return p.Place.Name, nil
+		one, end := context.WithTimeout(ctx, time.Second)
+		t, err := daemon.NewCalls(settings.Place{Bounds: settings.Default()}).Archive(p.Place.Listen).Stand(one, &wire.StandAsk{})
+		end()
+		for _, x := range t.GetParts() {
+			if err == nil && x.Part == 0 && x.Owns {
+				return p.Place.Name, nil
+			}
 		}
 	}
 	return "", errs.New(errs.CantSay, "nobody owns the setup's part")
