Templates and overlays, metrics, runbooks run on a real site, docs

The test that carries runbooks out on a site found two faults: an action without an error was turned into a crash (a nil error was asked for its kind), and an index node never called itself warm, since workers that are never asked for reports were waited for.

--- /dev/null
+++ b/internal/archive/meters.go
@@ -0,0 +1,39 @@
+package archive
+
+import (
+	"context"
+
+	"pebbleloom/internal/wire"
+)
+
+// meters shows how this node stands, over all its parts.
+func (n *Node) meters() {
+	sum := func(f func(*wire.PartStand) float64) func() float64 {
+		return func() (v float64) {
+			ctx, end := context.WithTimeout(n.life.Ctx, n.life.Place.Bounds.Heal(1.0/24))
+			defer end()
+			t, err := n.Stand(ctx, &wire.StandAsk{})
+			if err != nil {
+				return -1
+			}
+			for _, p := range t.Parts {
+				v += f(p)
+			}
+			return v
+		}
+	}
+	is := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	m := n.life.Meter
+	m.Gauge("pebbleloom_parts_owned", "parts that this node owns", sum(func(p *wire.PartStand) float64 { return is(p.Owns) }))
+	m.Gauge("pebbleloom_parts_out", "parts whose member here is out, blank or stuck", sum(func(p *wire.PartStand) float64 {
+		return is(p.Bad != "" || p.Blank || p.Stuck != "")
+	}))
+	m.Gauge("pebbleloom_state_bytes", "bytes of state kept", sum(func(p *wire.PartStand) float64 { return float64(p.StateBytes) }))
+	m.Gauge("pebbleloom_log_bytes", "bytes of the logs in force", sum(func(p *wire.PartStand) float64 { return float64(p.LogBytes) }))
+	m.Gauge("pebbleloom_log_behind", "entries not applied yet", sum(func(p *wire.PartStand) float64 { return float64(p.Last - p.Applied) }))
+}
--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -85,6 +85,7 @@
 	if err := frontdesk.Serve(l, ctl, func() roster.View { return n.ros.View() }, n.calls); err != nil {
 		return err
 	}
+	n.meters()
 	l.Every(l.Place.Bounds.Heal(0.25), func() { n.followSeeds(ctl) })
 	l.Ready.Store(true)
 	l.Log.Info("serving", "parts", len(n.parts), "incarnation", inc)
--- a/internal/catalogue/core.go
+++ b/internal/catalogue/core.go
@@ -40,7 +40,8 @@
 	number uint64
 	whole  bool // a full report is needed
 	heard  time.Duration
-	told   bool
+	asked  bool // it is one that reports are asked of
+	told   bool // it has told all it holds
 }
 
 type teller struct {
@@ -119,6 +120,7 @@
 // Example: after, whole := c.Want("cab-3")
 func (c *Core) Want(name string) (after uint64, whole bool) {
 	w := c.worker(name)
+	w.asked = true
 	return w.number, w.whole
 }
 
@@ -189,7 +191,7 @@
 func (c *Core) Leave(name string) {
 	if w := c.workers[name]; w != nil {
 		w.gen++
-		w.inc, w.number, w.whole, w.told = "", 0, true, false
+		w.inc, w.number, w.whole, w.asked, w.told = "", 0, true, false, false
 	}
 }
 
@@ -325,10 +327,14 @@
 //
 // Example: if c.Warm() { … }
 func (c *Core) Warm() bool {
+	n := 0
 	for _, w := range c.workers {
-		if !w.told {
+		if w.asked && !w.told {
 			return false
 		}
+		if w.told {
+			n++
+		}
 	}
-	return len(c.workers) > 0
+	return n > 0
 }
--- a/internal/catalogue/node.go
+++ b/internal/catalogue/node.go
@@ -42,6 +42,19 @@
 	ros := roster.Start(l.Ctx, l.Place, "catalogue", n.clk, l.Log, calls.Roster, func(v roster.View) { n.reshard(v.Nodes) })
 	n.fol = feed.Follow(l.Ctx, n.clk, l.Log, func() wire.Runner { return calls.Runner(l.Place.Runner) }, l.Place.Bounds.Heal(1.0/24), nil, feed.Seeds(ros.SetSeeds))
 	l.Every(l.Place.Bounds.Heal(1.0/12), n.poll)
+	count := func(f func(*Core) float64) func() float64 {
+		return func() (v float64) { n.desk.Ask(func(c *Core) { v = f(c) }); return v }
+	}
+	l.Meter.Gauge("pebbleloom_index_entries", "prefix entries held", count(func(c *Core) float64 { return float64(len(c.all)) }))
+	l.Meter.Count("pebbleloom_index_gaps_total", "gaps seen in workers' reports", count(func(c *Core) float64 { return float64(c.Stats.Gaps) }))
+	l.Meter.Count("pebbleloom_index_whole_reports_total", "full reports taken", count(func(c *Core) float64 { return float64(c.Stats.Wholes) }))
+	l.Meter.Count("pebbleloom_index_evicted_total", "entries dropped for room", count(func(c *Core) float64 { return float64(c.Stats.Evicted) }))
+	l.Meter.Gauge("pebbleloom_index_warm", "1 once every worker has told all it holds", count(func(c *Core) float64 {
+		if c.Warm() {
+			return 1
+		}
+		return 0
+	}))
 	mux := http.NewServeMux()
 	mux.Handle(wire.CataloguePathPrefix, wire.NewCatalogueServer(n))
 	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(ros))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	Log   hclog.Logger
 	Place settings.Place
 	Ready atomic.Bool
+	Meter *Meter
 	// Draining is closed when SIGTERM came: finish what runs, take nothing new.
 	Draining chan struct{}
 	end      context.CancelFunc
@@ -60,7 +61,7 @@
 //
 // Example: l := daemon.New("runner", place)
 func New(prog string, p settings.Place) *Life {
-	l := &Life{Place: p, Draining: make(chan struct{})}
+	l := &Life{Place: p, Meter: newMeter(), Draining: make(chan struct{})}
 	l.Log = hclog.New(&hclog.LoggerOptions{Name: prog, JSONFormat: true, Output: os.Stderr, Level: hclog.LevelFromString(p.Word("log", "info"))}).With("machine", p.Name)
 	l.Ctx, l.end = context.WithCancel(context.Background())
 	return l
@@ -127,6 +128,7 @@
 		}
 		fmt.Fprintf(w, "{\"ready\":%v}\n", l.Ready.Load())
 	})
+	mux.Handle("GET /metrics", l.Meter.handler())
 	mux.Handle("/", h)
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
--- /dev/null
+++ b/internal/daemon/meter.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"pebbleloom/internal/errs"
+)
+
+// Meter is what a program shows at /metrics. Labels come from fixed lists alone, so the
+// number of series is bounded.
+type Meter struct {
+	reg    *prometheus.Registry
+	denied *prometheus.CounterVec
+}
+
+func newMeter() *Meter {
+	m := &Meter{reg: prometheus.NewRegistry()}
+	m.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.denied = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pebbleloom_denied_total", Help: "requests denied, by kind"}, []string{"kind"})
+	m.reg.MustRegister(m.denied)
+	return m
+}
+
+// Gauge shows a value that goes up and down; f is asked at every scrape.
+//
+// Example: l.Meter.Gauge("pebbleloom_inflight", "requests under way", func() float64 { return n })
+func (m *Meter) Gauge(name, help string, f func() float64) {
+	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
+}
+
+// Count shows a value that only grows.
+//
+// Example: l.Meter.Count("pebbleloom_sealed_total", "answers sealed", func() float64 { return n })
+func (m *Meter) Count(name, help string, f func() float64) {
+	m.reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, f))
+}
+
+// Denied counts one denial under its kind.
+//
+// Example: l.Meter.Denied(errs.NotRun)
+func (m *Meter) Denied(k *errs.Kind) { m.denied.WithLabelValues(k.Name).Inc() }
+
+func (m *Meter) handler() http.Handler {
+	return promhttp.HandlerFor(m.reg, promhttp.HandlerOpts{})
+}
--- a/internal/desk/commands.go
+++ b/internal/desk/commands.go
@@ -202,6 +202,8 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", n.Name, n.Service, n.District, n.Addr, n.State, n.Weights, n.Busy, n.Queued, n.Slots)
 		}
 		fmt.Fprintf(w, "as seen by %s\n", x.SeenBy)
+	case *Rendered:
+		plainRendered(w, x)
 	case *Listing:
 		plainBooks(w, x)
 	case *Ran:
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -27,6 +27,7 @@
   desk setup patch --file part.json                    partial setup (null removes)
   desk setup validate --file setup.json                checked, not applied
   desk setup diff --file setup.json                    what apply would change
+  desk setup render --file site.tmpl.json --set weights=3 --overlay night.json
   desk weights name --model lector --weights 4
   desk keys revoke --tenant hotline --key KEY
   desk drain --worker cab-3            (--back takes it into use again)
@@ -50,7 +51,8 @@
 	record, resume                                                        string
 	asJSON, back, dry, yes                                                bool
 	ifEpoch, weights                                                      int64
-	parts, set                                                            []string
+	parts, set, overlays                                                  []string
+	bad                                                                   io.Writer // where a run tells how far it has come
 }
 
 type command struct {
@@ -65,6 +67,7 @@
 		{"setup apply", "apply a whole setup", apply(false, false)},
 		{"setup patch", "lay a partial setup over the one in force", apply(true, false)},
 		{"setup validate", "check a whole setup without applying it", apply(false, true)},
+		{"setup render", "fill in a template, lay overlays over it, show each value's origin", render},
 		{"setup diff", "show what a whole setup would change", diff},
 		{"weights name", "name new weights for a model", nameWeights},
 		{"keys revoke", "take a tenant's key out of force", revoke},
@@ -92,7 +95,7 @@
 //
 // Example: os.Exit(desk.Main([]string{"nodes", "--json"}, os.Stdin, os.Stdout, os.Stderr))
 func Main(args []string, in io.Reader, out, bad io.Writer) int {
-	r := &request{node: os.Getenv("PEBBLELOOM_NODE"), ifEpoch: -1}
+	r := &request{node: os.Getenv("PEBBLELOOM_NODE"), ifEpoch: -1, bad: bad}
 	if r.node == "" {
 		r.node = "127.10.1.1:8090"
 	}
@@ -117,6 +120,7 @@
 	ps.String(&r.resume, "", "resume", "the record to go on from")
 	ps.Bool(&r.dry, "", "dry-run", "look, but neither wait, act nor ask")
 	ps.Bool(&r.yes, "y", "yes", "confirm everything")
+	ps.StringSlice(&r.overlays, "", "overlay", "with setup render: a partial setup to lay over it; may come again")
 	ps.StringSlice(&r.set, "", "set", "a parameter, name=value")
 	ps.String(&r.request, "r", "request", "request id")
 	ps.StringSlice(&r.parts, "p", "part", "prompt part, in order")
--- /dev/null
+++ b/internal/desk/render.go
@@ -0,0 +1,51 @@
+package desk
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/go-faster/jx"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/setup"
+)
+
+// Rendered is what `setup render` answers.
+type Rendered struct {
+	Setup   jx.Raw         `json:"setup"`
+	Origins []setup.Origin `json:"origins"`
+}
+
+// render fills a template in and lays overlays over it; it asks no node. What it gives can
+// be applied: desk setup render … --json | jq .setup | desk setup apply --file -
+func render(_ context.Context, _ *operator.Client, r *request, in io.Reader) (any, error) {
+	raw, err := read(r, in)
+	if err != nil {
+		return nil, err
+	}
+	set, err := settings(r.set)
+	if err != nil {
+		return nil, err
+	}
+	var ls []setup.Layer
+	for _, f := range r.overlays {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			return nil, errs.As(err, errs.BadInput, "overlay")
+		}
+		ls = append(ls, setup.Layer{Name: f, Body: b})
+	}
+	body, os, err := setup.Render(raw, set, ls)
+	return &Rendered{body, os}, err
+}
+
+func plainRendered(w io.Writer, x *Rendered) {
+	fmt.Fprintln(w, indent(x.Setup))
+	fmt.Fprintln(w, "VALUE\tIS\tFROM")
+	for _, o := range x.Origins {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", o.Path, o.Value, o.From)
+	}
+}
--- a/internal/desk/runbook.go
+++ b/internal/desk/runbook.go
@@ -121,12 +121,12 @@
 		}
 		defer f.Close()
 	}
-	w := &world{c: c, in: bufio.NewReader(in), out: os.Stderr, yes: r.yes}
+	w := &world{c: c, in: bufio.NewReader(in), out: r.bad, yes: r.yes}
 	err = runbook.Run(b, set, ran.Run, from, r.dry, w, func(l runbook.Line) error {
 		l.At = time.Now().UTC().Format(time.RFC3339)
 		ran.Lines = append(ran.Lines, l)
 		if !r.asJSON {
-			fmt.Fprintf(os.Stderr, "%2d %-8s %-8s %s %s\n", l.Step, l.Type, l.State, l.Text, l.Detail)
+			fmt.Fprintf(r.bad, "%2d %-8s %-8s %s %s\n", l.Step, l.Type, l.State, l.Text, l.Detail)
 		}
 		if f == nil {
 			return nil
@@ -241,7 +241,7 @@
 		}
 		_, err = nameWeights(ctx, w.c, r, nil)
 	case "revoke-key":
-		if _, err = revoke(ctx, w.c, r, nil); errs.KindOf(typed(err, "")) == errs.NotFound && err != nil && strings.Contains(err.Error(), "no such key") {
+		if _, err = revoke(ctx, w.c, r, nil); err != nil && errs.KindOf(typed(err, "")) == errs.NotFound && strings.Contains(err.Error(), "no such key") {
 			err = nil // it is out of force already: an earlier go whose answer was lost
 		}
 	case "patch-setup":
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -144,6 +144,7 @@
 			d.gate.Ask(func(g *gate) { again = d.tries(g, service).Extra(d.clk.Now()) })
 		}
 		if again {
+			d.stats.extra.Add(1)
 			continue
 		}
 		leave()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -49,7 +49,7 @@
 }
 
 // stats counts what the sealed lines have said.
-type stats struct{ sealed, hit, fetched, prefilled atomic.Int64 }
+type stats struct{ sealed, hit, fetched, prefilled, extra, broken atomic.Int64 }
 
 func (s *stats) add(p *contract.Piece) {
 	s.sealed.Add(1)
@@ -80,9 +80,8 @@
 	}
 	body := int64(d.b.BodyKB)<<10 + int64(d.b.BodyKB)<<9 // JSON escapes take room
 	l.Go(func() { d.open(http.MaxBytesHandler(flushing(srv), body)) })
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/counts", d.counts)
-	return l.Serve(l.Place.Listen, mux)
+	d.meters(l.Meter)
+	return l.Serve(l.Place.Listen, http.NewServeMux())
 }
 
 // open takes callers in once there is a proved setup with workers: before that they are
@@ -172,7 +171,9 @@
 //
 // Example: d.NewError(ctx, errs.New(errs.BadKey, "the key is not in force"))
 func (d *Dispatcher) NewError(_ context.Context, err error) *caller.DeniedStatusCodeWithHeaders {
-	return typed(err)
+	t := typed(err)
+	d.life.Meter.Denied(errs.Named(t.Response.Kind))
+	return t
 }
 
 func typed(err error) *caller.DeniedStatusCodeWithHeaders {
@@ -268,16 +269,3 @@
 		d.log.Offer(&wire.Decided{Request: id, Body: body}) // when it is full, this one isn't explained
 	}
 }
-
-func (d *Dispatcher) counts(w http.ResponseWriter, _ *http.Request) {
-	m := map[string]any{"sealed": d.stats.sealed.Load(), "hit": d.stats.hit.Load(), "fetched": d.stats.fetched.Load(), "prefilled": d.stats.prefilled.Load(),
-		"lookup_batches": d.index.asked.Load(), "lookup_keys": d.index.keys.Load()}
-	d.gate.Ask(func(g *gate) {
-		m["inflight"] = g.inflight
-		for n, t := range g.tries {
-			m["tries_"+n] = map[string]int{"first": len(t.first), "extra": len(t.extra)}
-		}
-	})
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(m) // a caller that hung up can't be told
-}
--- a/internal/dispatcher/stream.go
+++ b/internal/dispatcher/stream.go
@@ -77,6 +77,7 @@
 func (s *stream) Close() error {
 	ok := errors.Is(s.bad, io.EOF)
 	if !ok && s.bad != nil {
+		s.d.stats.broken.Add(1)
 		s.d.life.Log.Warn("stream ended broken", "request", s.id, "worker", s.worker, "error", s.bad)
 	}
 	s.end(ok || s.bad == nil) // a caller that hung up is no fault of the worker's
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -10,6 +10,7 @@
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/feed"
 	"pebbleloom/internal/frontdesk"
 	"pebbleloom/internal/link"
 	"pebbleloom/internal/queue"
@@ -62,6 +63,24 @@
 	l.Every(b.Leave(0.15), r.list)
 	l.Every(b.Leave(0.15), r.probe)
 	l.Every(b.Heal(1.0/12), r.followPlacements)
+	l.Meter.Gauge("pebbleloom_workers_up", "workers that this machine sees up", func() (v float64) {
+		r.desk.Ask(func(t *table) {
+			for _, w := range t.lastRows {
+				if w.State == feed.WorkerUp {
+					v++
+				}
+			}
+		})
+		return v
+	})
+	l.Meter.Gauge("pebbleloom_nodes", "nodes that this machine doesn't see as gone", func() (v float64) {
+		for _, n := range r.ros.View().Nodes {
+			if n.State != roster.Gone {
+				v++
+			}
+		}
+		return v
+	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.RunnerPathPrefix, wire.NewRunnerServer(r))
 	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(r.ros))
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -47,3 +47,46 @@
 		t.Errorf("a large epoch lost digits: %s", a)
 	}
 }
+
+const tmpl = `{"params":{"site":"its name","weights":"the epoch","rate":"of tenants"},
+ "setup":{"models":{"{{.site}}-lm":{"weights":"{{.weights}}"}},"services":{"main":{"model":"{{.site}}-lm"}},"ways":{"{{.site}}-lm":{"service":"main"}},
+ "tenants":{"t1":{"keys":["key-{{.site}}-t1"],"rate":"{{.rate}}"}}}}`
+
+func TestRender(t *testing.T) {
+	set := map[string]string{"site": "daegu", "weights": "7", "rate": "2.5"}
+	over := []Layer{{"night.json", []byte(`{"tenants":{"t1":{"rate":1}},"wait_max_ms":9000}`)}, {"day.json", []byte(`{"tenants":{"t1":{"rate":1}}}`)}}
+	body, os, err := Render([]byte(tmpl), set, over)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Read(body)
+	if err != nil || s.Models["daegu-lm"].Weights != 7 || s.Tenants["t1"].Rate != 1 || s.WaitMaxMs != 9000 {
+		t.Errorf("%s %v", body, err)
+	}
+	from := map[string]string{}
+	for _, o := range os {
+		from[o.Path] = o.From
+	}
+	for p, w := range map[string]string{"models.daegu-lm.weights": "parameter weights", "tenants.t1.keys[0]": "parameter site", "services.main.model": "parameter site",
+		"ways.daegu-lm.service": "template", "tenants.t1.rate": "overlay day.json", "wait_max_ms": "overlay night.json"} {
+		if from[p] != w {
+			t.Errorf("%s is from %q, want %q", p, from[p], w)
+		}
+	}
+	for name, c := range map[string]struct {
+		tmpl string
+		set  map[string]string
+		want string
+	}{
+		"missing":          {tmpl, map[string]string{"site": "x", "rate": "1"}, "parameter weights is missing"},
+		"unknown":          {tmpl, map[string]string{"site": "x", "rate": "1", "weights": "1", "colour": "red"}, "parameter colour is unknown"},
+		"undescribed":      {`{"params":{},"setup":{"ways":{"m":{"service":"{{.x}}"}}}}`, nil, "no such parameter"},
+		"a broken one":     {`{"params":{},"setup":{"ways":{"m":{"service":"{{.x"}}}}`, nil, "ways.m.service"},
+		"not a good setup": {tmpl, map[string]string{"site": "x", "rate": "1", "weights": "0"}, "models.x-lm.weights"},
+		"no program in it": {`{"params":{"x":"y"},"setup":{"ways":{"m":{"service":"{{printf .x}}"}}}}`, map[string]string{"x": "1"}, "no such parameter"},
+	} {
+		if _, _, err := Render([]byte(c.tmpl), c.set, nil); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/yard/runbook_test.go
@@ -0,0 +1,101 @@
+package yard
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/desk"
+)
+
+// hand is the person at the desk: asked to confirm, it does what the book says first.
+type hand struct{ do func() }
+
+func (h *hand) Read(p []byte) (int, error) {
+	if h.do != nil {
+		h.do()
+		h.do = nil
+	}
+	return copy(p, "yes\n"), nil
+}
+
+// Runbooks are carried out on a site whose trouble is real: it is brought about, the book
+// is run, and in the end nothing is wrong.
+func TestRunbooksOnASite(t *testing.T) {
+	dir := t.TempDir()
+	s, err := Plan("daegu", dir, 34, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Up(context.Background(), s, dir, programs(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Down()
+	node := s.Operators[4]
+	run := func(in *hand, args ...string) {
+		t.Helper()
+		var out, bad bytes.Buffer
+		rec := filepath.Join(dir, args[0]+".jsonl")
+		a := append([]string{"--node", node, "--record", rec, "runbook", "run", "--name"}, args...)
+		if code := desk.Main(a, in, &out, &bad); code != 0 {
+			raw, _ := os.ReadFile(rec)
+			t.Fatalf("%v: exit %d: %s\n%s", args, code, bad.String(), raw)
+		}
+		if raw, err := os.ReadFile(rec); err != nil || strings.Count(string(raw), `"state":"done"`) < 2 {
+			t.Fatalf("%v: record %s %v", args, raw, err)
+		}
+	}
+	each := func(do func(string) error, names ...string) func() {
+		return func() {
+			for _, n := range names {
+				if err := do(n); err != nil {
+					t.Errorf("%s: %v", n, err)
+				}
+			}
+		}
+	}
+	kill := func(n string) error { return f.Signal(n, syscall.SIGKILL) }
+	gone := func(view string) {
+		t.Helper()
+		ctx, end := context.WithTimeout(context.Background(), 30*time.Second)
+		defer end()
+		for ctx.Err() == nil { // each look takes its time: it asks every core machine
+			if _, said := Get(ctx, node, "/v1/status"); strings.Contains(said, view) {
+				return
+			}
+		}
+		t.Fatalf("status never says %s", view)
+	}
+
+	each(kill, "cab-3")()
+	gone(`"worker-gone"`)
+	run(&hand{each(f.Start, "cab-3")}, "worker-gone", "--set", "worker=cab-3")
+
+	each(kill, "depot-1")()
+	gone(`"no-store"`)
+	run(&hand{each(f.Start, "depot-1")}, "store-empty")
+
+	// A core machine's disk is lost: it comes back empty under its name.
+	each(kill, "archive-core-2", "appraiser-core-2")()
+	if err := os.RemoveAll(f.place("archive-core-2").Data); err != nil {
+		t.Fatal(err)
+	}
+	run(&hand{each(f.Start, "archive-core-2", "appraiser-core-2")}, "disk-lost", "--set", "machine=core-2")
+
+	each(kill, "runner-edge-2", "catalogue-edge-2", "dispatcher-edge-2")()
+	run(&hand{each(f.Start, "runner-edge-2", "catalogue-edge-2", "dispatcher-edge-2")}, "edge-gone", "--set", "machine=edge-2")
+
+	run(&hand{}, "weights-midday", "--set", "model=gisa", "--set", "weights=2", "--set", "service=gisa-main")
+	run(&hand{}, "key-leaked", "--set", "tenant=tenant-4", "--set", "key=key-of-daegu-tenant-4")
+
+	var out, bad bytes.Buffer
+	if code := desk.Main([]string{"--node", node, "status"}, &hand{}, &out, &bad); code != 0 {
+		t.Errorf("in the end something is wrong: %s%s", out.String(), bad.String())
+	}
+}
--- a/internal/yard/yard_test.go
+++ b/internal/yard/yard_test.go
@@ -2,20 +2,41 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 )
 
-// programs builds all programs once for the fleet tests.
-func programs(t *testing.T) string {
-	t.Helper()
-	bin := t.TempDir()
+var built = sync.OnceValues(func() (string, error) {
+	bin, err := os.MkdirTemp("", "pebbleloom-bin-")
+	if err != nil {
+		return "", err
+	}
 	c := exec.Command("go", "build", "-o", bin+"/", "./cmd/...")
 	c.Dir = "../.."
 	if out, err := c.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return bin, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if bin, err := built(); err == nil {
+		os.RemoveAll(bin)
+	}
+	os.Exit(code)
+}
+
+// programs builds all programs once for the fleet tests.
+func programs(t *testing.T) string {
+	t.Helper()
+	bin, err := built()
+	if err != nil {
+		t.Fatal(err)
 	}
 	return bin
 }
@@ -48,3 +69,26 @@
 		})
 	}
 }
+
+// Every scenario file can be read and names only steps and processes that there are; one
+// of them is played here, the others by `yard play`.
+func TestScenarios(t *testing.T) {
+	l, err := Scenarios()
+	if err != nil || len(l) < 20 {
+		t.Fatalf("%d scenarios, %v", len(l), err)
+	}
+	for _, sc := range l {
+		if sc.Name != "owner-killed" {
+			continue
+		}
+		sc.Rate, sc.TailMs = 12, 2000
+		rep, err := Play(context.Background(), sc, Options{Dir: t.TempDir(), Bin: programs(t), Net: 33, Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range rep.Faults {
+			t.Error(f)
+		}
+		t.Logf("%s: sealed %d of %d; %v", sc.Name, rep.Sum.Sealed, rep.Sum.Requests, rep.Steps)
+	}
+}
