Views are compared by a sum: a node's beats no longer grow with the site

Cause: every fourth beat went to a seed with the whole view, and its answer was whole as well. Ruled out: the watchers' beats (they carry news alone). Now beats carry a sum of who is there; all is told only where sums differ and no news is under way. The ring is laid out once a step instead of once a node.

--- a/internal/roster/core.go
+++ b/internal/roster/core.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -22,6 +23,7 @@
 
 type entry struct {
 	n     *wire.Node
+	place uint64        // on the ring
 	at    time.Duration // when this state began, or the last beat heard
 	heard time.Duration
 	tell  int // how many more letters carry it
@@ -35,13 +37,15 @@
 	all   map[string]*entry
 	turn  int
 	epoch uint64
+	sum   uint64          // who is there, added up; kept as the view changes
+	apart map[string]bool // addresses whose view differs from this one's: they are told all
 }
 
 // New makes a view that knows itself and its seeds.
 //
 // Example: c := roster.New(bounds, self, seeds)
 func New(b settings.Bounds, self *wire.Node, seeds []string) *Core {
-	return &Core{b: b, self: self, seeds: seeds, all: map[string]*entry{}, epoch: 1}
+	return &Core{b: b, self: self, seeds: seeds, all: map[string]*entry{}, epoch: 1, apart: map[string]bool{}}
 }
 
 // Epoch grows whenever the view changes.
@@ -89,7 +93,7 @@
 		if len(c.all) >= maxNodes || n.State == Gone {
 			return
 		}
-		c.all[n.Name] = &entry{n: clone(n), at: now, heard: now, tell: c.spread()}
+		c.all[n.Name] = &entry{n: clone(n), place: queue.Hash(n.Name), at: now, heard: now, tell: c.spread()}
 		c.epoch++
 		return
 	}
@@ -121,48 +125,60 @@
 	return k
 }
 
+type placed struct {
+	place uint64
+	n     *wire.Node
+}
+
 // ring lists all that aren't gone, by place.
-func (c *Core) ring() []*wire.Node {
-	l := []*wire.Node{c.self}
+func (c *Core) ring() []placed {
+	l := make([]placed, 0, len(c.all)+1)
+	l = append(l, placed{queue.Hash(c.self.Name), c.self})
 	for _, e := range c.all {
 		if e.n.State != Gone {
-			l = append(l, e.n)
+			l = append(l, placed{e.place, e.n})
 		}
 	}
 	sort.Slice(l, func(i, j int) bool {
-		a, b := queue.Hash(l[i].Name), queue.Hash(l[j].Name)
-		return a < b || a == b && l[i].Name < l[j].Name
+		return l[i].place < l[j].place || l[i].place == l[j].place && l[i].n.Name < l[j].n.Name
 	})
 	return l
 }
 
-// watchers names the few that a node's beats go to: the next on the ring, and two
-// further off so that news crosses a long ring in few beats.
-func watchers(ring []*wire.Node, name string) []*wire.Node {
-	n, at := len(ring), -1
-	for i, x := range ring {
-		if x.Name == name {
-			at = i
-		}
-	}
-	if at < 0 || n < 2 {
+// steps are how far along the ring a node's watchers stand: the next, and two further off
+// so that news crosses a long ring in few beats.
+func steps(n int) []int {
+	if n < 2 {
 		return nil
 	}
 	far := 1
 	for far*far*far < n {
 		far++
 	}
-	var l []*wire.Node
-	seen := map[int]bool{at: true}
+	var l []int
 	for _, d := range []int{1, far, far * far} {
-		if i := (at + d) % n; !seen[i] {
-			seen[i] = true
-			l = append(l, ring[i])
+		if d %= n; d != 0 && !slices.Contains(l, d) {
+			l = append(l, d)
 		}
 	}
 	return l
 }
 
+// total adds up a view: names, lives and states, whatever their order.
+func (c *Core) total() uint64 {
+	t := uint64(0)
+	add := func(n *wire.Node, place uint64) {
+		t += (place ^ n.Incarnation*0x9e3779b97f4a7c15) * uint64(n.State*2+3)
+	}
+	add(c.self, queue.Hash(c.self.Name))
+	for _, e := range c.all {
+		if e.n.State != Gone { // the gone are forgotten at different times
+			add(e.n, e.place)
+		}
+	}
+	return t
+}
+
 // Call is a beat to send to an address.
 type Call struct {
 	To   string
@@ -176,11 +192,18 @@
 	c.self.Beat++
 	c.turn++
 	ring := c.ring()
-	for _, e := range c.all {
-		mine := false
-		for _, w := range watchers(ring, e.n.Name) {
-			mine = mine || w.Name == c.self.Name
+	at, ds := 0, steps(len(ring))
+	for i, x := range ring {
+		if x.n == c.self {
+			at = i
 		}
+	}
+	watched := map[string]bool{}
+	for _, d := range ds {
+		watched[ring[(at-d+len(ring))%len(ring)].n.Name] = true
+	}
+	for _, e := range c.all {
+		mine := watched[e.n.Name]
 		switch {
 		case e.n.State == Alive && !mine:
 			e.heard = now // judged from when this node becomes its watcher
@@ -195,9 +218,12 @@
 			c.epoch++
 		}
 	}
+	c.sum = c.total()
 	var l []Call
-	for _, w := range watchers(c.ring(), c.self.Name) {
-		l = append(l, Call{w.Addr, c.beat(false)})
+	for _, d := range ds {
+		if w := ring[(at+d)%len(ring)].n; w.State != Gone {
+			l = append(l, Call{w.Addr, c.beat(false)})
+		}
 	}
 	// Now and then a seed or someone gone is called, so that cut halves find each other.
 	alone := len(l) == 0
@@ -214,7 +240,9 @@
 			}
 		}
 		if len(far) > 0 {
-			l = append(l, Call{far[c.turn/4%len(far)], c.beat(true)})
+			x := far[c.turn/4%len(far)]
+			l = append(l, Call{x, c.beat(alone || c.apart[x])})
+			delete(c.apart, x)
 			if alone && len(far) > 1 {
 				l = append(l, Call{far[(c.turn+1)%len(far)], c.beat(true)})
 			}
@@ -229,7 +257,7 @@
 }
 
 func (c *Core) beat(whole bool) *wire.Beat {
-	b := &wire.Beat{Epoch: 1, From: clone(c.self), Whole: whole}
+	b := &wire.Beat{Epoch: 1, From: clone(c.self), Whole: whole, Sum: c.sum}
 	for _, e := range c.all {
 		if whole || e.tell > 0 {
 			b.News = append(b.News, clone(e.n))
@@ -238,30 +266,54 @@
 	return b
 }
 
-// Hear takes a beat and gives the answer to it.
+// Hear takes a beat and gives the answer to it: what is news, or all where the two views
+// differ.
 //
 // Example: answer := c.Hear(beat, clk.Now())
 func (c *Core) Hear(b *wire.Beat, now time.Duration) *wire.Beat {
-	if b.GetFrom() != nil {
-		old := c.all[b.From.Name]
-		fresh := old == nil || old.n.State == Gone
-		c.learn(b.From, now, true)
-		for _, n := range b.News {
-			c.learn(n, now, false)
+	if b.GetFrom() == nil {
+		return c.beat(true) // somebody who only looks
+	}
+	old := c.all[b.From.Name]
+	fresh := old == nil || old.n.State == Gone
+	was := c.epoch
+	c.learn(b.From, now, true)
+	for _, n := range b.News {
+		c.learn(n, now, false)
+	}
+	if c.epoch != was {
+		c.sum = c.total()
+	}
+	return c.beat(b.Whole || fresh || b.Sum != c.sum && len(b.News) == 0 && c.settled(now))
+}
+
+// settled tells whether there is no news under way here: views that differ then, differ
+// for long.
+func (c *Core) settled(now time.Duration) bool {
+	for _, e := range c.all {
+		if e.tell > 0 || now-e.at < c.b.Leave(0.3) {
+			return false
 		}
-		return c.beat(b.Whole || fresh)
 	}
-	return c.beat(true)
+	return true
 }
 
-// Answer takes the answer to an own beat.
+// Answer takes the answer to an own beat. Where the other told all and the views still
+// differ, it is told all at the next call.
 //
-// Example: c.Answer(tell, clk.Now())
-func (c *Core) Answer(b *wire.Beat, now time.Duration) {
+// Example: c.Answer(addr, tell, clk.Now())
+func (c *Core) Answer(from string, b *wire.Beat, now time.Duration) {
+	was := c.epoch
 	c.learn(b.GetFrom(), now, true)
 	for _, n := range b.GetNews() {
 		c.learn(n, now, false)
 	}
+	if c.epoch != was {
+		c.sum = c.total()
+	}
+	if b.GetWhole() && b.Sum != c.sum && len(c.apart) < 64 {
+		c.apart[from] = true
+	}
 }
 
 // Nodes lists the view by name, this node too.
--- a/internal/roster/core_test.go
+++ b/internal/roster/core_test.go
@@ -19,10 +19,12 @@
 	cut   func(a, b string) bool
 	due   []func()
 	sent  int
+	bytes int
+	limit int // highest machine number
 }
 
 func newSite(n int, seed uint64) *site {
-	s := &site{r: rand.New(rand.NewPCG(seed, 5)), cores: map[string]*Core{}, down: map[string]bool{}, cut: func(_, _ string) bool { return false }}
+	s := &site{r: rand.New(rand.NewPCG(seed, 5)), cores: map[string]*Core{}, down: map[string]bool{}, cut: func(_, _ string) bool { return false }, limit: 400}
 	for i := range n {
 		s.add(i, 1)
 	}
@@ -40,7 +42,7 @@
 func (s *site) run(d time.Duration) {
 	beat := settings.Default().Leave(0.1)
 	for end := s.now + d; s.now < end; s.now += beat {
-		for i := range 400 {
+		for i := range s.limit {
 			a := addr(i)
 			c := s.cores[a]
 			if c == nil || s.down[a] {
@@ -49,12 +51,14 @@
 			for _, x := range c.Step(s.now) {
 				to := s.cores[x.To]
 				s.sent++
+				s.bytes += size(x.Beat)
 				if to == nil || s.down[x.To] || s.cut(a, x.To) {
 					continue
 				}
 				t := to.Hear(x.Beat, s.now)
+				s.bytes += size(t)
 				if !s.cut(x.To, a) {
-					c.Answer(t, s.now)
+					c.Answer(x.To, t, s.now)
 				}
 			}
 		}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return // silence is what the watchers judge by
 	}
-	m.desk.Tell(func(c *Core) { c.Answer(t, m.clk.Now()); m.show(c) })
+	m.desk.Tell(func(c *Core) { c.Answer(x.To, t, m.clk.Now()); m.show(c) })
 }
 
 // Hear serves the beats of others.
