--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -205,8 +205,8 @@
 			if err != nil {
 				return fail(errs.Wrap(err, "scenario "+sc.Name))
 			}
-			fmt.Fprintf(out, "%-16s %-7s seed %d: sealed %d of %d, during %.3f, after healing %.3f, extra runs %d, denied %v, broken %d, faults %d\n",
-				sc.Name, rep.Site, p.Seed, rep.Sum.Sealed, rep.Sum.Requests, rep.During, rep.Healed, rep.Extra, rep.Sum.Denied, rep.Sum.Broken, len(rep.Faults))
+			fmt.Fprintf(out, "%-16s %-7s seed %d: sealed %d of %d, during %.3f, after healing %.3f, hit share %.2f %.2f %.2f, extra runs %d, denied %v, broken %d, faults %d\n",
+				sc.Name, rep.Site, p.Seed, rep.Sum.Sealed, rep.Sum.Requests, rep.During, rep.Healed, rep.Hits[0], rep.Hits[1], rep.Hits[2], rep.Extra, rep.Sum.Denied, rep.Sum.Broken, len(rep.Faults))
 			for _, m := range rep.Sum.Samples {
 				fmt.Fprintln(out, "  "+m)
 			}
--- a/internal/yard/operate.go
+++ b/internal/yard/operate.go
@@ -203,7 +203,9 @@
 			if err != nil {
 				return
 			}
-			code, said := Post(ctx, at, "/v1/setup", raw)
+			one, end := context.WithTimeout(ctx, 3*time.Second) // the node may be frozen
+			defer end()
+			code, said := Post(one, at, "/v1/setup", raw)
 			var c struct {
 				Epoch int64 `json:"epoch"`
 			}
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -84,7 +84,9 @@
 	Healed   float64   `json:"sealed_share_after_healing"`
 	During   float64   `json:"sealed_share_during"`
 	Extra    int       `json:"extra_runs"`
-	Faults   []string  `json:"faults"`
+	// Share of prompt tokens found kept before the first step, up to the last, and after it.
+	Hits   [3]float64 `json:"hit_shares"`
+	Faults []string   `json:"faults"`
 }
 
 // play is a scenario under way.
@@ -96,6 +98,7 @@
 	mu     sync.Mutex
 	rep    *Report
 	picked map[string][]string
+	began  int64 // the wall's milliseconds of this one machine
 	// What was acknowledged, and when, in the wall's milliseconds of this one machine.
 	revoked map[string]int64
 	weights map[uint64]int64
@@ -148,6 +151,7 @@
 	}
 	total := last + heal + tail
 	book, t0 := &fares.Book{}, time.Now()
+	p.began = t0.UnixMilli()
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		fares.Drive(ctx, s.Traffic, fares.NewCaller(s.Edges), o.Seed, "s", int(s.Traffic.Rate*float64(total)/1000), book)
@@ -163,8 +167,9 @@
 		}
 		p.rep.Steps = append(p.rep.Steps, fmt.Sprintf("%d ms: %s %s %s: %s", time.Since(t0).Milliseconds(), x.Do, strings.Join(p.picked[x.Who], " "), x.To, said))
 	}
+	closed := max(time.Now().UnixMilli(), t0.UnixMilli()+int64(last))
 	wg.Wait()
-	return p.rep, p.settle(ctx, book, t0.UnixMilli()+int64(last), heal)
+	return p.rep, p.settle(ctx, book, closed, heal)
 }
 
 func (p *play) await(ctx context.Context, t0 time.Time, ms int) error {
--- a/internal/yard/settle.go
+++ b/internal/yard/settle.go
@@ -36,10 +36,33 @@
 	return nil
 }
 
+// tally adds up how many prompt tokens were found kept.
+type tally struct{ hit, all int }
+
+func (t *tally) add(o fares.Outcome) {
+	t.hit += o.Last.Hit
+	t.all += o.Last.Hit + o.Last.Fetched + o.Last.Prefilled
+}
+
+func (t *tally) share() float64 { return float64(t.hit) / float64(max(1, t.all)) }
+
 // shares: service is back within the bound, and only allowed denials occur.
 func (p *play) shares(book *fares.Book, closed, heal int64) {
 	n, ok, dn, dok := 0, 0, 0, 0
+	var before, during, after tally
+	first := closed
+	for _, x := range p.sc.Steps {
+		first = min(first, p.began+int64(x.At))
+	}
 	for _, o := range book.All() {
+		switch {
+		case o.SentMs < first:
+			before.add(o)
+		case o.SentMs < closed:
+			during.add(o)
+		default:
+			after.add(o)
+		}
 		if _, gone := p.revoked[o.Request.Key]; gone {
 			continue
 		}
@@ -61,6 +84,7 @@
 			p.fault("%s: denied as %s", o.Request.ID, o.Denied)
 		}
 	}
+	p.rep.Hits = [3]float64{before.share(), during.share(), after.share()}
 	if n > 0 {
 		p.rep.Healed = float64(ok) / float64(n)
 	}
