A runner sends its lists when they changed; our words and the wall clock are checked

Lists of workers, nodes and placements went out with every proof, some ten times a second. Now they carry a number of their own, which begins anywhere so that a new life's can't be taken for the old one's. Rows were also changed after they had been shown (seen in review, not by a run); they are finished before that. The new check of our words found nine slips; the one of the wall clock none.

--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -182,7 +182,7 @@
 				f.Room = int(w.KvRoom)
 			}
 		}
-		p = Choose(f, d.last)
+		p = Pick(f, d.last)
 		p.Rolling = d.roll.Batch
 		d.full = now
 		changed = d.last == nil || !reflect.DeepEqual(p.Replicated, d.last.Replicated) || !reflect.DeepEqual(p.Workers, d.last.Workers) || p.Mode != d.last.Mode || math.Abs(p.Floor-d.last.Floor) > 0.25*d.last.Floor+0.05
--- a/internal/appraiser/choose.go
+++ b/internal/appraiser/pick.go
@@ -31,11 +31,11 @@
 	Curve   placement.Curve
 }
 
-// Choose makes a placement: the ratio by the paper's Algorithm 1, the set by the hottest,
+// Pick makes a placement: the ratio by the paper's Algorithm 1, the set by the hottest,
 // with some patience for those that are in it already.
 //
-// Example: p := appraiser.Choose(facts, old)
-func Choose(f Facts, old *placement.Placement) *placement.Placement {
+// Example: p := appraiser.Pick(facts, old)
+func Pick(f Facts, old *placement.Placement) *placement.Placement {
 	p := &placement.Placement{Service: f.Service, Mode: f.Mode, Workers: f.Workers, Prefill: f.Curve, Replicated: []string{}}
 	fs, requests, tokens := freqs(f.Hot)
 	p.Entries = len(fs)
--- a/internal/appraiser/choose_test.go
+++ b/internal/appraiser/pick_test.go
@@ -24,26 +24,26 @@
 
 // By hand: 1000 shared tokens a request take 40 ms; B is the starting 50000 tokens a
 // second; α·t·B·(N−1)/(S·N) = 0.5·0.04·50000·3/(1000·4) = 0.75. The scan stops at 0.25.
-func TestChooseByHand(t *testing.T) {
-	p := Choose(facts(50, 30, 20), nil)
+func TestPickByHand(t *testing.T) {
+	p := Pick(facts(50, 30, 20), nil)
 	if p.RMax < 0.7499 || p.RMax > 0.7501 || len(p.Replicated) != 1 || p.Replicated[0] != "00" || p.MeanLen != 1000 {
 		t.Errorf("%+v", p)
 	}
 	f := facts(50, 30, 20)
 	f.Links = []*wire.LinkSeen{{Class: "near", Tokens: 1e6, Ns: 1e12}, {Class: "store", Tokens: 1e12, Ns: 1}}
-	if p = Choose(f, nil); p.RMax > 0.05 || len(p.Replicated) != 3 {
+	if p = Pick(f, nil); p.RMax > 0.05 || len(p.Replicated) != 3 {
 		t.Errorf("links seen to be slow, the store's left out: R_max %v, %d replicated", p.RMax, len(p.Replicated))
 	}
 	f = facts(50, 30, 20)
 	f.Alpha, f.Room = 0.01, 4500
-	if p = Choose(f, nil); len(p.Replicated) != 2 {
+	if p = Pick(f, nil); len(p.Replicated) != 2 {
 		t.Errorf("half of 4500 tokens of room hold %d entries of 1000", len(p.Replicated))
 	}
 	f.Workers = []string{"a"}
-	if p = Choose(f, nil); p.RMax != 0 {
+	if p = Pick(f, nil); p.RMax != 0 {
 		t.Errorf("one worker: R_max %v", p.RMax)
 	}
-	if p = Choose(facts(), nil); len(p.Replicated) != 0 || p.Ratio != 0 {
+	if p = Pick(facts(), nil); len(p.Replicated) != 0 || p.Ratio != 0 {
 		t.Errorf("no accesses: %+v", p)
 	}
 }
@@ -52,7 +52,7 @@
 func TestSetsDontFlap(t *testing.T) {
 	f := facts(40, 30, 16, 14)
 	f.Alpha = 0.15 // R_max 0.225: three of four
-	p := Choose(f, nil)
+	p := Pick(f, nil)
 	if len(p.Replicated) != 3 {
 		t.Fatalf("%+v", p)
 	}
@@ -64,7 +64,7 @@
 		}
 		g := f
 		g.Hot = hots(40, 30, x, y)
-		n := Choose(g, p)
+		n := Pick(g, p)
 		if fmt.Sprint(len(n.Replicated)) != fmt.Sprint(len(p.Replicated)) {
 			changes++
 		}
@@ -79,7 +79,7 @@
 }
 
 func TestABurstSwapsIn(t *testing.T) {
-	p := Choose(facts(40, 30, 16, 14), nil)
+	p := Pick(facts(40, 30, 16, 14), nil)
 	n := len(p.Replicated)
 	q, changed := Swap(p, hots(40, 30, 16, 90))
 	if !changed || len(q.Replicated) != n || q.Replicated[0] != "03" {
--- a/internal/appservice/appservice.go
+++ b/internal/appservice/appservice.go
@@ -32,14 +32,14 @@
 	mux.HandleFunc("POST /v1/start", func(w http.ResponseWriter, r *http.Request) {
 		var s contract.Start
 		if err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&s); err != nil || s.RequestID == "" {
-			tell(w, 400, contract.Refusal{NotRun: true, Reason: "bad"})
+			tell(w, 400, contract.Denial{NotRun: true, Reason: "bad"})
 			return
 		}
 		select {
 		case slots <- struct{}{}:
 			defer func() { <-slots }()
 		default:
-			tell(w, 409, contract.Refusal{NotRun: true, Reason: "full"})
+			tell(w, 409, contract.Denial{NotRun: true, Reason: "full"})
 			return
 		}
 		w.Header().Set("Content-Type", "application/x-ndjson")
--- a/internal/cab/cab.go
+++ b/internal/cab/cab.go
@@ -175,14 +175,14 @@
 func (c *Cab) order(w http.ResponseWriter, r *http.Request) {
 	var o contract.Order
 	if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&o); err != nil {
-		tell(w, 400, contract.Refusal{NotRun: true, Reason: "bad"})
+		tell(w, 400, contract.Denial{NotRun: true, Reason: "bad"})
 		return
 	}
 	c.mu.Lock()
 	if o.Fence < c.fence {
 		f := c.fence
 		c.mu.Unlock()
-		tell(w, 409, contract.Refusal{NotRun: true, Reason: "fence", Fence: f})
+		tell(w, 409, contract.Denial{NotRun: true, Reason: "fence", Fence: f})
 		return
 	}
 	c.fence = o.Fence
@@ -217,28 +217,28 @@
 // start is one go, from refusal to seal.
 func (c *Cab) start(w http.ResponseWriter, r *http.Request) {
 	var s contract.Start
-	refuse := func(code int, why string) { tell(w, code, contract.Refusal{NotRun: true, Reason: why}) }
+	deny := func(code int, why string) { tell(w, code, contract.Denial{NotRun: true, Reason: why}) }
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&s); err != nil || len(s.Parts) == 0 || s.RequestID == "" {
-		refuse(400, "bad")
+		deny(400, "bad")
 		return
 	}
 	c.mu.Lock()
 	switch {
 	case c.drain:
 		c.mu.Unlock()
-		refuse(409, "draining")
+		deny(409, "draining")
 		return
 	case s.Model != c.life.Place.Word("model", ""):
 		c.mu.Unlock()
-		refuse(409, "model")
+		deny(409, "model")
 		return
 	case s.Weights != c.weights:
 		c.mu.Unlock()
-		refuse(409, "weights")
+		deny(409, "weights")
 		return
 	case c.waiting >= c.room:
 		c.mu.Unlock()
-		refuse(409, "full")
+		deny(409, "full")
 		return
 	}
 	c.waiting++
@@ -273,9 +273,9 @@
 	}
 	if run == nil {
 		if stale {
-			refuse(409, "weights")
+			deny(409, "weights")
 		} else {
-			refuse(409, "full")
+			deny(409, "full")
 		}
 		return
 	}
--- a/internal/contract/backend.go
+++ b/internal/contract/backend.go
@@ -93,16 +93,16 @@
 
 // Go is how one go began.
 type Go struct {
-	Body    io.ReadCloser // the stream, when it started
-	Refused *Refusal      // the worker's word that it never started
-	Err     error
-	Unsent  bool // nothing was sent: proof enough that it never started
+	Body   io.ReadCloser // the stream, when it started
+	Denied *Denial       // the worker's word that it never started
+	Err    error
+	Unsent bool // nothing was sent: proof enough that it never started
 }
 
 // NotRun tells whether it is proved that the go never started.
 //
 // Example: if g.NotRun() { tryElsewhere() }
-func (g Go) NotRun() bool { return g.Unsent || g.Refused != nil && g.Refused.NotRun }
+func (g Go) NotRun() bool { return g.Unsent || g.Denied != nil && g.Denied.NotRun }
 
 // Begin starts a go. The hints are the X-Kv- headers.
 //
@@ -129,7 +129,7 @@
 		return Go{Body: r.Body}
 	}
 	defer r.Body.Close()
-	var f Refusal
+	var f Denial
 	raw, err = io.ReadAll(io.LimitReader(r.Body, 4096))
 	if err == nil {
 		err = json.Unmarshal(raw, &f)
@@ -137,7 +137,7 @@
 	if err != nil || !f.NotRun {
 		return Go{Err: errs.New(errs.Inside, "worker answered %d: %.200s", r.StatusCode, raw)}
 	}
-	return Go{Refused: &f, Err: errs.New(errs.NotRun, "worker refused: %s", f.Reason)}
+	return Go{Denied: &f, Err: errs.New(errs.NotRun, "worker denied: %s", f.Reason)}
 }
 
 // unsent tells whether a failed call surely never reached the worker: its connection was
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -50,8 +50,8 @@
 	FetchAddr string `json:"fetch_addr,omitempty"`
 }
 
-// Refusal is a worker's proof that a go never started.
-type Refusal struct {
+// Denial is a worker's proof that a go never started.
+type Denial struct {
 	NotRun bool   `json:"not_run"`
 	Reason string `json:"reason"` // weights, draining, full, model, bad
 	Fence  uint64 `json:"fence,omitempty"`
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -107,7 +107,7 @@
 			return nil, deny(errs.NoModel, q.RequestID, 0, "no way leads to model %q", q.Model)
 		}
 		service := way.For(q.RequestID)
-		c, err := d.choose(s, q, tenant, service, found, tried)
+		c, err := d.pickWorker(s, q, tenant, service, found, tried)
 		if err != nil {
 			leave()
 			return nil, err
@@ -205,8 +205,8 @@
 	return ks
 }
 
-// choose picks the worker of the next go.
-func (d *Dispatcher) choose(s *feed.Snapshot, q *caller.Ask, tenant, service string, found map[prefix.Key]*wire.Found, tried map[string]bool) (Choice, error) {
+// pickWorker picks the worker of the next go.
+func (d *Dispatcher) pickWorker(s *feed.Snapshot, q *caller.Ask, tenant, service string, found map[prefix.Key]*wire.Found, tried map[string]bool) (Choice, error) {
 	p := s.Placements[service]
 	u := Query{ID: q.RequestID, Mode: modeOf(s.Setup, service), District: d.life.Place.District, Entries: d.entries(s, q, tenant), Found: found,
 		Tried: tried, Newest: s.WeightsAt[q.Model].Weights, Placement: p, Curve: d.curve, NearB: d.near.Load(), FarB: d.far.Load(), StoreB: d.storeB.Load(), Stores: map[string]string{}}
--- a/internal/dispatcher/answer_test.go
+++ b/internal/dispatcher/answer_test.go
@@ -149,7 +149,7 @@
 	d.gate = queue.NewDesk(newGate(), 64)
 	d.index = newIndex(l, b.clk)
 	d.fol = feed.Fixed(func() *feed.Snapshot { b.mu.Lock(); defer b.mu.Unlock(); return b.snap })
-	srv, err := caller.NewServer(d, caller.WithErrorHandler(refuse))
+	srv, err := caller.NewServer(d, caller.WithErrorHandler(turnAway))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -74,7 +74,7 @@
 		l.Ready.Store(s.Fresh(d.clk.Now(), d.b.Setup(0.8)))
 	})
 	d.claims = newClaimer(l, d.fol.Now, calls, rand.Uint64())
-	srv, err := caller.NewServer(d, caller.WithErrorHandler(refuse))
+	srv, err := caller.NewServer(d, caller.WithErrorHandler(turnAway))
 	if err != nil {
 		return errs.Wrap(err, "caller API")
 	}
@@ -192,8 +192,8 @@
 	return r
 }
 
-// refuse answers what never reached Answer, and breaks what had begun.
-func refuse(ctx context.Context, w http.ResponseWriter, r *http.Request, err error) {
+// turnAway answers what never reached Answer, and breaks what had begun.
+func turnAway(ctx context.Context, w http.ResponseWriter, r *http.Request, err error) {
 	if f, ok := ctx.Value(flusher{}).(*flusher); ok && f.begun {
 		panic(http.ErrAbortHandler) // the caller must see that the stream is broken
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,6 +28,7 @@
 type Snapshot struct {
 	Number     uint64
 	Epoch      uint64 // of the setup
+	View       uint64 // of workers, nodes, placements and stores
 	Setup      *setup.Setup
 	ProofAt    time.Duration // no setup newer than Epoch had been acknowledged then
 	WorkersAt  time.Duration // when the worker table was last known good
@@ -106,7 +107,7 @@
 	for ctx.Err() == nil {
 		a := &wire.FeedAsk{HoldNs: uint64(hold)}
 		if s := f.cur.Load(); s != nil {
-			a.Have, a.HaveSetup = s.Number, s.Epoch
+			a.Have, a.HaveSetup, a.HaveView = s.Number, s.Epoch, s.View
 		}
 		if f.goes != nil {
 			f.goes(a)
@@ -148,16 +149,41 @@
 //
 // Example: s, err := feed.Read(tell, old, clk.Now())
 func Read(t *wire.FeedTell, old *Snapshot, now time.Duration) (*Snapshot, error) {
-	s := &Snapshot{Number: t.Number, ProofAt: time.Duration(t.ProofAt), WorkersAt: time.Duration(t.WorkersAt), Workers: t.Workers,
+	if old != nil && t.View == old.View && t.View != 0 {
+		o := *old // the lists are the same; what is shared is never changed
+		s := &o
+		s.Number, s.ProofAt, s.WorkersAt = t.Number, time.Duration(t.ProofAt), time.Duration(t.WorkersAt)
+		return s, s.adopt(t, old, now)
+	}
+	s := &Snapshot{Number: t.Number, View: t.View, ProofAt: time.Duration(t.ProofAt), WorkersAt: time.Duration(t.WorkersAt), Workers: t.Workers,
 		Nodes: t.Nodes, Stores: t.Stores, Placements: map[string]*placement.Placement{}, WeightsAt: map[string]Seen{}}
+	if err := s.adopt(t, old, now); err != nil {
+		return nil, err
+	}
+	for _, d := range t.Placements {
+		if old != nil && old.Placements[d.Key] != nil && old.Placements[d.Key].Epoch == d.Epoch {
+			s.Placements[d.Key] = old.Placements[d.Key]
+			continue
+		}
+		p, err := placement.Read(d.Body, d.Epoch)
+		if err != nil {
+			return nil, errs.Wrap(err, "placement in feed")
+		}
+		s.Placements[d.Key] = p
+	}
+	return s, nil
+}
+
+// adopt takes the setup of an answer, or keeps the one there was.
+func (s *Snapshot) adopt(t *wire.FeedTell, old *Snapshot, now time.Duration) error {
 	if old != nil && old.Setup != nil && (t.Setup == nil || old.Epoch == t.Setup.Epoch) {
 		s.Epoch, s.Setup, s.WeightsAt = old.Epoch, old.Setup, old.WeightsAt
 	} else if t.Setup != nil {
 		v, err := setup.Read(t.Setup.Body)
 		if err != nil {
-			return nil, errs.Wrap(err, "setup in feed")
+			return errs.Wrap(err, "setup in feed")
 		}
-		s.Epoch, s.Setup = t.Setup.Epoch, v.Ready()
+		s.Epoch, s.Setup, s.WeightsAt = t.Setup.Epoch, v.Ready(), map[string]Seen{}
 		for n, m := range v.Models {
 			w := Seen{Weights: m.Weights, First: now}
 			if old != nil {
@@ -170,16 +196,5 @@
 			s.WeightsAt[n] = w
 		}
 	}
-	for _, d := range t.Placements {
-		if old != nil && old.Placements[d.Key] != nil && old.Placements[d.Key].Epoch == d.Epoch {
-			s.Placements[d.Key] = old.Placements[d.Key]
-			continue
-		}
-		p, err := placement.Read(d.Body, d.Epoch)
-		if err != nil {
-			return nil, errs.Wrap(err, "placement in feed")
-		}
-		s.Placements[d.Key] = p
-	}
-	return s, nil
+	return nil
 }
--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -93,3 +93,83 @@
 		}
 	}
 }
+
+// wall lists where a file asks for the wall clock.
+func wall(name string, src []byte) ([]string, error) {
+	fs := token.NewFileSet()
+	f, err := parser.ParseFile(fs, name, src, 0)
+	if err != nil {
+		return nil, err
+	}
+	var l []string
+	ast.Inspect(f, func(n ast.Node) bool {
+		if s, ok := n.(*ast.SelectorExpr); ok {
+			if x, ok := s.X.(*ast.Ident); ok && x.Name == "time" && (s.Sel.Name == "Now" || s.Sel.Name == "Since" || s.Sel.Name == "Until") {
+				l = append(l, fs.Position(s.Pos()).String())
+			}
+		}
+		return true
+	})
+	return l, nil
+}
+
+// Decisions are made by clock.Clock. The wall clock is asked only by stand-ins, by the
+// desk's records, by a core machine that tells its own, and by the clock for tests.
+func TestNoDecisionByTheWallClock(t *testing.T) {
+	if l, err := wall("x.go", []byte("package x\nimport \"time\"\nvar a = time.Now()\n")); err != nil || len(l) != 1 {
+		t.Fatalf("the check itself finds %v, %v", l, err)
+	}
+	allowed := regexp.MustCompile(`/internal/(cab|depot|appservice|rank|fares|yard)/|/internal/(clock/clock|desk/runbook|archive/node)\.go$`)
+	for p, b := range files(t) {
+		if strings.HasSuffix(p, "_test.go") || allowed.MatchString(p) {
+			continue
+		}
+		l, err := wall(p, b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range l {
+			t.Errorf("%s: asks the wall clock: use clock.Clock", x)
+		}
+	}
+}
+
+// Our words: a general word in a name where the users have their own is a slip.
+func TestOurWords(t *testing.T) {
+	theirs := regexp.MustCompile(`(?i)client|zone|attempt|peer|failure|choose|route|refuse|configuration|deadline|version`)
+	ours := regexp.MustCompile(`^(NewClient|WithErrorHandler|HandlerFor|CloseWrite|.*RouteTable|http\..*)$`)
+	if !theirs.MatchString("RetryAttempt") {
+		t.Fatal("the check itself sees nothing")
+	}
+	for p, b := range files(t) {
+		f, err := parser.ParseFile(token.NewFileSet(), p, b, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range f.Decls {
+			var names []string
+			switch x := d.(type) {
+			case *ast.FuncDecl:
+				names = append(names, x.Name.Name)
+			case *ast.GenDecl:
+				for _, s := range x.Specs {
+					if ts, ok := s.(*ast.TypeSpec); ok {
+						names = append(names, ts.Name.Name)
+						if st, ok := ts.Type.(*ast.StructType); ok {
+							for _, fl := range st.Fields.List {
+								for _, n := range fl.Names {
+									names = append(names, n.Name)
+								}
+							}
+						}
+					}
+				}
+			}
+			for _, n := range names {
+				if theirs.MatchString(n) && !ours.MatchString(n) {
+					t.Errorf("%s: %s: use our word for it (client=downstream, zone=district, attempt=go, peer=colleague, failure=error, choose=pick, route=way, refuse=deny, configuration=setup, deadline=expiry, version=epoch)", p, n)
+				}
+			}
+		}
+	}
+}
--- a/internal/runbook/runbook_test.go
+++ b/internal/runbook/runbook_test.go
@@ -12,12 +12,12 @@
 
 // stage is a world in which every wait comes true, and which counts what is done.
 type stage struct {
-	rows   map[string][]map[string]string
-	done   map[string]int // by token
-	asked  int
-	refuse bool
-	looks  int
-	after  func(look int, s *stage)
+	rows  map[string][]map[string]string
+	done  map[string]int // by token
+	asked int
+	deny  bool
+	looks int
+	after func(look int, s *stage)
 }
 
 func (s *stage) Rows(v string) ([]map[string]string, error) {
@@ -27,7 +27,7 @@
 	return s.rows[v], nil
 }
 func (s *stage) Do(a string, _ map[string]string, token string) error { s.done[token]++; return nil }
-func (s *stage) Confirm(string) bool                                  { s.asked++; return !s.refuse }
+func (s *stage) Confirm(string) bool                                  { s.asked++; return !s.deny }
 func (s *stage) Pause(int)                                            {}
 
 func one(n int) *int { return &n }
@@ -105,7 +105,7 @@
 		t.Errorf("a check that fails: %v, done %v", err, s.done)
 	}
 	s = newStage()
-	s.refuse = true
+	s.deny = true
 	if err := Run(book, set, "r", 0, false, s, quiet); errs.KindOf(err) != errs.NotAsDue || len(s.done) != 1 {
 		t.Errorf("not confirmed: %v, done %v", err, s.done)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"time"
@@ -28,7 +29,8 @@
 	setup    *setup.Setup
 	links    map[string]*wire.LinkSeen
 	health   map[string]*health
-	number   uint64
+	number   uint64 // of all that is told
+	lists    uint64 // of workers, nodes, placements, stores and links
 	waiting  map[chan struct{}]bool
 	shownAt  uint64
 	lastRows []*wire.Worker
@@ -52,10 +54,11 @@
 	b := l.Place.Bounds
 	r := &Runner{life: l, clk: clock.Boot(), calls: daemon.NewCalls(l.Place), be: contract.NewBackends(l.Place.Dialer())}
 	ms := link.Members(0, l.Place.Core)
-	r.desk = queue.NewDesk(&table{fresh: NewFresh(len(ms)), workers: NewWorkers(b), places: map[string]*wire.Doc{},
+	// Counters begin anywhere, so that an asker can't take a new life's for the old one's.
+	r.desk = queue.NewDesk(&table{number: rand.Uint64(), lists: rand.Uint64(), fresh: NewFresh(len(ms)), workers: NewWorkers(b), places: map[string]*wire.Doc{},
 		links: map[string]*wire.LinkSeen{}, health: map[string]*health{}, waiting: map[chan struct{}]bool{}}, 1024)
 	r.ros = roster.Start(l.Ctx, l.Place, "runner", r.clk, l.Log, r.calls.Roster, func(v roster.View) {
-		r.desk.Tell(func(t *table) { t.view = v; t.changed() })
+		r.desk.Tell(func(t *table) { t.view = v; t.listed() })
 	})
 	for _, m := range ms {
 		l.Go(func() { r.followSetup(m) })
@@ -103,6 +106,12 @@
 	clear(t.waiting)
 }
 
+// listed notes that the lists have changed, which is told with the rest.
+func (t *table) listed() {
+	t.lists++
+	t.changed()
+}
+
 // followSetup asks one member of the setup's part again and again, with the epoch it has.
 func (r *Runner) followSetup(member string) {
 	b := r.life.Place.Bounds
@@ -189,12 +198,19 @@
 		drains = t.setup.Drains
 	}
 	rows := t.workers.Table(drains, r.clk.Now())
+	for _, w := range rows { // once shown, rows are never changed
+		if h := t.health[w.Name]; h != nil {
+			h.fade(r.clk.Now(), r.life.Place.Bounds.Heal(1))
+			w.Ok, w.Bad = h.ok, h.bad
+		}
+	}
 	same := len(rows) == len(t.lastRows)
 	for i := 0; same && i < len(rows); i++ {
 		a, o := rows[i], t.lastRows[i]
 		same = a.Name == o.Name && a.Addr == o.Addr && a.State == o.State && a.Weights == o.Weights && a.Incarnation == o.Incarnation
 	}
 	t.lastRows = rows
+	t.lists++ // loads have moved on; that alone wakes nobody
 	if !same {
 		t.changed()
 	}
@@ -230,7 +246,7 @@
 		if err == nil && tell.Outcome == "news" && tell.Doc.GetEpoch() > h {
 			r.desk.Tell(func(t *table) {
 				t.places[n] = &wire.Doc{Key: n, Body: tell.Doc.Body, Epoch: tell.Doc.Epoch}
-				t.changed()
+				t.listed()
 			})
 		}
 	}
@@ -275,8 +291,8 @@
 				t.decided = append(t.decided, a.Decided...)
 				t.decided = t.decided[max(0, len(t.decided)-maxDecided):]
 			}
-			if t.number > a.Have || over || a.HoldNs == 0 || len(t.waiting) > 64 {
-				tell = r.tell(t, a.HaveSetup)
+			if t.number != a.Have || over || a.HoldNs == 0 || len(t.waiting) > 64 {
+				tell = r.tell(t, a)
 				return
 			}
 			t.waiting[c] = true
@@ -334,15 +350,18 @@
 	}
 }
 
-// tell shows the table; a setup that the asker has isn't sent again.
-func (r *Runner) tell(t *table, have uint64) *wire.FeedTell {
-	f := &wire.FeedTell{Number: t.number, ProofAt: uint64(t.fresh.Proof()), Setup: t.fresh.Doc(), Nodes: t.view.Nodes,
-		Workers: t.lastRows, WorkersAt: uint64(t.workers.listed)}
+// tell shows the table. What the asker has isn't sent again.
+func (r *Runner) tell(t *table, a *wire.FeedAsk) *wire.FeedTell {
+	f := &wire.FeedTell{Number: t.number, View: t.lists, ProofAt: uint64(t.fresh.Proof()), Setup: t.fresh.Doc(), WorkersAt: uint64(t.workers.listed)}
 	if t.setup == nil {
 		f.Setup, f.ProofAt = nil, 0 // a setup that can't be read is no setup
-	} else if f.Setup.GetEpoch() == have {
+	} else if f.Setup.GetEpoch() == a.HaveSetup {
 		f.Setup = nil
 	}
+	if a.HaveView == t.lists && t.lists != 0 {
+		return f
+	}
+	f.Nodes, f.Workers = t.view.Nodes, t.lastRows
 	for _, n := range sortedKeys(t.places) {
 		f.Placements = append(f.Placements, t.places[n])
 	}
@@ -351,10 +370,6 @@
 		f.Links = append(f.Links, &wire.LinkSeen{Class: s.Class, Tokens: s.Tokens, Ns: s.Ns})
 	}
 	for _, w := range t.lastRows {
-		if h := t.health[w.Name]; h != nil {
-			h.fade(r.clk.Now(), r.life.Place.Bounds.Heal(1))
-			w.Ok, w.Bad = h.ok, h.bad
-		}
 		if w.Kind == "store" && w.State < 2 {
 			f.Stores = append(f.Stores, w.Addr)
 		}
--- a/internal/shelf/shelf_test.go
+++ b/internal/shelf/shelf_test.go
@@ -133,7 +133,7 @@
 }
 
 // A failed write takes the shelf out for good.
-func TestNothingIsWrittenAfterAFailure(t *testing.T) {
+func TestNothingIsWrittenAfterAnError(t *testing.T) {
 	m := &mem{f: map[string][]byte{}, left: -1}
 	s, _, err := Open(m)
 	if err != nil {
