A denial of a past owner's letter no longer confirms a read of its later life

Cause: a colleague that denied a delayed letter of term 5 echoed that letter's probe under its own term 6; the owner, restarted and elected in term 6, counted its reads anew from 0 and took the echo of 50 for a confirmation, so that it answered reads at once though it was cut off. Ruled out: letters doubled or late in the new life (their probes are never ahead), the lease (not asked by reads), the hand-over. Also: parts are handed over when a core machine stops; index nodes say goodbye; a holder that isn't warm is made up for by the other; each empty disk gets an incarnation of its own; epochs of beats and part states are checked.

--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -45,11 +45,8 @@
 	clk := clock.Boot()
 	core := append([]string(nil), l.Place.Core...)
 	sort.Strings(core)
-	inc, err := incarnation(l.Place.Data, l.Place.Name)
-	if err != nil {
-		return err
-	}
-	n.core, n.inc = core, inc
+	fresh := func() string { return fmt.Sprintf("%s/%016x", l.Place.Name, rand.Uint64()) }
+	n.core, n.inc = core, fresh()
 	n.ros = roster.Start(l.Ctx, l.Place, "archive", clk, l.Log, n.calls.Roster, nil)
 	for _, m := range core {
 		if m != l.Place.Name {
@@ -66,7 +63,7 @@
 		if !contains(ms, l.Place.Name) {
 			continue
 		}
-		p, err := openPart(l.Ctx, cfg, disk(l.Place, fmt.Sprintf("part-%d", i)), inc, clk, l.Log, n.post)
+		p, err := openPart(l.Ctx, cfg, disk(l.Place, fmt.Sprintf("part-%d", i)), fresh, clk, l.Log, n.post)
 		if err != nil {
 			// One part's bad disk doesn't take the others out.
 			l.Log.Error("part stays closed", "part", i, "error", errs.Text(err))
@@ -85,10 +82,16 @@
 	if err := frontdesk.Serve(l, ctl, func() roster.View { return n.ros.View() }, n.calls); err != nil {
 		return err
 	}
+	l.Go(func() {
+		<-l.Draining
+		for _, p := range n.parts {
+			p.handOver()
+		}
+	})
 	n.meters()
 	l.Every(l.Place.Bounds.Heal(0.25), func() { n.followSeeds(ctl) })
 	l.Ready.Store(true)
-	l.Log.Info("serving", "parts", len(n.parts), "incarnation", inc)
+	l.Log.Info("serving", "parts", len(n.parts), "life", n.inc)
 	return nil
 }
 
@@ -121,20 +124,6 @@
 	return d
 }
 
-// incarnation names this life of the data folder: a lost disk gets a new one.
-func incarnation(dir, name string) (string, error) {
-	d := shelf.Folder(dir)
-	b, there, err := d.Read("incarnation")
-	if err != nil {
-		return "", errs.As(err, errs.DiskBad, "read incarnation")
-	}
-	if there && len(b) > 0 {
-		return string(b), nil
-	}
-	inc := fmt.Sprintf("%s/%016x", name, rand.Uint64())
-	return inc, errs.As(d.Write("incarnation", []byte(inc)), errs.DiskBad, "write incarnation")
-}
-
 // post hands a letter to the thread that carries letters to its colleague. A full ring
 // drops it: letters may be lost.
 func (n *Node) post(l *wire.Letter) {
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -44,7 +44,7 @@
 
 // openPart reads the shelf and makes the member; an empty disk begins blank under a new
 // incarnation.
-func openPart(ctx context.Context, cfg ledger.Config, d shelf.Disk, inc string, clk clock.Clock, log hclog.Logger, post func(*wire.Letter)) (*part, error) {
+func openPart(ctx context.Context, cfg ledger.Config, d shelf.Disk, inc func() string, clk clock.Clock, log hclog.Logger, post func(*wire.Letter)) (*part, error) {
 	sh, l, err := shelf.Open(d)
 	if err != nil {
 		return nil, errs.Wrap(err, "open part")
@@ -53,11 +53,11 @@
 		in: queue.NewRing[func()](512), pending: map[uint64]pend{}, reads: map[uint64]chan bool{},
 		news: map[chan struct{}]bool{}, turnAt: 1 << 20}
 	if l.Slot == nil {
-		l.Slot = ledger.First(inc)
+		l.Slot = ledger.First(inc()) // whatever was here before counts no more, under any name
 		if err := sh.Turn(l.Slot, nil); err != nil {
 			return nil, errs.Wrap(err, "first slot")
 		}
-		p.log.Info("empty disk: blank until caught up from both others", "incarnation", inc)
+		p.log.Info("empty disk: blank until caught up from both others", "incarnation", l.Slot.Hard.Incarnation)
 	}
 	if l.Torn > 0 {
 		p.log.Warn("torn tail cut off", "bytes", l.Torn)
@@ -180,6 +180,15 @@
 	}
 }
 
+// handOver gives the part to a colleague that has caught up, before this node stops.
+func (p *part) handOver() {
+	p.in.Offer(func() {
+		if p.bad == nil && p.core.HandOver() {
+			p.log.Info("part handed over")
+		}
+	})
+}
+
 // ask runs f on the part's thread; false when the part is too busy or ending.
 func (p *part) ask(ctx context.Context, f func()) bool {
 	done := make(chan struct{})
--- a/internal/archive/sim_run_test.go
+++ b/internal/archive/sim_run_test.go
@@ -53,7 +53,7 @@
 			w.epoch, w.end = t.Epoch, s.now
 			s.counts["acked"]++
 			s.note("acked %s epoch %d by %s", w.body, w.epoch, n.name)
-			if s.r.IntN(25) == 0 { // the owner dies right after it acknowledged; the others are asked for news
+			if s.r.IntN(12) == 0 { // the owner dies right after it acknowledged; the others are asked for news
 				s.note("kill %s right after", n.name)
 				s.counts["kill after ack"]++
 				n.p, n.life = nil, n.life+1
@@ -85,6 +85,9 @@
 				}
 				s.reads = append(s.reads, x)
 				s.counts["read"]++
+				if s.dbg {
+					s.note("read epoch %d by %s begun %v", x.epoch, n.name, begin)
+				}
 				s.checkRead(x)
 			}
 			return false
@@ -114,6 +117,9 @@
 		if t == nil {
 			return true
 		}
+		if s.plant == "vouch-unsettled" {
+			t.Settled = true
+		}
 		f.Hear(n.name, have, asked, t)
 		proof := f.Proof()
 		for _, w := range s.writes {
@@ -173,7 +179,7 @@
 // trouble brings one failure about.
 func (s *sim) trouble() {
 	n := s.nodes[s.r.IntN(3)]
-	switch s.r.IntN(9) {
+	switch s.r.IntN(10) {
 	case 0:
 		s.note("kill %s", n.name)
 		s.counts["kill"]++
@@ -202,6 +208,11 @@
 	case 7:
 		n.disk.fail = true
 		s.counts["full"]++
+	case 9:
+		if s.up(n) && n.p.bad == nil && n.p.core.HandOver() {
+			n.p.step()
+			s.counts["hand over"]++
+		}
 	case 8:
 		s.loss = [...]float64{0, 0, 0.05, 0.3}[s.r.IntN(4)]
 	}
--- a/internal/archive/sim_test.go
+++ b/internal/archive/sim_test.go
@@ -116,6 +116,8 @@
 	claimed map[byte]uint64
 	bad     []string
 	counts  map[string]int
+	seen    map[string]string
+	dbg     bool
 	plant   string // a fault planted on purpose, to see that the checks catch it
 }
 
@@ -177,7 +179,7 @@
 	}
 	cfg := ledger.Config{Self: n.name, Members: ms, BeatTicks: 2, ElectTicks: 12, MaxBytes: 4096, Rand: rand.New(rand.NewPCG(s.seed, uint64(n.life*10)))}
 	life := n.life
-	p, err := openPart(context.Background(), cfg, n.disk, n.inc, n.clk, hclog.NewNullLogger(), func(l *wire.Letter) {
+	p, err := openPart(context.Background(), cfg, n.disk, func() string { return n.inc }, n.clk, hclog.NewNullLogger(), func(l *wire.Letter) {
 		if n.life == life {
 			s.post(l)
 		}
@@ -252,6 +254,21 @@
 			}
 		}
 	}
+	if s.dbg {
+		for _, n := range s.nodes {
+			if n.p != nil && n.p.bad == nil {
+				x := n.p.core.Stands()
+				k := fmt.Sprintf("%s owns %v term %d owner %s applied %d last %d blank %v", n.name, x.Owns, x.Term, x.Owner, x.Applied, x.Last, x.Blank)
+				if s.seen == nil {
+					s.seen = map[string]string{}
+				}
+				if s.seen[n.name] != k {
+					s.seen[n.name] = k
+					s.note("%s", k)
+				}
+			}
+		}
+	}
 	var open []func() bool
 	for _, f := range s.open {
 		if f() {
--- a/internal/archive/state.go
+++ b/internal/archive/state.go
@@ -42,6 +42,9 @@
 	if err := proto.Unmarshal(b, p); err != nil {
 		return err
 	}
+	if p.Epoch > 1 {
+		return fmt.Errorf("state of epoch %d: this program reads epoch 1: start the newer program", p.Epoch)
+	}
 	*s = *newState()
 	for _, d := range p.Docs {
 		s.docs[d.Key] = d
--- a/internal/catalogue/core.go
+++ b/internal/catalogue/core.go
@@ -200,7 +200,7 @@
 // Example: c.Reshard()
 func (c *Core) Reshard() {
 	for _, w := range c.workers {
-		w.whole = true
+		w.whole, w.told = true, false
 	}
 	for k := range c.all {
 		if !c.mine(k) {
--- a/internal/catalogue/node.go
+++ b/internal/catalogue/node.go
@@ -45,6 +45,7 @@
 	count := func(f func(*Core) float64) func() float64 {
 		return func() (v float64) { n.desk.Ask(func(c *Core) { v = f(c) }); return v }
 	}
+	l.Go(func() { <-l.Draining; ros.Leave() })
 	l.Meter.Gauge("pebbleloom_index_entries", "prefix entries held", count(func(c *Core) float64 { return float64(len(c.all)) }))
 	l.Meter.Count("pebbleloom_index_gaps_total", "gaps seen in workers' reports", count(func(c *Core) float64 { return float64(c.Stats.Gaps) }))
 	l.Meter.Count("pebbleloom_index_whole_reports_total", "full reports taken", count(func(c *Core) float64 { return float64(c.Stats.Wholes) }))
@@ -124,7 +125,7 @@
 			ks = append(ks, prefix.Key(k))
 		}
 	}
-	n.desk.Ask(func(c *Core) { t.Found = c.Seek(ks, n.clk.Now()) })
+	n.desk.Ask(func(c *Core) { t.Found, t.Warm = c.Seek(ks, n.clk.Now()), c.Warm() })
 	return t, nil
 }
 
--- a/internal/catalogue/shards.go
+++ b/internal/catalogue/shards.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -79,17 +80,19 @@
 	return true
 }
 
-// Seek looks keys up, one call a node, all at once. What doesn't answer within the time is
-// a miss, asked of the other holder first: a missing shard never fails a request.
+// Seek looks keys up, one call a node, all at once. A holder that doesn't answer within the
+// time, or that isn't warm yet, is made up for by the other; a missing shard never fails a
+// request.
 //
 // Example: found := s.Seek(ctx, keys, calls.Catalogue, 20*time.Millisecond)
 func (s *Shards) Seek(ctx context.Context, keys []prefix.Key, call func(string) wire.Catalogue, wait time.Duration) map[prefix.Key]*wire.Found {
 	got := make(map[prefix.Key]*wire.Found, len(keys))
+	sure := make(map[prefix.Key]bool, len(keys))
 	var mu sync.Mutex
 	for try := range 2 {
 		by := map[string][]prefix.Key{}
 		for _, k := range keys {
-			if h := s.at[k[0]][try]; got[k] == nil && h != "" {
+			if h := s.at[k[0]][try]; !sure[k] && h != "" {
 				by[h] = append(by[h], k)
 			}
 		}
@@ -111,7 +114,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				for i, k := range ks {
-					got[k] = t.Found[i]
+					got[k], sure[k] = join(got[k], t.Found[i]), t.Warm
 				}
 			})
 		}
@@ -121,6 +124,20 @@
 	return got
 }
 
+// join makes one finding of two holders' findings.
+func join(a, b *wire.Found) *wire.Found {
+	if a == nil {
+		return b
+	}
+	f := &wire.Found{Hotness: max(a.Hotness, b.Hotness), Holders: b.Holders}
+	for _, h := range a.Holders {
+		if !slices.ContainsFunc(b.Holders, func(x *wire.Holding) bool { return x.Worker == h.Worker }) {
+			f.Holders = append(f.Holders, h)
+		}
+	}
+	return f
+}
+
 // Addr is where an index node listens.
 //
 // Example: addr := s.Addr("catalogue/edge-1")
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -13,7 +13,6 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"pebbleloom/api/caller"
-	"pebbleloom/internal/catalogue"
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/daemon"
@@ -70,7 +69,7 @@
 	d.index = newIndex(l, d.clk)
 	calls := daemon.NewCalls(l.Place)
 	d.fol = feed.Follow(l.Ctx, d.clk, l.Log, func() wire.Runner { return calls.Runner(l.Place.Runner) }, d.b.Setup(0.1), d.goes, func(s *feed.Snapshot) {
-		d.index.shards.Store(catalogue.NewShards(s.Nodes))
+		d.index.follow(s.Nodes)
 		l.Ready.Store(s.Fresh(d.clk.Now(), d.b.Setup(0.8)))
 	})
 	d.claims = newClaimer(l, d.fol.Now, calls, rand.Uint64())
--- a/internal/dispatcher/index.go
+++ b/internal/dispatcher/index.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +12,7 @@
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/prefix"
 	"pebbleloom/internal/queue"
+	"pebbleloom/internal/roster"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -26,6 +29,7 @@
 	calls  *daemon.Calls
 	b      settings.Bounds
 	wait   time.Duration
+	laid   string // the index nodes that the shards are laid out over
 	counts *queue.Desk[counter]
 	name   string
 	inc    uint64
@@ -61,6 +65,20 @@
 	return x
 }
 
+// follow lays the shards out anew when the index nodes have changed.
+func (x *index) follow(nodes []*wire.Node) {
+	var now []string
+	for _, n := range nodes {
+		if n.Role == "catalogue" {
+			now = append(now, fmt.Sprintf("%s %s %v", n.Name, n.Addr, n.State < roster.Gone))
+		}
+	}
+	if s := strings.Join(now, "\n"); s != x.laid {
+		x.laid = s
+		x.shards.Store(catalogue.NewShards(nodes))
+	}
+}
+
 // seek looks keys up; nil is a miss on all of them.
 func (x *index) seek(ctx context.Context, keys []prefix.Key) map[prefix.Key]*wire.Found {
 	q := question{keys, make(chan map[prefix.Key]*wire.Found, 1)}
--- a/internal/ledger/letters.go
+++ b/internal/ledger/letters.go
@@ -51,6 +51,10 @@
 		c.tellAppend(l)
 	case wire.LetterKind_TELL_APPEND:
 		c.hearAppend(l)
+	case wire.LetterKind_HAND_OVER:
+		if l.Term == c.hard.Term && l.From == c.owner && c.role == follower {
+			c.stand(candidate)
+		}
 	}
 }
 
@@ -74,7 +78,8 @@
 	r := &wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_APPEND, Index: c.last(), Probe: l.Probe}
 	defer func() { c.send(r) }()
 	if l.Term < c.hard.Term {
-		return // an owner of the past: the answer's term tells it so
+		r.Probe = 0 // it may come to a later life of the asker, whose reads it must not confirm
+		return      // an owner of the past: the answer's term tells it so
 	}
 	c.follow(l.Term, l.From)
 	if l.Kind == wire.LetterKind_ASK_SLOT {
--- a/internal/ledger/orders_test.go
+++ b/internal/ledger/orders_test.go
@@ -169,3 +169,18 @@
 		t.Fatalf("only %d orders were tried", orders)
 	}
 }
+
+// An owner's past life has letters under way. What denies them under the new term must not
+// pass for the answer to a question of the new life: a read would be confirmed by it.
+func TestADenialOfThePastConfirmsNoRead(t *testing.T) {
+	x := newTrio(t)
+	b := x.c["b"]
+	b.Take(&wire.Letter{From: "a", To: "b", Kind: wire.LetterKind_ASK_VOTE, Term: 6})
+	b.Flush()
+	b.Take(&wire.Letter{From: "a", To: "b", Kind: wire.LetterKind_ASK_APPEND, Term: 5, Probe: 50})
+	for _, l := range b.Flush().Letters {
+		if l.Kind != wire.LetterKind_TELL_APPEND || l.Ok || l.Term != 6 || l.Probe != 0 {
+			t.Errorf("a letter of term 5 was answered by %v", l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/stand.go
@@ -0,0 +1,58 @@
+package ledger
+
+import "pebbleloom/internal/wire"
+
+// HandOver asks a colleague that holds the whole log to stand at once; false when this
+// member doesn't own the part or nobody has caught up. The colleague still has to be
+// voted for: handing over changes who stands, not who may win.
+//
+// Example: if c.HandOver() { drive(c.Flush()) }
+func (c *Core) HandOver() bool {
+	if c.role != owner {
+		return false
+	}
+	for _, m := range c.cfg.Members {
+		if p := c.col[m]; p != nil && p.match == c.last() && p.heard < c.cfg.ElectTicks {
+			c.send(&wire.Letter{To: m, Kind: wire.LetterKind_HAND_OVER, Index: c.last(), Commit: c.commit})
+			return true
+		}
+	}
+	return false
+}
+
+// Standing tells how the member stands: who owns the part, and why it can't vote, if so.
+type Standing struct {
+	Owner   string
+	Owns    bool
+	Term    uint64
+	Blank   bool
+	Stuck   string
+	Applied uint64
+	Last    uint64
+	Log     int
+}
+
+// Stands tells how the member stands now.
+//
+// Example: if c.Stands().Owns { … }
+func (c *Core) Stands() Standing {
+	return Standing{c.owner, c.role == owner, c.hard.Term, c.hard.Standing == wire.Standing_BLANK, c.stuck, c.applied, c.last(), len(c.log)}
+}
+
+// Unsettled gives the entries in the log that aren't applied yet: any of them may turn
+// out to have been acknowledged.
+//
+// Example: for _, e := range c.Unsettled() { … }
+func (c *Core) Unsettled() []*wire.Entry { return c.from(c.applied + 1) }
+
+// Sits tells whether a name is a member of this part.
+//
+// Example: c.Sits("core-2")
+func (c *Core) Sits(name string) bool {
+	for _, m := range c.cfg.Members {
+		if m == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/roster/core.go
+++ b/internal/roster/core.go
@@ -266,11 +266,30 @@
 	return b
 }
 
+// Leave says goodbye: the beats it gives tell that this node is gone, so that nobody has
+// to find out by its silence.
+//
+// Example: for _, x := range c.Leave() { send(x) }
+func (c *Core) Leave() []Call {
+	c.self.Beat++
+	c.self.State = Gone
+	var l []Call
+	for _, e := range c.all {
+		if e.n.State == Alive && len(l) < 8 {
+			l = append(l, Call{e.n.Addr, &wire.Beat{Epoch: 1, From: clone(c.self)}})
+		}
+	}
+	return l
+}
+
 // Hear takes a beat and gives the answer to it: what is news, or all where the two views
 // differ.
 //
 // Example: answer := c.Hear(beat, clk.Now())
 func (c *Core) Hear(b *wire.Beat, now time.Duration) *wire.Beat {
+	if b.GetEpoch() != 1 {
+		return &wire.Beat{Epoch: 1, From: clone(c.self)} // a shape this program doesn't read
+	}
 	if b.GetFrom() == nil {
 		return c.beat(true) // somebody who only looks
 	}
--- a/internal/roster/core_test.go
+++ b/internal/roster/core_test.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// A node that leaves is gone for all within a few beats, not after a silence; and what it
+// hears of itself meanwhile doesn't bring it back.
+func TestWhoLeavesIsGoneAtOnce(t *testing.T) {
+	s := newSite(26, 6)
+	s.run(4 * time.Second)
+	for _, x := range s.cores[addr(7)].Leave() {
+		s.cores[x.To].Hear(x.Beat, s.now)
+	}
+	s.down[addr(7)] = true
+	s.run(settings.Default().Leave(0.4))
+	if got := s.states("n-7"); got[Gone] != 25 {
+		t.Fatalf("who left is seen as %v", got)
+	}
+}
+
 // Halves that were cut apart find each other again, and a machine that returns empty at
 // a new address under its old name is taken for what it is.
 func TestHalvesHealAndNamesMove(t *testing.T) {
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -21,6 +21,7 @@
 	call func(addr string) wire.Roster
 	view atomic.Pointer[View]
 	hook func(View)
+	gone bool // the desk's
 }
 
 // View is what a member knew at one moment.
@@ -88,6 +89,18 @@
 // Example: m.View().Role("archive")
 func (m *Member) View() View { return *m.view.Load() }
 
+// Leave tells others that this node stops; it beats no more.
+//
+// Example: m.Leave()
+func (m *Member) Leave() {
+	m.desk.Ask(func(c *Core) {
+		m.gone = true
+		for _, x := range c.Leave() {
+			go m.send(context.Background(), x)
+		}
+	})
+}
+
 func (m *Member) run(ctx context.Context) {
 	tick := clock.Every(m.b.Leave(0.1))
 	defer tick.Stop()
@@ -99,6 +112,9 @@
 		case <-tick.C:
 		}
 		m.desk.Tell(func(c *Core) {
+			if m.gone {
+				return
+			}
 			for _, x := range c.Step(m.clk.Now()) {
 				go m.send(ctx, x)
 			}
