--- a/internal/archive/sim_run_test.go
+++ b/internal/archive/sim_run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -42,6 +43,9 @@
 			base = max(base, w.epoch)
 		}
 	}
+	for _, x := range s.reads {
+		base = max(base, x.epoch)
+	}
 	w := &simWrite{body: fmt.Sprintf("body-%d", len(s.writes)), begin: s.now}
 	s.writes = append(s.writes, w)
 	put := &wire.Put{Key: "doc", Body: []byte(w.body), IfEpoch: base}
@@ -57,6 +61,9 @@
 				s.note("kill %s right after", n.name)
 				s.counts["kill after ack"]++
 				n.p, n.life = nil, n.life+1
+				if s.r.IntN(2) == 0 { // what it had sent meanwhile never left the machine
+					s.mail = slices.DeleteFunc(s.mail, func(m simLetter) bool { return m.l.From == n.name })
+				}
 				for _, m := range s.nodes {
 					s.poll(m)
 				}
