Once a go may have run, no denial says that nothing ran

Cause: only the last go's failure looked at whether an earlier go may have run. All ends of the loop now go through one place.

--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -88,37 +89,34 @@
 		}
 	}
 	found := d.index.seek(ctx, keysOf(d.entries(s, q, tenant)))
+	// Every end below goes through give: once a go may have run, no denial says that it didn't.
+	give := func(err error) (*caller.AnswerOKHeaders, error) { leave(); return nil, honest(err, mayHaveRun) }
 	tried := map[string]bool{}
 	for n := 0; ; {
 		// The pinned epoch is checked again right before every go starts.
 		if now, err := d.pin(q.RequestID); err != nil {
-			leave()
-			return nil, err
+			return give(err)
 		} else if now.Epoch != s.Epoch {
 			if s = now; !s.Setup.Has(h.XTenantKey, tenant) {
-				leave()
-				return nil, deny(errs.BadKey, q.RequestID, 0, "the key was taken out of force")
+				return give(deny(errs.BadKey, q.RequestID, 0, "the key was taken out of force"))
 			}
 			found = d.index.seek(ctx, keysOf(d.entries(s, q, tenant)))
 		}
 		way, ok := s.Setup.Ways[q.Model]
 		if !ok {
-			leave()
-			return nil, deny(errs.NoModel, q.RequestID, 0, "no way leads to model %q", q.Model)
+			return give(deny(errs.NoModel, q.RequestID, 0, "no way leads to model %q", q.Model))
 		}
 		service := way.For(q.RequestID)
 		c, err := d.pickWorker(s, q, tenant, service, found, tried)
 		if err != nil {
-			leave()
-			return nil, err
+			return give(err)
 		}
 		if left := wait - (d.clk.Now() - t0); time.Duration(c.Wait)*time.Microsecond > left {
-			leave()
 			d.gate.Tell(func(g *gate) { g.release(c.Worker.Name) })
 			if left <= 0 {
-				return nil, deny(errs.Expired, q.RequestID, back, "the wait was over before a go could start")
+				return give(deny(errs.Expired, q.RequestID, back, "the wait was over before a go could start"))
 			}
-			return nil, deny(errs.Overloaded, q.RequestID, time.Duration(c.Wait)*time.Microsecond, "a slot is free in %.0f ms, after the wait is over", c.Wait/1000)
+			return give(deny(errs.Overloaded, q.RequestID, time.Duration(c.Wait)*time.Microsecond, "a slot is free in %.0f ms, after the wait is over", c.Wait/1000))
 		}
 		if n == 0 {
 			n++
@@ -147,17 +145,27 @@
 			d.stats.extra.Add(1)
 			continue
 		}
-		leave()
 		switch {
-		case !mayHaveRun:
-			return nil, deny(errs.NotRun, q.RequestID, d.b.Heal(1.0/24), "worker %s: %v", c.Worker.Name, err)
+		case !mayHaveRun || !late && !q.Once.Or(false):
+			return give(deny(errs.NotRun, q.RequestID, d.b.Heal(1.0/24), "worker %s: %v", c.Worker.Name, err))
 		case q.Once.Or(false):
-			return nil, deny(errs.MayHaveRun, q.RequestID, 0, "worker %s: %v", c.Worker.Name, err)
-		case late:
-			return nil, deny(errs.Expired, q.RequestID, d.b.Heal(1.0/24), "worker %s didn't begin in time", c.Worker.Name)
+			return give(deny(errs.MayHaveRun, q.RequestID, 0, "worker %s: %v", c.Worker.Name, err))
 		}
-		return nil, deny(errs.MayHaveRun, q.RequestID, d.b.Heal(1.0/24), "worker %s: %v", c.Worker.Name, err)
+		return give(deny(errs.Expired, q.RequestID, d.b.Heal(1.0/24), "worker %s didn't begin in time", c.Worker.Name))
+	}
+}
+
+// honest makes a denial that says "nothing ran" into one that says what is known.
+func honest(err error, mayHaveRun bool) error {
+	var x denial
+	if !mayHaveRun || !errors.As(err, &x) {
+		return err
+	}
+	switch errs.KindOf(x.error) {
+	case errs.Expired, errs.MayHaveRun:
+		return err
 	}
+	return denial{errs.New(errs.MayHaveRun, "an earlier go may have run; then: %v", x.error), x.id, x.back}
 }
 
 // pin gives the newest setup if it is proved fresh enough to follow.
--- a/internal/dispatcher/answer_test.go
+++ b/internal/dispatcher/answer_test.go
@@ -39,6 +39,7 @@
 	granted map[string]bool
 	snap    *feed.Snapshot
 	clk     *clock.Hand
+	started func() // called when a go has begun; mu is held
 }
 
 type fakeClaims struct{ b *bench }
@@ -78,7 +79,9 @@
 			return
 		}
 		b.mu.Lock()
-		b.starts[s.RequestID]++
+		if b.starts[s.RequestID]++; b.started != nil {
+			b.started()
+		}
 		b.mu.Unlock()
 		if mode == "dies-before" {
 			die()
@@ -273,6 +276,32 @@
 	}
 }
 
+// A go that may have run is followed by a denial for another reason: the caller still has to
+// hear that it may have run, and not a kind that says it didn't.
+func TestWhatMayHaveRunIsNeverDeniedAsNotRun(t *testing.T) {
+	for name, change := range map[string]func(*feed.Snapshot){
+		"the key is taken out of force": func(s *feed.Snapshot) { s.Setup = (&setup.Setup{}).Ready() },
+		"the way is taken away": func(s *feed.Snapshot) {
+			c := *s.Setup
+			c.Ways = nil
+			s.Setup = c.Ready()
+		},
+		"the proof gets too old": func(s *feed.Snapshot) { s.ProofAt = time.Minute },
+		"the workers leave":      func(s *feed.Snapshot) { s.Workers = nil },
+	} {
+		b := newBench(t, "dies-before", "dies-before")
+		b.started = func() {
+			s := *b.snap
+			s.Epoch++
+			change(&s)
+			b.snap = &s
+		}
+		if o := b.ask("r", false); o.Denied != "may-have-run" || b.began("r") != 1 {
+			t.Errorf("%s: %s (%s) after %d starts", name, o.Denied, o.Message, b.began("r"))
+		}
+	}
+}
+
 // A caller that hangs up ends the worker's side, and its place at the gate is free again.
 func TestHangingUpReachesTheWorker(t *testing.T) {
 	b := newBench(t, "hangs")
