--- a/internal/dispatcher/answer_test.go
+++ b/internal/dispatcher/answer_test.go
@@ -331,6 +331,28 @@
 	}
 }
 
+// A caller that reads nothing holds up neither the others nor the memory: its stream waits
+// in the connection, line by line.
+func TestASlowCallerStallsNobody(t *testing.T) {
+	b := newBench(t, "well")
+	b.snap.Workers[0].Slots = 64
+	c, err := net.Dial("tcp", b.edge.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	body := `{"request_id":"slow","model":"m","parts":["x"],"wait_ms":60000,"pieces":512}`
+	fmt.Fprintf(c, "POST /v1/answers HTTP/1.1\r\nHost: x\r\nX-Tenant-Key: key-of-t\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for b.began("slow") == 0 {
+		runtime.Gosched()
+	}
+	for i := range 20 {
+		if o := b.ask(fmt.Sprint("r", i), true); !o.Sealed {
+			t.Fatalf("beside a slow caller: %+v", o)
+		}
+	}
+}
+
 func TestBadRequestsAreTyped(t *testing.T) {
 	b := newBench(t, "well")
 	for body, kind := range map[string]string{
--- a/internal/runner/fresh_test.go
+++ b/internal/runner/fresh_test.go
@@ -149,3 +149,59 @@
 		t.Errorf("drained by the setup: state %d", got)
 	}
 }
+
+// A worker is warned, drained, drains by itself and fails a probe, in every order: from the
+// first of it on it gets nothing new, and once it isn't listed it isn't there.
+func TestEveryOrderOfAWorkerLeaving(t *testing.T) {
+	b := settings.Default()
+	x := contract.Listed{Name: "w", Addr: "127.0.0.1:1", Kind: "lm"}
+	n := 0
+	var walk func(done []int, used int)
+	walk = func(done []int, used int) {
+		if len(done) < 4 {
+			for i := range 4 {
+				if used&(1<<i) == 0 {
+					walk(append(append([]int(nil), done...), i), used|1<<i)
+				}
+			}
+			return
+		}
+		n++
+		w, now := NewWorkers(b), time.Second
+		w.Listed([]contract.Listed{x}, now)
+		w.Probe()
+		w.Probed(x, contract.State{Name: "w", Weights: 1}, true, now, now)
+		var drains map[string]bool
+		if w.Table(drains, now)[0].State != feed.WorkerUp {
+			t.Fatal("it isn't up to begin with")
+		}
+		l, s, unlisted := x, contract.State{Name: "w", Weights: 1}, false
+		for _, i := range done {
+			now += 10 * time.Millisecond
+			switch i {
+			case 0:
+				l.Draining = true
+			case 1:
+				drains = map[string]bool{"w": true}
+			case 2:
+				s.Draining = true
+			case 3:
+				unlisted = true
+			}
+			if !unlisted {
+				w.Listed([]contract.Listed{l}, now)
+			} else {
+				w.Listed(nil, now)
+			}
+			w.Probed(l, s, true, now, now)
+			rows := w.Table(drains, now)
+			if unlisted != (len(rows) == 0) || !unlisted && rows[0].State != feed.WorkerDraining {
+				t.Fatalf("after %v, at %d: %v", done, i, rows)
+			}
+		}
+	}
+	walk(nil, 0)
+	if n != 24 {
+		t.Fatalf("%d orders", n)
+	}
+}
