--- a/internal/yard/compare.go
+++ b/internal/yard/compare.go
@@ -36,7 +36,7 @@
 			if err != nil {
 				return errs.Wrap(err, m)
 			}
-			got[m] = append(got[m], s)
+			got[m] = append(got[m], s.Sum)
 		}
 	}
 	w := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -23,6 +23,7 @@
 	Site, Dir, Bin, Mode string
 	Scenario             string
 	Seconds, Net, Seeds  int
+	Times                int
 	Seed                 uint64
 	Rate                 float64
 }
@@ -51,6 +52,7 @@
 		s.Int(&o.Seconds, "t", "seconds", "how long callers send")
 		s.Int(&o.Net, "n", "net", "second byte of the loopback addresses")
 		s.String(&o.Scenario, "c", "scenario", "with play: its name; all of them without")
+		s.Int(&o.Times, "x", "times", "times today's size, 1 to 4")
 		s.Int(&o.Seeds, "k", "seeds", "with compare: how many seeds")
 		s.UInt64(&o.Seed, "e", "seed", "seed of the callers")
 		s.Float64(&o.Rate, "r", "rate", "requests a second; 0: the site's own")
@@ -134,7 +136,7 @@
 }
 
 func (o Options) start(ctx context.Context) (*Fleet, error) {
-	s, err := Plan(o.Site, o.Dir, o.Net, nil)
+	s, err := PlanTimes(o.Site, o.Dir, o.Net, nil, max(1, o.Times))
 	if err != nil {
 		return nil, err
 	}
@@ -164,10 +166,10 @@
 // Run runs a site with callers for a while, and settles what they saw with what ran.
 //
 // Example: sum, err := yard.Run(ctx, yard.Options{Site: "daegu", Seconds: 10, Seed: 1})
-func Run(ctx context.Context, o Options) (fares.Sum, error) {
+func Run(ctx context.Context, o Options) (Ran, error) {
 	f, err := o.start(ctx)
 	if err != nil {
-		return fares.Sum{}, err
+		return Ran{}, err
 	}
 	defer f.Down()
 	book := &fares.Book{}
@@ -175,11 +177,12 @@
 	one, end := context.WithTimeout(ctx, time.Duration(o.Seconds)*2*time.Second)
 	defer end()
 	fares.Drive(one, f.Site.Traffic, fares.NewCaller(f.Site.Edges), o.Seed, "r", n, book)
+	use := f.Usage()
 	js, err := f.Journals()
 	if err != nil {
-		return fares.Sum{}, errs.Wrap(err, "journals")
+		return Ran{}, errs.Wrap(err, "journals")
 	}
-	return book.Settle(js, true), nil
+	return Ran{book.Settle(js, true), use}, nil
 }
 
 // scenarios lists them, or plays one or all, over as many seeds as asked for.
--- a/internal/yard/site.go
+++ b/internal/yard/site.go
@@ -44,6 +44,17 @@
 //
 // Example: s, err := yard.Plan("paramo", "/tmp/run", 10, nil)
 func Plan(name, dir string, net int, cabWords []string) (*Site, error) {
+	return PlanTimes(name, dir, net, cabWords, 1)
+}
+
+// PlanTimes lays a site out at several times today's size: edge machines, workers and
+// traffic grow, the four core machines stay.
+//
+// Example: s, err := yard.PlanTimes("daegu", "/tmp/run", 10, nil, 4)
+func PlanTimes(name, dir string, net int, cabWords []string, times int) (*Site, error) {
+	if times < 1 || times > 4 {
+		return nil, errs.New(errs.BadInput, "times %d: give 1 to 4", times)
+	}
 	s := &Site{Name: name, Cabs: map[string]string{}}
 	b := settings.Default()
 	link, far, alpha := "link=40000", "far=25000", 0.3
@@ -69,6 +80,7 @@
 		Models:   map[string]setup.Model{lm: {Weights: weights}, app: {Weights: 1}},
 		Services: map[string]setup.Service{lm + "-main": {Model: lm, Alpha: alpha}, app + "-main": {Model: app}},
 		Ways:     map[string]setup.Way{lm: {Service: lm + "-main"}, app: {Service: app + "-main"}}}
+	s.Traffic.Rate *= float64(times)
 	for i := range 8 {
 		t := fares.Tenant{Name: fmt.Sprintf("tenant-%d", i+1), Key: fmt.Sprintf("key-of-%s-tenant-%d", name, i+1), Weight: 1, Walled: i == 7}
 		if i < 2 {
@@ -93,7 +105,7 @@
 		add("appraiser-"+n, "appraiser", settings.Place{Name: n, District: d, Listen: at(a, 7004)})
 		s.Operators = append(s.Operators, at(a, 8090))
 	}
-	for i := range 9 {
+	for i := range 9 * times {
 		z := i%4 + 1
 		a, n, d := ip(z, 11+i/4), fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("district-%d", z)
 		add("runner-"+n, "runner", settings.Place{Name: n, District: d, Listen: at(a, 7000), Operator: at(a, 8090)})
@@ -101,7 +113,7 @@
 		add("dispatcher-"+n, "dispatcher", settings.Place{Name: n, District: d, Listen: at(a, 7001), Public: at(a, 8080), Runner: at(a, 7000)})
 		s.Edges, s.Operators = append(s.Edges, at(a, 8080)), append(s.Operators, at(a, 8090))
 	}
-	for i := range 18 {
+	for i := range 18 * times {
 		z := i%4 + 1
 		a, n, d := ip(z, 21+i/4), fmt.Sprintf("cab-%d", i+1), fmt.Sprintf("district-%d", z)
 		s.List = append(s.List, contract.Listed{Name: n, Addr: at(a, 9000), Kind: "lm", Service: lm + "-main", District: d})
--- /dev/null
+++ b/internal/yard/usage.go
@@ -0,0 +1,86 @@
+package yard
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"pebbleloom/internal/fares"
+)
+
+// Ran is what a run of a site has shown.
+type Ran struct {
+	fares.Sum
+	Usage map[string]Use `json:"usage"`
+}
+
+// Use is what a program's processes have used, the one that used most.
+type Use struct {
+	Processes int     `json:"processes"`
+	PeakMB    float64 `json:"peak_mb"`     // resident, at the most
+	CPUShare  float64 `json:"cpu_percent"` // of one core, since it started
+}
+
+// Usage reads what the running processes have used, by program.
+//
+// Example: for prog, u := range f.Usage() { fmt.Println(prog, u.PeakMB) }
+func (f *Fleet) Usage() map[string]Use {
+	m := map[string]Use{}
+	for _, p := range f.Site.Processes {
+		f.mu.Lock()
+		c := f.proc[p.Name]
+		f.mu.Unlock()
+		if c == nil || c.Process == nil {
+			continue
+		}
+		u := m[p.Program]
+		u.Processes++
+		u.PeakMB = max(u.PeakMB, peak(c.Process.Pid))
+		u.CPUShare = max(u.CPUShare, cpu(c.Process.Pid))
+		m[p.Program] = u
+	}
+	return m
+}
+
+func peak(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0 // it has ended
+	}
+	for _, l := range strings.Split(string(raw), "\n") {
+		if v, ok := strings.CutPrefix(l, "VmHWM:"); ok {
+			if n, err := strconv.ParseFloat(strings.Fields(v)[0], 64); err == nil {
+				return n / 1024
+			}
+		}
+	}
+	return 0
+}
+
+// cpu is the share of one core since the process started, in percent.
+func cpu(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	up, err2 := os.ReadFile("/proc/uptime")
+	if err != nil || err2 != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fs := strings.Fields(rest)
+	num := func(s string) float64 {
+		n, err := strconv.ParseFloat(s, 64)
+		if err != nil {
+			return 0
+		}
+		return n
+	}
+	if len(fs) < 20 {
+		return 0
+	}
+	const ticks = 100 // a second, as Linux counts for user space
+	lived := num(strings.Fields(string(up))[0]) - num(fs[19])/ticks
+	if lived <= 0 {
+		return 0
+	}
+	return (num(fs[11]) + num(fs[12])) / ticks / lived * 100
+}
