--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -9,6 +9,7 @@
 	"os"
 	"path"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -165,7 +166,13 @@
 			said = err.Error()
 			p.fault("step %s %s: %v", x.Do, x.Who, err)
 		}
-		p.rep.Steps = append(p.rep.Steps, fmt.Sprintf("%d ms: %s %s %s: %s", time.Since(t0).Milliseconds(), x.Do, strings.Join(p.picked[x.Who], " "), x.To, said))
+		names := x.Who
+		for _, w := range strings.Fields(x.Who) {
+			if l := p.picked[w]; l != nil {
+				names = strings.Replace(names, w, strings.Join(l, " "), 1)
+			}
+		}
+		p.rep.Steps = append(p.rep.Steps, fmt.Sprintf("%d ms: %s %s %s: %s", time.Since(t0).Milliseconds(), x.Do, names, x.To, said))
 	}
 	closed := max(time.Now().UnixMilli(), t0.UnixMilli()+int64(last))
 	wg.Wait()
@@ -191,35 +198,17 @@
 	}
 }
 
-// who names the processes that a step means; the same words mean the same ones throughout a run.
+// who names the processes that a step means; a word means the same ones throughout a run.
 func (p *play) who(ctx context.Context, w string) ([]string, error) {
-	if l := p.picked[w]; l != nil {
-		return l, nil
-	}
 	var l []string
 	for _, x := range strings.Fields(w) {
-		if x == "@owner" {
-			n, err := p.f.owner(ctx)
-			if err != nil {
+		hit, ok := p.picked[x]
+		if !ok {
+			var err error
+			if hit, err = p.word(ctx, x); err != nil {
 				return nil, err
 			}
-			l = append(l, "archive-"+n)
-			continue
-		}
-		pat, n, few := strings.Cut(x, ":")
-		var hit []string
-		for _, q := range p.f.Site.Processes {
-			if ok, err := path.Match(pat, q.Name); ok && err == nil {
-				hit = append(hit, q.Name)
-			}
-		}
-		if few {
-			var k int
-			if _, err := fmt.Sscan(n, &k); err != nil {
-				return nil, errs.New(errs.BadInput, "%q: give pattern:count", x)
-			}
-			p.r.Shuffle(len(hit), func(i, j int) { hit[i], hit[j] = hit[j], hit[i] })
-			hit = hit[:min(k, len(hit))]
+			p.picked[x] = hit
 		}
 		l = append(l, hit...)
 	}
@@ -227,8 +216,30 @@
 		return nil, errs.New(errs.BadInput, "%q names no process", w)
 	}
 	sort.Strings(l)
-	p.picked[w] = l
-	return l, nil
+	return slices.Compact(l), nil
+}
+
+func (p *play) word(ctx context.Context, x string) ([]string, error) {
+	if x == "@owner" {
+		n, err := p.f.owner(ctx)
+		return []string{"archive-" + n}, err
+	}
+	pat, n, few := strings.Cut(x, ":")
+	var hit []string
+	for _, q := range p.f.Site.Processes {
+		if ok, err := path.Match(pat, q.Name); ok && err == nil {
+			hit = append(hit, q.Name)
+		}
+	}
+	if few {
+		var k int
+		if _, err := fmt.Sscan(n, &k); err != nil {
+			return nil, errs.New(errs.BadInput, "%q: give pattern:count", x)
+		}
+		p.r.Shuffle(len(hit), func(i, j int) { hit[i], hit[j] = hit[j], hit[i] })
+		hit = hit[:min(k, len(hit))]
+	}
+	return hit, nil
 }
 
 // step carries out one step.
