Unknown flags and stray words are denied by name, in every program

Cause: the flag library passes unknown flags over unless it may print its help and exit. Ruled out: letting it (no typed message, its own exit code). The line is now checked against the parser's own flags first.

--- a/internal/archive/recorded_test.go
+++ b/internal/archive/recorded_test.go
@@ -56,7 +56,7 @@
 }
 
 // What a later release wrote is refused, not guessed at.
-func TestLaterShapesAreRefused(t *testing.T) {
+func TestLaterShapesAreDenied(t *testing.T) {
 	state, err := proto.Marshal(&wire.PartState{Epoch: 2})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -18,6 +18,7 @@
 
 	"pebbleloom/api/operator"
 	"pebbleloom/internal/errs"
+	set "pebbleloom/internal/settings"
 )
 
 const about = `the operator's command line; any node answers, and all answer the same
@@ -134,10 +135,20 @@
 		}
 		return errs.KindOf(err).Exit
 	}
-	if err := ps.ParseArgs(args); err != nil {
-		return fail(errs.As(err, errs.BadInput, "flags"))
+	for _, a := range args {
+		r.asJSON = r.asJSON || a == "--json" || a == "-j" // also for what is wrong with the flags
+	}
+	words, err := set.Strict(ps, args)
+	if err == nil {
+		err = errs.As(ps.ParseArgs(args), errs.BadInput, "flags")
+	}
+	if err != nil {
+		return fail(err)
 	}
 	c := used()
+	if c != nil && strings.Join(words, " ") != c.path {
+		return fail(errs.New(errs.BadInput, "%q: desk %s takes flags alone: see desk --help", words, c.path))
+	}
 	if c == nil {
 		return fail(errs.New(errs.BadInput, "no such command: see desk --help"))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,7 +109,14 @@
 	ps.String(&f.Rank, "", "rank", "address where the platform lists workers")
 	ps.String(&extra, "", "extra", "the program's own words, key=value joined by commas")
 	var b errs.Batch
-	if err := ps.ParseArgs(args); err != nil {
+	words, err := Strict(ps, args)
+	if err == nil && len(words) > 0 {
+		err = errs.New(errs.BadInput, "%q: %s takes flags alone: see --help", words, prog)
+	}
+	if err == nil {
+		err = errs.As(ps.ParseArgs(args), errs.BadInput, "flags")
+	}
+	if err != nil {
 		return p, errs.As(err, errs.BadInput, "flags")
 	}
 	if file != "" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,6 +32,11 @@
 	if len(p.Seeds) != 3 || p.Word("kv", "") != "9" || p.Word("none", "x") != "x" || p.Bounds.SetupMs != 2000 {
 		t.Errorf("%+v", p)
 	}
+	for _, args := range [][]string{{"--nmae", "edge-1"}, {"--name"}, {"start"}, {"--name", "x", "y"}} {
+		if _, err := Read("runner", "", args, Need{}); errs.KindOf(err) != errs.BadInput || !strings.Contains(err.Error(), "flags") {
+			t.Errorf("%v: %v", args, err)
+		}
+	}
 	if _, err := Read("runner", "", []string{"--settings", "/nowhere"}, Need{}); errs.KindOf(err) != errs.BadInput {
 		t.Errorf("a missing file: %v", err)
 	}
--- a/internal/yard/callers.go
+++ b/internal/yard/callers.go
@@ -11,6 +11,7 @@
 
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fares"
+	"pebbleloom/internal/settings"
 )
 
 // Callers is the command line of the callers: they send to a site that is up.
@@ -30,8 +31,12 @@
 		fmt.Fprintln(bad, "fares: "+errs.Text(err))
 		return errs.KindOf(err).Exit
 	}
-	if err := ps.ParseArgs(args); err != nil {
-		return fail(errs.As(err, errs.BadInput, "flags"))
+	_, err := settings.Strict(ps, args)
+	if err == nil {
+		err = errs.As(ps.ParseArgs(args), errs.BadInput, "flags")
+	}
+	if err != nil {
+		return fail(err)
 	}
 	s, err := Plan(site, "", net, nil)
 	if err != nil {
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -16,6 +16,7 @@
 
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fares"
+	"pebbleloom/internal/settings"
 )
 
 // Options are what the yard's commands take.
@@ -63,8 +64,15 @@
 		fmt.Fprintln(bad, "yard: "+errs.Text(err))
 		return errs.KindOf(err).Exit
 	}
-	if err := ps.ParseArgs(args); err != nil {
-		return fail(errs.As(err, errs.BadInput, "flags"))
+	words, err := settings.Strict(ps, args)
+	if err == nil && len(words) > 1 {
+		err = errs.New(errs.BadInput, "%q: give one command: see --help", words)
+	}
+	if err == nil {
+		err = errs.As(ps.ParseArgs(args), errs.BadInput, "flags")
+	}
+	if err != nil {
+		return fail(err)
 	}
 	used := ""
 	for n, c := range sub {
