--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -236,19 +236,15 @@
 // hot gathers the hottest entries of all index nodes; two hold each, the higher count is used.
 func (a *Appraiser) hot(service string) []*wire.Hot {
 	all := map[string]*wire.Hot{}
-	for _, n := range a.ros.View().Role("catalogue") {
-		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
-		t, err := a.calls.Catalogue(n.Addr).Hottest(ctx, &wire.HotAsk{Service: service, Limit: 1000})
-		end()
-		if err != nil {
-			continue // the other holder has it
-		}
+	gather(a, "catalogue", func(ctx context.Context, addr string) (*wire.HotTell, error) {
+		return a.calls.Catalogue(addr).Hottest(ctx, &wire.HotAsk{Service: service, Limit: 1000})
+	}, func(t *wire.HotTell) {
 		for _, h := range t.Hot {
 			if o := all[string(h.Key)]; o == nil || o.Hotness < h.Hotness {
 				all[string(h.Key)] = h
 			}
 		}
-	}
+	})
 	l := make([]*wire.Hot, 0, len(all))
 	for _, h := range all {
 		l = append(l, h)
--- a/internal/appraiser/pace.go
+++ b/internal/appraiser/pace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"pebbleloom/internal/calendar"
@@ -18,17 +19,38 @@
 	ok, bad map[string]float64 // by worker
 }
 
+// gather asks all nodes of a role at once, each within a short time, and hands their
+// answers over one by one; who doesn't answer is left out, and holds up nobody.
+func gather[T any](a *Appraiser, role string, ask func(ctx context.Context, addr string) (T, error), take func(T)) {
+	ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
+	defer end()
+	ns := a.ros.View().Role(role)
+	got := make(chan T, len(ns))
+	var wg sync.WaitGroup
+	room := make(chan struct{}, 16)
+	for _, n := range ns {
+		wg.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			if t, err := ask(ctx, n.Addr); err == nil {
+				got <- t
+			}
+		})
+	}
+	wg.Wait()
+	close(got)
+	for t := range got {
+		take(t)
+	}
+}
+
 // seen adds up what the runners tell of their dispatchers.
 func (a *Appraiser) seen() seen {
 	all := seen{ok: map[string]float64{}, bad: map[string]float64{}}
 	sum := map[string]*wire.LinkSeen{}
-	for _, n := range a.ros.View().Role("runner") {
-		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
-		t, err := a.calls.Runner(n.Addr).Feed(ctx, &wire.FeedAsk{})
-		end()
-		if err != nil {
-			continue
-		}
+	gather(a, "runner", func(ctx context.Context, addr string) (*wire.FeedTell, error) {
+		return a.calls.Runner(addr).Feed(ctx, &wire.FeedAsk{})
+	}, func(t *wire.FeedTell) {
 		for _, l := range t.Links {
 			s := sum[l.Class]
 			if s == nil {
@@ -42,7 +64,7 @@
 			all.ok[w.Name] += w.Ok
 			all.bad[w.Name] += w.Bad
 		}
-	}
+	})
 	return all
 }
 
@@ -50,18 +72,9 @@
 // machine's clock that jumps moves nothing.
 func (a *Appraiser) wall() time.Time {
 	var l []int64
-	for _, c := range a.life.Place.Core {
-		addr, ok := a.ros.View().Addr("archive/" + c)
-		if !ok {
-			continue
-		}
-		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/48))
-		t, err := a.calls.Archive(addr).Time(ctx, &wire.TimeAsk{})
-		end()
-		if err == nil {
-			l = append(l, t.WallNs)
-		}
-	}
+	gather(a, "archive", func(ctx context.Context, addr string) (*wire.TimeTell, error) {
+		return a.calls.Archive(addr).Time(ctx, &wire.TimeAsk{})
+	}, func(t *wire.TimeTell) { l = append(l, t.WallNs) })
 	return median(l, len(a.life.Place.Core))
 }
 
--- a/internal/catalogue/core_test.go
+++ b/internal/catalogue/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -161,3 +162,31 @@
 		}
 	}
 }
+
+// A full table with three holders an entry fits into a small machine's memory beside the
+// other programs.
+func TestAFullIndexFitsItsMachine(t *testing.T) {
+	b := settings.Default()
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc) / (1 << 20)
+	}
+	before := heap()
+	c := New(b, all)
+	for w := range 3 {
+		c.Report(fmt.Sprint("cab-", w), "s", contract.Reports{Incarnation: "i", Whole: true}, 1)
+	}
+	for i := range b.Entries {
+		k := key(i)
+		c.Count(&wire.CountAsk{Teller: "d", Incarnation: 1, Number: uint64(i + 1), Accesses: []*wire.Access{{Key: k[:], Count: 1, Tokens: 900, Service: "s",
+			Presumed: []string{"cab-0", "cab-1", "cab-2"}}}}, time.Duration(i))
+	}
+	mb := heap() - before
+	t.Logf("%d entries with 3 holders: %.1f MB", len(c.all), mb)
+	if len(c.all) != b.Entries || mb > 60 {
+		t.Errorf("%d entries take %.1f MB", len(c.all), mb)
+	}
+	runtime.KeepAlive(c)
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -104,6 +104,7 @@
 	ps.Description = about
 	ps.ShowHelpOnUnexpected = false
 	ps.DisableShowVersionWithVersion()
+	ps.ShowCompletion = false
 	ps.String(&r.node, "n", "node", "operator address of any node (also PEBBLELOOM_NODE)")
 	ps.Bool(&r.asJSON, "j", "json", "answer in JSON")
 	ps.String(&r.file, "f", "file", "file to read (- for standard input)")
--- a/internal/dispatcher/pick.go
+++ b/internal/dispatcher/pick.go
@@ -37,6 +37,8 @@
 	MeanUs    float64           // how long a go takes, lately
 	Stores    map[string]string // name -> address
 	StoreB    float64
+
+	pressed bool // nobody else is left
 }
 
 // Choice is the worker picked and how the placement takes effect on the request.
@@ -112,6 +114,10 @@
 			best, bestHome = o, home
 		}
 	}
+	if best == nil && !q.pressed && q.Placement != nil && len(q.Placement.Rolling) > 0 {
+		q.pressed = true // better one that is set aside than none
+		return Pick(q)
+	}
 	if best == nil {
 		return Choice{}, false
 	}
@@ -123,7 +129,7 @@
 
 // aside tells whether a worker is set aside: it is about to load newer weights.
 func (q *Query) aside(w *wire.Worker) bool {
-	return q.Placement != nil && w.Weights < q.Newest && slices.Contains(q.Placement.Rolling, w.Name)
+	return !q.pressed && q.Placement != nil && w.Weights < q.Newest && slices.Contains(q.Placement.Rolling, w.Name)
 }
 
 func less(id, a, b string) bool { return placement.Home(prefixKey(id), []string{a, b})[0] == a }
--- a/internal/dispatcher/pick_test.go
+++ b/internal/dispatcher/pick_test.go
@@ -124,6 +124,17 @@
 			}
 		}
 	})
+	t.Run("who is set aside gets nothing as long as anybody else is there", func(t *testing.T) {
+		q := query(true, map[string]string{"w1": ""})
+		q.Newest, q.Placement.Rolling = 2, []string{"w1", "w2"}
+		if c, ok := Pick(q); !ok || c.Worker.Name == "w1" || c.Worker.Name == "w2" {
+			t.Errorf("picked %s", c.Worker.Name)
+		}
+		q.Workers = q.Workers[1:3]
+		if c, ok := Pick(q); !ok || c.Worker.Name != "w1" {
+			t.Errorf("of two set aside: %v %v", c.Worker, ok)
+		}
+	})
 	t.Run("workers on other weights, tried ones and unsure ones are left out", func(t *testing.T) {
 		q := query(true, nil)
 		q.Workers[0].Weights, q.Workers[1].State, q.Tried = 2, 1, map[string]bool{"w2": true}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,6 +96,7 @@
 	ps.Description = about
 	ps.ShowHelpOnUnexpected = false
 	ps.DisableShowVersionWithVersion()
+	ps.ShowCompletion = false
 	ps.String(&file, "s", "settings", "settings file (JSON)")
 	ps.String(&f.Name, "n", "name", "name of the machine or worker")
 	ps.String(&f.District, "d", "district", "district it stands in")
--- a/internal/yard/callers.go
+++ b/internal/yard/callers.go
@@ -23,6 +23,7 @@
 	ps.Description = "sends a site's traffic and checks every answer"
 	ps.ShowHelpOnUnexpected = false
 	ps.DisableShowVersionWithVersion()
+	ps.ShowCompletion = false
 	ps.String(&site, "s", "site", "paramo or daegu")
 	ps.Int(&seconds, "t", "seconds", "how long to send")
 	ps.Int(&net, "n", "net", "second byte of the site's loopback addresses")
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -38,6 +38,7 @@
 	ps.Description = "runs a whole site on this machine\n\n  yard up --site paramo              run until interrupted\n  yard run --site daegu --seconds 20  run with callers, check, report, stop\n  yard fit > curve.json               fit the prefill curve on a worker"
 	ps.ShowHelpOnUnexpected = false
 	ps.DisableShowVersionWithVersion()
+	ps.ShowCompletion = false
 	sub := map[string]*flaggy.Subcommand{}
 	for _, c := range [][2]string{{"up", "start a site and keep it until interrupted"}, {"run", "start a site, send callers' traffic, check it all, stop"},
 		{"compare", "run a site under each placement in turn, over several seeds, and print a table"},
