--- a/internal/archive/sim_run_test.go
+++ b/internal/archive/sim_run_test.go
@@ -186,7 +186,7 @@
 // trouble brings one failure about.
 func (s *sim) trouble() {
 	n := s.nodes[s.r.IntN(3)]
-	switch s.r.IntN(10) {
+	switch s.r.IntN(11) {
 	case 0:
 		s.note("kill %s", n.name)
 		s.counts["kill"]++
@@ -215,6 +215,9 @@
 	case 7:
 		n.disk.fail = true
 		s.counts["full"]++
+	case 10:
+		n.stall = [...]time.Duration{0, 30 * time.Millisecond, 2 * time.Second}[s.r.IntN(3)]
+		s.counts["stall"]++
 	case 9:
 		if s.up(n) && n.p.bad == nil && n.p.core.HandOver() {
 			n.p.step()
@@ -299,7 +302,7 @@
 		clear(s.cut)
 		s.loss = 0
 		for _, n := range s.nodes {
-			n.frozen, n.disk.fail = 0, false
+			n.frozen, n.stall, n.disk.fail = 0, 0, false
 		}
 		s.mend(true)
 		acked, healed := s.counts["acked"], false
--- a/internal/archive/sim_test.go
+++ b/internal/archive/sim_test.go
@@ -24,8 +24,9 @@
 // simDisk fails, stalls or loses power on demand. Whatever a call returned from is synced.
 type simDisk struct {
 	f     map[string][]byte
-	fail  bool // every write fails: full, or a failed sync
-	power int  // bytes until the power goes; below zero: never
+	fail  bool   // every write fails: full, or a failed sync
+	power int    // bytes until the power goes; below zero: never
+	slow  func() // called at every write: it may take its time
 }
 
 func newSimDisk() *simDisk { return &simDisk{f: map[string][]byte{}, power: -1} }
@@ -38,6 +39,9 @@
 }
 
 func (d *simDisk) put(n string, b []byte) error {
+	if d.slow != nil {
+		d.slow()
+	}
 	if d.fail {
 		d.f[n] = append(d.f[n], b[:len(b)/2]...)
 		return errFull
@@ -77,7 +81,8 @@
 	next   time.Duration // its next tick
 	life   int
 	inc    string
-	blank  bool // its disk isn't caught up yet
+	stall  time.Duration // how long a write may take
+	blank  bool          // its disk isn't caught up yet
 }
 
 type simLetter struct {
@@ -172,6 +177,11 @@
 		n.inc = fmt.Sprintf("%s/%d", n.name, n.life)
 	}
 	n.disk.power, n.disk.fail = -1, false
+	n.disk.slow = func() { // the member does nothing else while a write takes its time
+		if n.stall > 0 {
+			n.frozen = max(n.frozen, s.now+time.Duration(s.r.Int64N(int64(n.stall))))
+		}
+	}
 	n.clk.T = time.Duration(s.r.Int64N(int64(time.Hour)))
 	var ms []string
 	for _, m := range s.nodes {
@@ -207,6 +217,9 @@
 	if s.r.Float64() < 0.02 {
 		d += time.Duration(s.r.Int64N(int64(time.Second)))
 	}
+	if n := s.node(l.From); n.frozen > s.now {
+		d += n.frozen - s.now // it is sent once the write is through
+	}
 	s.sent++
 	s.mail = append(s.mail, simLetter{s.now + time.Millisecond + d, s.sent, l})
 	if s.r.Float64() < 0.02 {
