--- a/internal/appservice/appservice.go
+++ b/internal/appservice/appservice.go
@@ -19,27 +19,22 @@
 func Start(l *daemon.Life) error {
 	slots := make(chan struct{}, 8)
 	inc := fmt.Sprintf("%s/%x", l.Place.Name, time.Now().UnixNano())
-	tell := func(w http.ResponseWriter, code int, v any) {
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(code)
-		_ = json.NewEncoder(w).Encode(v) // a caller that hung up can't be told
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, _ *http.Request) {
-		tell(w, 200, contract.State{Name: l.Place.Name, Incarnation: inc, Service: l.Place.Word("service", ""), Model: l.Place.Word("model", ""),
+		contract.Tell(w, 200, contract.State{Name: l.Place.Name, Incarnation: inc, Service: l.Place.Word("service", ""), Model: l.Place.Word("model", ""),
 			District: l.Place.District, Weights: 1, Slots: cap(slots), Busy: len(slots)})
 	})
 	mux.HandleFunc("POST /v1/start", func(w http.ResponseWriter, r *http.Request) {
 		var s contract.Start
 		if err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&s); err != nil || s.RequestID == "" {
-			tell(w, 400, contract.Denial{NotRun: true, Reason: "bad"})
+			contract.Tell(w, 400, contract.Denial{NotRun: true, Reason: "bad"})
 			return
 		}
 		select {
 		case slots <- struct{}{}:
 			defer func() { <-slots }()
 		default:
-			tell(w, 409, contract.Denial{NotRun: true, Reason: "full"})
+			contract.Tell(w, 409, contract.Denial{NotRun: true, Reason: "full"})
 			return
 		}
 		w.Header().Set("Content-Type", "application/x-ndjson")
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -369,12 +369,12 @@
 func (p *part) pick(a *wire.ReadAsk) ([]*wire.Doc, []*wire.Lease) {
 	var ds []*wire.Doc
 	var ls []*wire.Lease
-	for _, k := range order(p.st.docs) {
+	for _, k := range queue.Keys(p.st.docs) {
 		if k == a.Key || a.Prefix && len(k) >= len(a.Key) && k[:len(a.Key)] == a.Key {
 			ds = append(ds, p.st.docs[k])
 		}
 	}
-	for _, k := range order(p.st.leases) {
+	for _, k := range queue.Keys(p.st.leases) {
 		ls = append(ls, p.st.leases[k])
 	}
 	return ds, ls
--- a/internal/archive/state.go
+++ b/internal/archive/state.go
@@ -5,11 +5,11 @@
 import (
 	"crypto/sha256"
 	"fmt"
-	"sort"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"pebbleloom/internal/queue"
 	"pebbleloom/internal/wire"
 )
 
@@ -62,24 +62,15 @@
 
 func (s *state) save() ([]byte, error) {
 	p := &wire.PartState{Epoch: 1, Tokens: s.tokens, Claims: s.claims.save()}
-	for _, k := range order(s.docs) {
+	for _, k := range queue.Keys(s.docs) {
 		p.Docs = append(p.Docs, s.docs[k])
 	}
-	for _, k := range order(s.leases) {
+	for _, k := range queue.Keys(s.leases) {
 		p.Leases = append(p.Leases, s.leases[k])
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(p)
 }
 
-func order[V any](m map[string]V) []string {
-	l := make([]string, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Strings(l)
-	return l
-}
-
 // apply carries out one command and tells its outcome.
 func (s *state) apply(c *wire.Command, now time.Duration) *wire.ChangeTell {
 	switch k := c.GetKind().(type) {
--- a/internal/cab/cab.go
+++ b/internal/cab/cab.go
@@ -129,13 +129,6 @@
 	return x
 }
 
-func tell(w http.ResponseWriter, code int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(code)
-	// A caller that hung up can't be told anything.
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 func (c *Cab) now() contract.State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,11 +138,11 @@
 		Busy: len(c.slots), Queued: c.waiting, Draining: c.drain, Fence: c.fence, KvTokens: used, KvRoom: room}
 }
 
-func (c *Cab) state(w http.ResponseWriter, _ *http.Request) { tell(w, 200, c.now()) }
+func (c *Cab) state(w http.ResponseWriter, _ *http.Request) { contract.Tell(w, 200, c.now()) }
 
 func (c *Cab) kept(w http.ResponseWriter, r *http.Request) {
 	if c.mute {
-		tell(w, 503, map[string]string{"error": "no reports today"})
+		contract.Tell(w, 503, map[string]string{"error": "no reports today"})
 		return
 	}
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
@@ -158,7 +151,7 @@
 	}
 	rep := c.kv.Reports(after, r.URL.Query().Get("whole") == "true")
 	rep.Incarnation = c.inc
-	tell(w, 200, rep)
+	contract.Tell(w, 200, rep)
 }
 
 func (c *Cab) journal(w http.ResponseWriter, _ *http.Request) {
@@ -168,21 +161,21 @@
 		l = append(l, *r)
 	}
 	c.mu.Unlock()
-	tell(w, 200, l)
+	contract.Tell(w, 200, l)
 }
 
 // order obeys the latest fence alone.
 func (c *Cab) order(w http.ResponseWriter, r *http.Request) {
 	var o contract.Order
 	if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&o); err != nil {
-		tell(w, 400, contract.Denial{NotRun: true, Reason: "bad"})
+		contract.Tell(w, 400, contract.Denial{NotRun: true, Reason: "bad"})
 		return
 	}
 	c.mu.Lock()
 	if o.Fence < c.fence {
 		f := c.fence
 		c.mu.Unlock()
-		tell(w, 409, contract.Denial{NotRun: true, Reason: "fence", Fence: f})
+		contract.Tell(w, 409, contract.Denial{NotRun: true, Reason: "fence", Fence: f})
 		return
 	}
 	c.fence = o.Fence
@@ -192,32 +185,32 @@
 		c.life.Log.Info("weights loaded", "weights", o.Weights)
 	}
 	c.mu.Unlock()
-	tell(w, 200, c.now())
+	contract.Tell(w, 200, c.now())
 }
 
 func (c *Cab) give(w http.ResponseWriter, r *http.Request) {
 	n, ok := c.kv.Has(r.PathValue("key"))
 	if !ok {
-		tell(w, 404, map[string]string{"error": "not held"})
+		contract.Tell(w, 404, map[string]string{"error": "not held"})
 		return
 	}
-	tell(w, 200, contract.Kept{Key: r.PathValue("key"), Tokens: n})
+	contract.Tell(w, 200, contract.Kept{Key: r.PathValue("key"), Tokens: n})
 }
 
 func (c *Cab) take(w http.ResponseWriter, r *http.Request) {
 	var k contract.Kept
 	if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&k); err != nil || k.Key != r.PathValue("key") || k.Tokens <= 0 {
-		tell(w, 400, map[string]string{"error": "give k and n"})
+		contract.Tell(w, 400, map[string]string{"error": "give k and n"})
 		return
 	}
 	c.kv.Keep(k.Key, k.Tokens)
-	tell(w, 200, k)
+	contract.Tell(w, 200, k)
 }
 
 // start is one go, from refusal to seal.
 func (c *Cab) start(w http.ResponseWriter, r *http.Request) {
 	var s contract.Start
-	deny := func(code int, why string) { tell(w, code, contract.Denial{NotRun: true, Reason: why}) }
+	deny := func(code int, why string) { contract.Tell(w, code, contract.Denial{NotRun: true, Reason: why}) }
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&s); err != nil || len(s.Parts) == 0 || s.RequestID == "" {
 		deny(400, "bad")
 		return
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"net/http"
 )
 
 // The headers by which a placement takes effect.
@@ -185,3 +186,12 @@
 	h := sha256.Sum256(fmt.Appendf(nil, "%s %d %d", key, weights, n))
 	return hex.EncodeToString(h[:12])
 }
+
+// Tell answers a call with JSON.
+//
+// Example: contract.Tell(w, 200, state)
+func Tell(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v) // a caller that hung up can't be told anything
+}
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -24,15 +24,10 @@
 		room = 400000
 	}
 	kv, inc := cab.NewKV(room), fmt.Sprintf("%s/%x", l.Place.Name, time.Now().UnixNano())
-	tell := func(w http.ResponseWriter, code int, v any) {
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(code)
-		_ = json.NewEncoder(w).Encode(v) // a caller that hung up can't be told
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, _ *http.Request) {
 		used, room := kv.Used()
-		tell(w, 200, contract.State{Name: l.Place.Name, Incarnation: inc, District: l.Place.District, KvTokens: used, KvRoom: room})
+		contract.Tell(w, 200, contract.State{Name: l.Place.Name, Incarnation: inc, District: l.Place.District, KvTokens: used, KvRoom: room})
 	})
 	mux.HandleFunc("GET /v1/kept", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
@@ -41,23 +36,23 @@
 		}
 		rep := kv.Reports(after, r.URL.Query().Get("whole") == "true")
 		rep.Incarnation = inc
-		tell(w, 200, rep)
+		contract.Tell(w, 200, rep)
 	})
 	mux.HandleFunc("GET /kv/{key}", func(w http.ResponseWriter, r *http.Request) {
 		if n, ok := kv.Has(r.PathValue("key")); ok {
-			tell(w, 200, contract.Kept{Key: r.PathValue("key"), Tokens: n})
+			contract.Tell(w, 200, contract.Kept{Key: r.PathValue("key"), Tokens: n})
 			return
 		}
-		tell(w, 404, map[string]string{"error": "not held"})
+		contract.Tell(w, 404, map[string]string{"error": "not held"})
 	})
 	mux.HandleFunc("PUT /kv/{key}", func(w http.ResponseWriter, r *http.Request) {
 		var k contract.Kept
 		if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&k); err != nil || k.Key != r.PathValue("key") || k.Tokens <= 0 {
-			tell(w, 400, map[string]string{"error": "give k and n"})
+			contract.Tell(w, 400, map[string]string{"error": "give k and n"})
 			return
 		}
 		kv.Keep(k.Key, k.Tokens)
-		tell(w, 200, k)
+		contract.Tell(w, 200, k)
 	})
 	l.Every(500*time.Millisecond, func() { kv.Turn(false) })
 	if err := l.Serve(l.Place.Public, mux); err != nil {
--- a/internal/frontdesk/frontdesk.go
+++ b/internal/frontdesk/frontdesk.go
@@ -64,6 +64,16 @@
 	return t.Docs[0], nil
 }
 
+// setup reads the setup in force, with its document.
+func (d *Desk) setup(ctx context.Context) (*wire.Doc, *setup.Setup, error) {
+	doc, err := d.read(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := setup.Read(doc.Body)
+	return doc, s, errs.Wrap(err, "read setup")
+}
+
 func (d *Desk) put(ctx context.Context, body []byte, ifEpoch *uint64, token string, patch, dry bool) (*operator.Changed, error) {
 	p := &wire.Put{Key: link.SetupKey, Body: body, Token: token, AnyEpoch: ifEpoch == nil}
 	if ifEpoch != nil {
@@ -107,14 +117,10 @@
 //
 // Example: POST /v1/weights {"model": "lector", "weights": 4}
 func (d *Desk) NameWeights(ctx context.Context, q *operator.Weights) (*operator.Changed, error) {
-	doc, err := d.read(ctx)
+	doc, s, err := d.setup(ctx)
 	if err != nil {
 		return nil, err
 	}
-	s, err := setup.Read(doc.Body)
-	if err != nil {
-		return nil, errs.Wrap(err, "read setup")
-	}
 	m, ok := s.Models[q.Model]
 	if !ok {
 		return nil, errs.New(errs.NoModel, "model %q", q.Model)
@@ -140,14 +146,10 @@
 //
 // Example: POST /v1/keys/revoke {"tenant": "hotline", "key": "…"}
 func (d *Desk) RevokeKey(ctx context.Context, q *operator.Revoke) (*operator.Changed, error) {
-	doc, err := d.read(ctx)
+	doc, s, err := d.setup(ctx)
 	if err != nil {
 		return nil, err
 	}
-	s, err := setup.Read(doc.Body)
-	if err != nil {
-		return nil, errs.Wrap(err, "read setup")
-	}
 	t, ok := s.Tenants[q.Tenant]
 	if !ok {
 		return nil, errs.New(errs.NotFound, "tenant %q", q.Tenant)
@@ -290,14 +292,10 @@
 //
 // Example: POST /v1/index {"model": "lector", "tenant": "biblioteca", "parts": ["…"]}
 func (d *Desk) LookUp(ctx context.Context, q *operator.Lookup) (*operator.Found, error) {
-	doc, err := d.read(ctx)
+	_, s, err := d.setup(ctx)
 	if err != nil {
 		return nil, err
 	}
-	s, err := setup.Read(doc.Body)
-	if err != nil {
-		return nil, errs.Wrap(err, "read setup")
-	}
 	m, ok := s.Models[q.Model]
 	if !ok {
 		return nil, errs.New(errs.NoModel, "model %q", q.Model)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -4,6 +4,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 )
@@ -139,3 +141,8 @@
 	})
 	return l
 }
+
+// Keys lists a map's keys in order.
+//
+// Example: for _, k := range queue.Keys(m) { use(k, m[k]) }
+func Keys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -64,8 +64,7 @@
 	}
 	p.mu.Unlock()
 	sort.Slice(ls, func(i, j int) bool { return ls[i].Name < ls[j].Name })
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(ls) // a caller that hung up can't be told
+	contract.Tell(w, 200, ls)
 }
 
 func (p *platform) set(w http.ResponseWriter, r *http.Request) {
@@ -114,5 +113,5 @@
 func (p *platform) probes(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(p.probe) // a caller that hung up can't be told
+	contract.Tell(w, 200, p.probe)
 }
--- a/internal/runbook/book.go
+++ b/internal/runbook/book.go
@@ -7,10 +7,10 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
-	"sort"
 	"strings"
 
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/queue"
 )
 
 // Book is one runbook.
@@ -130,7 +130,7 @@
 		case "do":
 			need, ok := Actions()[s.Action]
 			if !ok {
-				bad("action: %q: give one of %s", s.Action, strings.Join(names(Actions()), ", "))
+				bad("action: %q: give one of %s", s.Action, strings.Join(queue.Keys(Actions()), ", "))
 			}
 			for _, n := range need {
 				if s.Args[n] == "" {
@@ -142,26 +142,17 @@
 			bad("type: %q: give check, wait, do or confirm", s.Type)
 		}
 	}
-	for _, n := range names(b.Params) {
+	for _, n := range queue.Keys(b.Params) {
 		if !used[n] {
 			f.Fault(errs.BadInput, "params.%s: no step uses it: remove it", n)
 		}
 	}
 }
 
-func names[V any](m map[string]V) []string {
-	l := make([]string, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Strings(l)
-	return l
-}
-
 func (s *Step) texts() []string {
 	l := []string{s.Text}
 	for _, m := range []map[string]string{s.Match, s.Args} {
-		for _, k := range names(m) {
+		for _, k := range queue.Keys(m) {
 			l = append(l, m[k])
 		}
 	}
@@ -173,14 +164,14 @@
 // Example: b2, err := b.Fill(map[string]string{"worker": "cab-3"})
 func (b *Book) Fill(set map[string]string) (*Book, error) {
 	var f errs.Batch
-	for _, n := range names(b.Params) {
+	for _, n := range queue.Keys(b.Params) {
 		if set[n] == "" {
 			f.Fault(errs.BadInput, "parameter %s is missing (%s): give --set %s=…", n, b.Params[n], n)
 		}
 	}
-	for _, n := range names(set) {
+	for _, n := range queue.Keys(set) {
 		if _, ok := b.Params[n]; !ok {
-			f.Fault(errs.BadInput, "parameter %s is unknown: this runbook takes %v", n, names(b.Params))
+			f.Fault(errs.BadInput, "parameter %s is unknown: this runbook takes %v", n, queue.Keys(b.Params))
 		}
 	}
 	if err := f.Look(); err != nil {
--- a/internal/runbook/run.go
+++ b/internal/runbook/run.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/queue"
 )
 
 // World is what a run works on.
@@ -72,7 +73,7 @@
 
 func flat(m map[string]string) string {
 	var l []string
-	for _, k := range names(m) {
+	for _, k := range queue.Keys(m) {
 		l = append(l, k+"="+m[k])
 	}
 	return strings.Join(l, " ")
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"sort"
 	"time"
 
 	"pebbleloom/internal/clock"
@@ -362,10 +361,10 @@
 		return f
 	}
 	f.Nodes, f.Workers = t.view.Nodes, t.lastRows
-	for _, n := range sortedKeys(t.places) {
+	for _, n := range queue.Keys(t.places) {
 		f.Placements = append(f.Placements, t.places[n])
 	}
-	for _, n := range sortedKeys(t.links) {
+	for _, n := range queue.Keys(t.links) {
 		s := t.links[n]
 		f.Links = append(f.Links, &wire.LinkSeen{Class: s.Class, Tokens: s.Tokens, Ns: s.Ns})
 	}
@@ -376,12 +375,3 @@
 	}
 	return f
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	l := make([]string, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Strings(l)
-	return l
-}
--- a/internal/runner/workers.go
+++ b/internal/runner/workers.go
@@ -1,11 +1,11 @@
 package runner
 
 import (
-	"sort"
 	"time"
 
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/feed"
+	"pebbleloom/internal/queue"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -72,14 +72,7 @@
 	return l
 }
 
-func (w *Workers) names() []string {
-	l := make([]string, 0, len(w.all))
-	for n := range w.all {
-		l = append(l, n)
-	}
-	sort.Strings(l)
-	return l
-}
+func (w *Workers) names() []string { return queue.Keys(w.all) }
 
 // Probed takes the end of a probe. A stranger at the address counts as a failure.
 //
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,13 +7,13 @@
 	"net"
 	"net/netip"
 	"os"
-	"sort"
 	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
 
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/queue"
 )
 
 // Place is what one process is told about where it stands.
@@ -171,7 +171,7 @@
 		"weights_ms": &p.Bounds.WeightsMs, "heal_ms": &p.Bounds.HealMs, "try_share": &p.Bounds.TryShare,
 		"try_span_ms": &p.Bounds.TrySpan, "body_kb": &p.Bounds.BodyKB, "waiting": &p.Bounds.Waiting, "entries": &p.Bounds.Entries}
 	var bounds map[string]json.RawMessage
-	for _, k := range keys(top) {
+	for _, k := range queue.Keys(top) {
 		if k == "bounds" {
 			if err := json.Unmarshal(top[k], &bounds); err != nil {
 				b.Fault(errs.BadInput, "%s: bounds: not an object: write {\"setup_ms\": 2000, …}", file)
@@ -180,32 +180,23 @@
 		}
 		to, ok := fields[k]
 		if !ok {
-			b.Fault(errs.BadInput, "%s: %s: unknown field: remove it (known: %s)", file, k, strings.Join(keys(fields), " "))
+			b.Fault(errs.BadInput, "%s: %s: unknown field: remove it (known: %s)", file, k, strings.Join(queue.Keys(fields), " "))
 			continue
 		}
 		if err := json.Unmarshal(top[k], to); err != nil {
 			b.Fault(errs.BadInput, "%s: %s: wrong type (%v): give what `docs/operate.md` shows", file, k, err)
 		}
 	}
-	for _, k := range keys(bounds) {
+	for _, k := range queue.Keys(bounds) {
 		to, ok := bf[k]
 		if !ok {
-			b.Fault(errs.BadInput, "%s: bounds.%s: unknown field: remove it (known: %s)", file, k, strings.Join(keys(bf), " "))
+			b.Fault(errs.BadInput, "%s: bounds.%s: unknown field: remove it (known: %s)", file, k, strings.Join(queue.Keys(bf), " "))
 		} else if err := json.Unmarshal(bounds[k], to); err != nil {
 			b.Fault(errs.BadInput, "%s: bounds.%s: not a whole number: give one", file, k)
 		}
 	}
 }
 
-func keys[V any](m map[string]V) []string {
-	l := make([]string, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Strings(l)
-	return l
-}
-
 // Check notes every fault of a place.
 //
 // Example: settings.Check(&p, settings.Need{Data: true}, "core-1.json", &b)
--- a/internal/setup/model_easyjson.go
+++ b/internal/setup/model_easyjson.go
@@ -4,6 +4,7 @@
 
 import (
 	json "encoding/json"
+
 	easyjson "github.com/mailru/easyjson"
 	jlexer "github.com/mailru/easyjson/jlexer"
 	jwriter "github.com/mailru/easyjson/jwriter"
--- a/internal/setup/render.go
+++ b/internal/setup/render.go
@@ -12,6 +12,7 @@
 	jsonpatch "github.com/evanphx/json-patch/v5"
 
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/queue"
 )
 
 // Template is a setup with parameters: strings in it may say {{.name}}. A string that is
@@ -47,14 +48,14 @@
 		return nil, nil, errs.As(err, errs.BadInput, "template")
 	}
 	var b errs.Batch
-	for _, n := range sorted(t.Params) {
+	for _, n := range queue.Keys(t.Params) {
 		if _, ok := set[n]; !ok {
 			b.Fault(errs.BadInput, "parameter %s is missing (%s): give --set %s=…", n, t.Params[n], n)
 		}
 	}
-	for _, n := range sorted(set) {
+	for _, n := range queue.Keys(set) {
 		if _, ok := t.Params[n]; !ok {
-			b.Fault(errs.BadInput, "parameter %s is unknown: this template takes %v", n, sorted(t.Params))
+			b.Fault(errs.BadInput, "parameter %s is unknown: this template takes %v", n, queue.Keys(t.Params))
 		}
 	}
 	from := map[string]string{}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"sort"
 	"strings"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/mailru/easyjson"
 
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/queue"
 )
 
 //go:generate sh -c "PATH=$(go env GOPATH)/bin:$PATH easyjson -all -disallow_unknown_fields model.go"
@@ -73,15 +73,6 @@
 	return Write(s)
 }
 
-func sorted[V any](m map[string]V) []string {
-	l := make([]string, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Strings(l)
-	return l
-}
-
 func (s *Setup) check(b *errs.Batch) {
 	bad := func(path, format string, a ...any) {
 		b.Fault(errs.BadInput, "%s: %s", path, fmt.Sprintf(format, a...))
@@ -92,7 +83,7 @@
 		}
 	}
 	seen := map[string]string{}
-	for _, n := range sorted(s.Tenants) {
+	for _, n := range queue.Keys(s.Tenants) {
 		t, p := s.Tenants[n], "tenants."+n
 		word(p, n)
 		if t.Rate < 0 || t.Inflight < 0 {
@@ -108,13 +99,13 @@
 			seen[k] = n
 		}
 	}
-	for _, n := range sorted(s.Models) {
+	for _, n := range queue.Keys(s.Models) {
 		word("models."+n, n)
 		if s.Models[n].Weights == 0 {
 			bad("models."+n+".weights", "missing: name the weights epoch, from 1")
 		}
 	}
-	for _, n := range sorted(s.Services) {
+	for _, n := range queue.Keys(s.Services) {
 		v, p := s.Services[n], "services."+n
 		word(p, n)
 		if _, ok := s.Models[v.Model]; !ok {
@@ -132,7 +123,7 @@
 			bad(p+".placement", "%q: give hrcs, all-replicated, all-sharded or no-index", v.Placement)
 		}
 	}
-	for _, n := range sorted(s.Ways) {
+	for _, n := range queue.Keys(s.Ways) {
 		if _, ok := s.Services[s.Ways[n].Service]; !ok {
 			bad("ways."+n+".service", "%q is not among services: add it there or name another", s.Ways[n].Service)
 		}
