--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -43,11 +43,11 @@
 	Seal      string `json:"seal,omitempty"`
 	Worker    string `json:"worker,omitempty"`
 	Weights   uint64 `json:"weights,omitempty"`
-	Hit       int    `json:"hit"`
-	Fetched   int    `json:"fetched"`
-	Prefilled int    `json:"prefilled"`
-	FetchUs   int64  `json:"fetch_us"`
-	PrefillUs int64  `json:"prefill_us"`
+	Hit       int    `json:"hit,omitempty"`
+	Fetched   int    `json:"fetched,omitempty"`
+	Prefilled int    `json:"prefilled,omitempty"`
+	FetchUs   int64  `json:"fetch_us,omitempty"`
+	PrefillUs int64  `json:"prefill_us,omitempty"`
 	FetchAddr string `json:"fetch_addr,omitempty"`
 }
 
--- a/internal/frontdesk/frontdesk.go
+++ b/internal/frontdesk/frontdesk.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"time"
 
 	"github.com/go-faster/jx"
 
@@ -267,9 +268,30 @@
 func (d *Desk) Explain(ctx context.Context, q operator.ExplainParams) (*operator.Explained, error) {
 	l := &operator.Explained{Goes: []jx.Raw{}}
 	silent := 0
+	for range 2 { // a dispatcher tells its runner a moment later: look once more
+		silent = d.explained(ctx, q.Request, l)
+		if len(l.Goes) > 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(d.b.Setup(0.2)):
+		}
+	}
+	if len(l.Goes) == 0 && silent > 0 {
+		return nil, errs.New(errs.CantSay, "%d edge machines don't answer, and no other knows request %q", silent, q.Request)
+	}
+	if len(l.Goes) == 0 {
+		return nil, errs.New(errs.NotFound, "no edge machine remembers request %q: they keep the latest %d each", q.Request, 1024)
+	}
+	return l, nil
+}
+
+// explained adds what each edge machine knows of a request, and counts the silent ones.
+func (d *Desk) explained(ctx context.Context, request string, l *operator.Explained) (silent int) {
 	for _, n := range d.view().Role("runner") {
 		one, end := context.WithTimeout(ctx, d.b.Heal(1.0/24))
-		t, err := d.calls.Runner(n.Addr).Explain(one, &wire.ExplainAsk{Request: q.Request})
+		t, err := d.calls.Runner(n.Addr).Explain(one, &wire.ExplainAsk{Request: request})
 		end()
 		if err != nil {
 			silent++
@@ -279,13 +301,7 @@
 			l.Goes = append(l.Goes, jx.Raw(x.Body))
 		}
 	}
-	if len(l.Goes) == 0 && silent > 0 {
-		return nil, errs.New(errs.CantSay, "%d edge machines don't answer, and no other knows request %q", silent, q.Request)
-	}
-	if len(l.Goes) == 0 {
-		return nil, errs.New(errs.NotFound, "no edge machine remembers request %q: they keep the latest %d each", q.Request, 1024)
-	}
-	return l, nil
+	return silent
 }
 
 // LookUp asks the index who holds each prefix of a prompt.
--- a/internal/frontdesk/status.go
+++ b/internal/frontdesk/status.go
@@ -9,6 +9,7 @@
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/feed"
 	"pebbleloom/internal/link"
+	"pebbleloom/internal/queue"
 	"pebbleloom/internal/wire"
 )
 
@@ -98,7 +99,8 @@
 	if snap.Setup == nil {
 		f.add("no-setup", "site", "no setup is in force", "apply one: desk setup apply --file …", "setup-wrong")
 	}
-	stores := 0
+	stores, all := 0, 0
+	old := map[string]int{}
 	for _, w := range snap.Workers {
 		switch {
 		case w.State == feed.WorkerGone:
@@ -109,10 +111,16 @@
 			f.add("worker-gone", w.Name, "it is listed, yet doesn't answer probes", "have the platform replace it, or take it out of its list", book)
 		case w.Kind == "store":
 			stores++
-		case snap.Setup != nil && w.Kind == "lm" && w.Weights > 0 && w.Weights < snap.WeightsAt[w.Model].Weights:
-			f.add("older-weights", w.Name, fmt.Sprintf("weights %d, %d are named", w.Weights, snap.WeightsAt[w.Model].Weights), "wait for the roll-out; else see the appraisers' logs", "weights-midday")
+		case snap.Setup != nil && w.Kind == "lm":
+			if all++; w.Weights > 0 && w.Weights < snap.WeightsAt[w.Model].Weights {
+				old[w.Model]++
+			}
 		}
 	}
+	for _, m := range queue.Keys(old) {
+		f.add("older-weights", m, fmt.Sprintf("%d of %d workers aren't on the named weights %d yet", old[m], all, snap.WeightsAt[m].Weights),
+			"wait for the roll-out; else see the appraisers' logs", "weights-midday")
+	}
 	if stores == 0 {
 		f.add("no-store", "site", "no prompt store answers", "service goes on without it; start it again", "store-empty")
 	}
