Of two machines under one name at most one counts

Cause: a colleague was known by its name alone. A core machine that froze, was replaced by an empty one under its name, and woke, could vote and vouch beside its successor. Ruled out: an order of incarnations by clocks (those of two machines can't be compared); the owner's forgetting of matches (votes and vouches don't pass through it). A node that hears of a later life of its name elsewhere beats no more.

--- a/internal/archive/news.go
+++ b/internal/archive/news.go
@@ -60,6 +60,14 @@
 
 // newsNow gives the answer that can be given now; nil means: wait.
 func (p *part) newsNow(a *wire.NewsAsk, member string, over bool) *wire.NewsTell {
+	t := p.newsHere(a, member, over)
+	if t != nil {
+		t.Incarnation, t.Known = p.core.Lives()
+	}
+	return t
+}
+
+func (p *part) newsHere(a *wire.NewsAsk, member string, over bool) *wire.NewsTell {
 	d := p.st.docs[a.Key]
 	switch {
 	case p.bad == nil && d.GetEpoch() > a.Have:
--- a/internal/archive/sim_main_test.go
+++ b/internal/archive/sim_main_test.go
@@ -45,7 +45,7 @@
 		}
 	}
 	t.Logf("%d seeds: %v", n, sum)
-	for _, k := range []string{"acked", "read", "proof", "granted", "claimed", "kill", "freeze", "cut", "power", "full", "lost disk", "kill after ack", "hand over", "stall"} {
+	for _, k := range []string{"acked", "read", "proof", "granted", "claimed", "kill", "freeze", "cut", "power", "full", "lost disk", "kill after ack", "hand over", "stall", "replaced"} {
 		if n >= 60 && sum[k] < 20 {
 			t.Errorf("%s happened only %d times: the simulator doesn't reach it", k, sum[k])
 		}
--- a/internal/archive/sim_run_test.go
+++ b/internal/archive/sim_run_test.go
@@ -36,7 +36,7 @@
 
 // write is an operator's compare-and-set on the epoch it last read.
 func (s *sim) write() {
-	n := s.nodes[s.r.IntN(3)]
+	n := s.anyone()
 	var base uint64
 	for _, w := range s.writes {
 		if w.end > 0 {
@@ -73,7 +73,7 @@
 }
 
 func (s *sim) read() {
-	n := s.nodes[s.r.IntN(3)]
+	n := s.anyone()
 	if !s.up(n) {
 		return
 	}
@@ -147,7 +147,7 @@
 	id[0] = byte(s.r.IntN(40))
 	nonce := uint64(s.r.IntN(3) + 1)
 	c := &wire.Claims{List: []*wire.Claim{{Id: id, Nonce: nonce}}}
-	s.ask(s.nodes[s.r.IntN(3)], &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Claims{Claims: c}}}, func(t *wire.ChangeTell) {
+	s.ask(s.anyone(), &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Claims{Claims: c}}}, func(t *wire.ChangeTell) {
 		if t.Outcome != "done" || !t.Granted[0] {
 			return
 		}
@@ -172,7 +172,7 @@
 	h.busy = true
 	before := s.now
 	s.open = append(s.open, func() bool { h.busy = s.now-before < 1500*time.Millisecond; return h.busy })
-	s.ask(s.nodes[s.r.IntN(3)], &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Grant{Grant: g}}}, func(t *wire.ChangeTell) {
+	s.ask(s.anyone(), &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Grant{Grant: g}}}, func(t *wire.ChangeTell) {
 		if s.plant == "lease-late" {
 			asked = h.clk.Now() + 2*time.Second // planted: counted from the answer, and more
 		}
@@ -186,7 +186,7 @@
 // trouble brings one failure about.
 func (s *sim) trouble() {
 	n := s.nodes[s.r.IntN(3)]
-	switch s.r.IntN(11) {
+	switch s.r.IntN(12) {
 	case 0:
 		s.note("kill %s", n.name)
 		s.counts["kill"]++
@@ -215,6 +215,10 @@
 	case 7:
 		n.disk.fail = true
 		s.counts["full"]++
+	case 11:
+		if s.up(n) && n.p.bad == nil && !n.blank && s.othersHold(n) && len(s.ghosts) == 0 && s.counts["acked"] > 0 {
+			s.replace(n)
+		}
 	case 10:
 		n.stall = [...]time.Duration{0, 30 * time.Millisecond, 2 * time.Second}[s.r.IntN(3)]
 		s.counts["stall"]++
@@ -231,18 +235,15 @@
 // mend restarts what is down. One member at a time may come back without its disk, and
 // only when both others have a past to tell.
 func (s *sim) mend(all bool) {
+	if all || s.r.IntN(4) == 0 {
+		s.ghosts = nil // somebody has stopped it
+	}
 	for _, n := range s.nodes {
 		down := n.p == nil || n.p.bad != nil
 		if !down || !all && s.r.IntN(3) > 0 {
 			continue
 		}
-		others := true
-		for _, m := range s.nodes {
-			if m != n && m.blank {
-				others = false
-			}
-		}
-		if others && s.r.IntN(3) == 0 && s.counts["acked"] > 0 && !all {
+		if s.othersHold(n) && s.r.IntN(3) == 0 && s.counts["acked"] > 0 && !all {
 			n.disk = newSimDisk()
 			s.counts["lost disk"]++
 			s.note("%s loses its disk", n.name)
@@ -252,6 +253,16 @@
 	}
 }
 
+// othersHold tells whether both others have a past to tell.
+func (s *sim) othersHold(n *simNode) bool {
+	for _, m := range s.nodes {
+		if m != n && m.blank {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *sim) checkRead(x *simRead) {
 	for _, w := range s.writes {
 		if w.end > 0 && w.end < x.begin && w.epoch > x.epoch {
@@ -281,7 +292,7 @@
 				s.read()
 			}
 			if s.r.IntN(20) == 0 {
-				s.poll(s.nodes[s.r.IntN(3)])
+				s.poll(s.anyone())
 			}
 			if s.r.IntN(40) == 0 {
 				s.lease()
--- a/internal/archive/sim_test.go
+++ b/internal/archive/sim_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/ledger"
@@ -108,6 +109,7 @@
 	r       *rand.Rand
 	now     time.Duration
 	nodes   []*simNode
+	ghosts  []*simNode // machines whose name another one has taken; they live on for a while
 	mail    []simLetter
 	sent    int
 	cut     map[string]bool // "a>b"
@@ -152,7 +154,7 @@
 	for _, n := range s.nodes {
 		s.boot(n)
 	}
-	s.fresh = &simRunner{f: runner.NewFresh(3), clk: &clock.Hand{}}
+	s.fresh = &simRunner{f: runner.NewFresh(), clk: &clock.Hand{}}
 	for i := range 3 {
 		h := &simHolder{clk: &clock.Hand{}, rate: 0.97 + 0.06*s.r.Float64()}
 		h.l = link.NewLease(nil, h.clk, "duty", 0, fmt.Sprintf("holder-%d", i+1), 3*time.Second)
@@ -233,7 +235,7 @@
 // step moves virtual time on, delivers what is due and lets everyone act.
 func (s *sim) step() {
 	s.now += simStep
-	for _, n := range s.nodes {
+	for _, n := range s.all() {
 		n.clk.T += time.Duration(float64(simStep) * n.rate)
 	}
 	for _, h := range s.leases {
@@ -247,17 +249,19 @@
 	due := s.mail
 	s.mail = nil
 	for _, m := range due {
-		n := s.node(m.l.To)
-		switch {
-		case m.at > s.now || n.p != nil && !s.up(n): // a frozen machine's letters wait
+		if n := s.node(m.l.To); m.at > s.now || n.p != nil && !s.up(n) { // a frozen machine's letters wait
 			stay = append(stay, m)
-		case n.p != nil && n.p.bad == nil:
-			n.p.core.Take(m.l)
-			n.p.step()
+			continue
+		}
+		for _, n := range s.all() { // a name that two have reaches both
+			if n.name == m.l.To && s.up(n) && n.p.bad == nil {
+				n.p.core.Take(proto.Clone(m.l).(*wire.Letter))
+				n.p.step()
+			}
 		}
 	}
 	s.mail = append(stay, s.mail...)
-	for _, n := range s.nodes {
+	for _, n := range s.all() {
 		if s.up(n) && s.now >= n.next {
 			n.next = s.now + time.Duration(float64(50*time.Millisecond)/n.rate)
 			if n.p.bad == nil {
@@ -300,6 +304,33 @@
 	}
 }
 
+func (s *sim) all() []*simNode { return append(append([]*simNode(nil), s.nodes...), s.ghosts...) }
+
+// anyone picks a machine to ask: one whose name was taken, too.
+func (s *sim) anyone() *simNode {
+	l := s.all()
+	return l[s.r.IntN(len(l))]
+}
+
+// replace starts an empty machine under a name whose machine froze, and will wake.
+func (s *sim) replace(n *simNode) {
+	g := *n
+	g.life = 1 << 20
+	g.frozen = s.now + time.Duration(s.r.Int64N(int64(4*time.Second)))
+	disk := *n.disk
+	g.disk = &disk
+	g.disk.slow = nil
+	clk := *n.clk
+	g.clk = &clk
+	g.p.clk = g.clk
+	g.p.post = s.post
+	s.ghosts = append(s.ghosts, &g)
+	n.disk = newSimDisk()
+	s.note("%s is replaced by an empty machine while it is frozen", n.name)
+	s.counts["replaced"]++
+	s.boot(n)
+}
+
 func (s *sim) node(name string) *simNode {
 	for _, n := range s.nodes {
 		if n.name == name {
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -68,6 +68,8 @@
 	yes     map[string]bool
 	col     map[string]*colleague
 	told    map[string]*wire.Letter // states heard while blank
+	gens    map[string]uint64       // generations of its name that the others have known, heard while blank
+	gen     uint64                  // the generation that it asks to be known under; 0: not picked yet
 	probe   uint64
 	reads   []waitRead
 	readID  uint64
@@ -81,7 +83,7 @@
 // Example: c := ledger.New(cfg, slot, records)
 func New(cfg Config, slot *wire.Slot, rs []*wire.Record) *Core {
 	c := &Core{cfg: cfg, slot: slot, hard: slot.Hard, commit: slot.Index, applied: slot.Index,
-		col: map[string]*colleague{}, told: map[string]*wire.Letter{}}
+		col: map[string]*colleague{}, told: map[string]*wire.Letter{}, gens: map[string]uint64{}}
 	for _, r := range rs {
 		switch k := r.Kind.(type) {
 		case *wire.Record_Hard:
@@ -143,7 +145,7 @@
 }
 
 func (c *Core) saveHard(term uint64, vote string) {
-	c.hard = &wire.Hard{Term: term, Vote: vote, Incarnation: c.hard.Incarnation, Standing: c.hard.Standing}
+	c.hard = &wire.Hard{Term: term, Vote: vote, Incarnation: c.hard.Incarnation, Standing: c.hard.Standing, Known: c.hard.Known}
 	c.out.Records = append(c.out.Records, &wire.Record{Kind: &wire.Record_Hard{Hard: c.hard}})
 }
 
@@ -172,9 +174,7 @@
 	c.beat++
 	if c.hard.Standing == wire.Standing_BLANK {
 		if c.beat%(2*c.cfg.BeatTicks) == 1 {
-			c.others(func(m string) {
-				c.send(&wire.Letter{To: m, Kind: wire.LetterKind_ASK_STATE, About: c.hard.Incarnation})
-			})
+			c.askState()
 		}
 		return
 	}
--- a/internal/ledger/letters.go
+++ b/internal/ledger/letters.go
@@ -21,12 +21,21 @@
 		c.hearState(l)
 		return
 	}
+	if k := c.known(l.From); k != nil && k.Incarnation != l.Incarnation {
+		return // another life has taken that name: this one counts no more
+	}
+	switch l.Kind {
+	case wire.LetterKind_TELL_VOTE, wire.LetterKind_TELL_SOUND, wire.LetterKind_TELL_APPEND:
+		if l.About != c.hard.Incarnation {
+			return // an answer to another life of this name
+		}
+	}
 	if c.hard.Standing == wire.Standing_BLANK {
 		return // no vote and no acknowledgement until caught up from both others
 	}
 	if l.Kind == wire.LetterKind_ASK_SOUND {
 		ok := l.Term > c.hard.Term && c.upToDate(l) && (c.owner == "" || c.role != owner && c.silent >= c.cfg.ElectTicks)
-		c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_SOUND, Ok: ok, Probe: l.Term})
+		c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_SOUND, Ok: ok, Probe: l.Term, About: l.Incarnation})
 		return
 	}
 	if l.Term > c.hard.Term {
@@ -71,11 +80,11 @@
 		}
 		c.rest()
 	}
-	c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_VOTE, Ok: ok})
+	c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_VOTE, Ok: ok, About: l.Incarnation})
 }
 
 func (c *Core) tellAppend(l *wire.Letter) {
-	r := &wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_APPEND, Index: c.last(), Probe: l.Probe}
+	r := &wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_APPEND, Index: c.last(), Probe: l.Probe, About: l.Incarnation}
 	defer func() { c.send(r) }()
 	if l.Term < c.hard.Term {
 		r.Probe = 0 // it may come to a later life of the asker, whose reads it must not confirm
@@ -93,7 +102,7 @@
 			r.Ok, r.Index = true, c.slot.Index
 			return
 		}
-		l = &wire.Letter{Index: c.slot.Index, LogTerm: c.slot.Term, Entries: l.Entries[skip:], Commit: l.Commit}
+		l = &wire.Letter{Incarnation: l.Incarnation, Index: c.slot.Index, LogTerm: c.slot.Term, Entries: l.Entries[skip:], Commit: l.Commit}
 	}
 	if t, ok := c.termAt(l.Index); !ok || t != l.LogTerm {
 		r.Index = min(c.last(), l.Index-1)
@@ -178,56 +187,3 @@
 		}
 	}
 }
-
-func (c *Core) tellState(l *wire.Letter) {
-	if c.role == owner && l.Standing == wire.Standing_BLANK {
-		if p := c.col[l.From]; p.inc != l.Incarnation {
-			*p = colleague{next: c.last() + 1, inc: l.Incarnation, heard: p.heard}
-		}
-	}
-	c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_STATE, About: l.About, Index: c.last(), LogTerm: c.lastTerm(),
-		Slot: c.slot, Entries: append([]*wire.Entry(nil), c.log...)})
-}
-
-// hearState collects what both others hold. A first founding is told from a lost disk by
-// the others: founded colleagues with a log mean that there was a past.
-func (c *Core) hearState(l *wire.Letter) {
-	if c.hard.Standing != wire.Standing_BLANK || l.About != c.hard.Incarnation {
-		return
-	}
-	c.told[l.From] = l
-	if len(c.told) < len(c.cfg.Members)-1 {
-		return
-	}
-	var best *wire.Letter
-	var term uint64
-	blanks := 0
-	c.others(func(m string) {
-		t := c.told[m]
-		if t.Standing == wire.Standing_BLANK {
-			blanks++
-			return
-		}
-		term = max(term, t.Term)
-		if best == nil || t.LogTerm > best.LogTerm || t.LogTerm == best.LogTerm && t.Index > best.Index {
-			best = t
-		}
-	})
-	if blanks > 0 && best != nil && best.Index > 0 {
-		c.stuck = "a colleague is blank too, yet the part has a past: two disks are lost"
-		c.told = map[string]*wire.Letter{}
-		return
-	}
-	c.stuck = ""
-	vote := ""
-	if term > 0 {
-		vote = usedVote // it may have voted in that term before it lost its disk
-	}
-	c.hard = &wire.Hard{Term: term, Vote: vote, Incarnation: c.hard.Incarnation, Standing: wire.Standing_FOUNDED}
-	if best == nil {
-		best = &wire.Letter{Slot: First(c.hard.Incarnation)}
-	}
-	c.adopt(best.Slot, best.Entries)
-	c.told = nil
-	c.rest()
-}
--- a/internal/roster/core.go
+++ b/internal/roster/core.go
@@ -21,6 +21,10 @@
 
 const maxNodes = 4096
 
+// settledTurns is how many periods a node runs until a later life of its name, elsewhere,
+// is taken for its successor and not for its own past.
+const settledTurns = 20
+
 type entry struct {
 	n     *wire.Node
 	place uint64        // on the ring
@@ -31,14 +35,15 @@
 
 // Core is one node's view of all nodes.
 type Core struct {
-	b     settings.Bounds
-	self  *wire.Node
-	seeds []string
-	all   map[string]*entry
-	turn  int
-	epoch uint64
-	sum   uint64          // who is there, added up; kept as the view changes
-	apart map[string]bool // addresses whose view differs from this one's: they are told all
+	b        settings.Bounds
+	self     *wire.Node
+	seeds    []string
+	all      map[string]*entry
+	turn     int
+	epoch    uint64
+	sum      uint64 // who is there, added up; kept as the view changes
+	replaced bool
+	apart    map[string]bool // addresses whose view differs from this one's: they are told all
 }
 
 // New makes a view that knows itself and its seeds.
@@ -48,6 +53,11 @@
 	return &Core{b: b, self: self, seeds: seeds, all: map[string]*entry{}, epoch: 1, apart: map[string]bool{}}
 }
 
+// Replaced tells whether another machine has taken this node's name: it is to stop.
+//
+// Example: if c.Replaced() { stop() }
+func (c *Core) Replaced() bool { return c.replaced }
+
 // Epoch grows whenever the view changes.
 //
 // Example: if c.Epoch() != seen { … }
@@ -84,6 +94,10 @@
 		if n.State != Alive && n.Incarnation == c.self.Incarnation && n.Beat >= c.self.Beat {
 			c.self.Beat = n.Beat + 1
 		} else if n.Incarnation > c.self.Incarnation {
+			if n.Addr != c.self.Addr && n.State == Alive && c.turn > settledTurns {
+				c.replaced = true // a machine elsewhere has taken this name while this one slept
+				return
+			}
 			c.self.Incarnation = n.Incarnation + 1
 		}
 		return
@@ -303,7 +317,11 @@
 	if c.epoch != was {
 		c.sum = c.total()
 	}
-	return c.beat(b.Whole || fresh || b.Sum != c.sum && len(b.News) == 0 && c.settled(now))
+	t := c.beat(b.Whole || fresh || b.Sum != c.sum && len(b.News) == 0 && c.settled(now))
+	if e := c.all[b.From.Name]; e != nil && e.n.Incarnation > b.From.Incarnation {
+		t.News = append(t.News, clone(e.n)) // a later life of that name is known here
+	}
+	return t
 }
 
 // settled tells whether there is no news under way here: views that differ then, differ
--- a/internal/roster/core_test.go
+++ b/internal/roster/core_test.go
@@ -150,6 +150,34 @@
 	}
 }
 
+// A machine freezes, another one is started under its name at another address, and the
+// first one wakes: it steps back, and all see the new one.
+func TestWhoseNameWasTakenStepsBack(t *testing.T) {
+	s := newSite(13, 8)
+	s.run(8 * time.Second)
+	s.down[addr(3)] = true
+	s.run(4 * time.Second)
+	s.cores[addr(300)] = New(settings.Default(), &wire.Node{Name: "n-3", Incarnation: 0, Role: "x", Addr: addr(300)}, []string{addr(0), addr(1), addr(2)})
+	s.run(8 * time.Second)
+	delete(s.down, addr(3))
+	for range 30 {
+		s.run(300 * time.Millisecond)
+		if s.cores[addr(3)].Replaced() {
+			s.down[addr(3)] = true // its member beats no more
+		}
+	}
+	if !s.down[addr(3)] || s.cores[addr(300)].Replaced() {
+		t.Fatalf("the old one stepped back: %v, the new one: %v", s.down[addr(3)], s.cores[addr(300)].Replaced())
+	}
+	for a, c := range s.cores {
+		for _, n := range c.Nodes() {
+			if !s.down[a] && n.Name == "n-3" && (n.Addr != addr(300) || n.State != Alive) {
+				t.Fatalf("%s sees n-3 at %s in state %d", a, n.Addr, n.State)
+			}
+		}
+	}
+}
+
 // Halves that were cut apart find each other again, and a machine that returns empty at
 // a new address under its old name is taken for what it is.
 func TestHalvesHealAndNamesMove(t *testing.T) {
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -115,6 +115,11 @@
 			if m.gone {
 				return
 			}
+			if c.Replaced() {
+				m.gone = true
+				m.log.Error("another machine has taken this name: this one beats no more", "remedy", "stop it, or give it a name of its own")
+				return
+			}
 			for _, x := range c.Step(m.clk.Now()) {
 				go m.send(ctx, x)
 			}
--- a/internal/runner/fresh.go
+++ b/internal/runner/fresh.go
@@ -4,7 +4,6 @@
 package runner
 
 import (
-	"sort"
 	"time"
 
 	"pebbleloom/internal/wire"
@@ -16,24 +15,36 @@
 //
 // A newer setup is taken into use as soon as two members vouch for it as well. Until then
 // the old one is followed as long as its own proof holds: that is what its bound is for.
-type Fresh struct {
-	Members int
-	cur     vouched
-	next    vouched
-}
+type Fresh struct{ cur, next vouched }
 
-// vouched is a setup with the instants at which members were asked who vouch for it.
+// vouched is a setup with those who vouch for it.
 type vouched struct {
 	doc  *wire.Doc
-	same map[string]time.Duration
+	same map[string]vouch
+}
+
+// vouch is one member's word: when it was asked, which life of it answered, and which
+// lives of the others count for it.
+type vouch struct {
+	asked time.Duration
+	inc   string
+	known []*wire.Known
+}
+
+// knows tells whether another's life counts for this one.
+func (v vouch) knows(name, inc string) bool {
+	for _, k := range v.known {
+		if k.Name == name {
+			return k.Incarnation == inc
+		}
+	}
+	return true
 }
 
 // NewFresh begins without a setup.
 //
-// Example: f := runner.NewFresh(3)
-func NewFresh(members int) *Fresh {
-	return &Fresh{Members: members, cur: vouched{same: map[string]time.Duration{}}}
-}
+// Example: f := runner.NewFresh()
+func NewFresh() *Fresh { return &Fresh{cur: vouched{same: map[string]vouch{}}} }
 
 // Epoch is what to ask with: the newest setup heard of, in use already or not.
 //
@@ -52,15 +63,15 @@
 	switch t.Outcome {
 	case "news":
 		if t.Doc.GetEpoch() > f.Epoch() {
-			f.next = vouched{t.Doc, map[string]time.Duration{}}
+			f.next = vouched{t.Doc, map[string]vouch{}}
 			top = &f.next
 		}
 		if t.Settled && t.Doc.GetEpoch() == top.doc.GetEpoch() {
-			top.same[member] = max(top.same[member], asked)
+			top.add(member, asked, t)
 		}
 	case "same":
 		if have == top.doc.GetEpoch() {
-			top.same[member] = max(top.same[member], asked)
+			top.add(member, asked, t)
 		}
 	}
 	if f.next.doc != nil && f.proof(f.next) > 0 {
@@ -70,17 +81,24 @@
 	return false
 }
 
-func (f *Fresh) proof(v vouched) time.Duration {
-	var l []time.Duration
-	for _, t := range v.same {
-		l = append(l, t)
+func (v *vouched) add(member string, asked time.Duration, t *wire.NewsTell) {
+	if asked > v.same[member].asked {
+		v.same[member] = vouch{asked, t.Incarnation, t.Known}
 	}
-	need := f.Members/2 + 1
-	if len(l) < need {
-		return 0
+}
+
+// proof is the earlier question of the best two of three who count for each other: a
+// machine whose name another has taken vouches for nothing.
+func (f *Fresh) proof(v vouched) time.Duration {
+	best := time.Duration(0)
+	for m, x := range v.same {
+		for n, y := range v.same {
+			if m < n && x.knows(n, y.inc) && y.knows(m, x.inc) {
+				best = max(best, min(x.asked, y.asked))
+			}
+		}
 	}
-	sort.Slice(l, func(i, j int) bool { return l[i] > l[j] })
-	return l[need-1]
+	return best
 }
 
 // Proof is the instant up to which nothing newer than the setup in use had been
--- a/internal/runner/fresh_test.go
+++ b/internal/runner/fresh_test.go
@@ -45,7 +45,7 @@
 	as := []answer{{"a", 1, 10, same()}, {"b", 1, 20, same()}, {"c", 1, 30, news(2, true)}, {"a", 1, 25, news(2, false)}, {"a", 2, 40, same()}, {"b", 1, 35, news(2, true)}}
 	adopted := 0
 	n := everyOrder(as, func(l []answer) {
-		f := NewFresh(3)
+		f := NewFresh()
 		f.Hear("a", 0, 1, news(1, true))
 		f.Hear("b", 0, 2, news(1, true))
 		vouch := map[uint64]map[string]time.Duration{1: {"a": 1, "b": 2}, 2: {}}
@@ -83,7 +83,7 @@
 }
 
 func TestOneMemberIsNoProof(t *testing.T) {
-	f := NewFresh(3)
+	f := NewFresh()
 	f.Hear("a", 0, 1, news(1, true))
 	for i := range 5 {
 		f.Hear("a", 1, time.Duration(10+i), same())
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -54,7 +54,7 @@
 	r := &Runner{life: l, clk: clock.Boot(), calls: daemon.NewCalls(l.Place), be: contract.NewBackends(l.Place.Dialer())}
 	ms := link.Members(0, l.Place.Core)
 	// Counters begin anywhere, so that an asker can't take a new life's for the old one's.
-	r.desk = queue.NewDesk(&table{number: rand.Uint64(), lists: rand.Uint64(), fresh: NewFresh(len(ms)), workers: NewWorkers(b), places: map[string]*wire.Doc{},
+	r.desk = queue.NewDesk(&table{number: rand.Uint64(), lists: rand.Uint64(), fresh: NewFresh(), workers: NewWorkers(b), places: map[string]*wire.Doc{},
 		links: map[string]*wire.LinkSeen{}, health: map[string]*health{}, waiting: map[chan struct{}]bool{}}, 1024)
 	r.ros = roster.Start(l.Ctx, l.Place, "runner", r.clk, l.Log, r.calls.Roster, func(v roster.View) {
 		r.desk.Tell(func(t *table) { t.view = v; t.listed() })
