Who steps back when a name is taken goes by age with sleep counted

Cause: whether a node is settled was counted in its periods, which a frozen one doesn't have; it woke 15 periods old, took its successor for its own past and outbid it, and the successor stepped back. Ruled out: letting in (the successor was in before). Now age counts sleep.

--- a/internal/roster/core.go
+++ b/internal/roster/core.go
@@ -21,9 +21,9 @@
 
 const maxNodes = 4096
 
-// settledTurns is how many periods a node runs until a later life of its name, elsewhere,
-// is taken for its successor and not for its own past.
-const settledTurns = 20
+// settledAge is how old a node is, as a ratio of the leave bound and sleep included, from
+// when on a later life of its name elsewhere is its successor and not its own past.
+const settledAge = 2
 
 type entry struct {
 	n     *wire.Node
@@ -43,6 +43,7 @@
 	epoch    uint64
 	sum      uint64 // who is there, added up; kept as the view changes
 	replaced bool
+	born     time.Duration   // its first step
 	apart    map[string]bool // addresses whose view differs from this one's: they are told all
 }
 
@@ -94,7 +95,7 @@
 		if n.State != Alive && n.Incarnation == c.self.Incarnation && n.Beat >= c.self.Beat {
 			c.self.Beat = n.Beat + 1
 		} else if n.Incarnation > c.self.Incarnation {
-			if n.Addr != c.self.Addr && n.State == Alive && c.turn > settledTurns {
+			if n.Addr != c.self.Addr && n.State == Alive && c.turn > 0 && now-c.born > c.b.Leave(settledAge) {
 				c.replaced = true // a machine elsewhere has taken this name while this one slept
 				return
 			}
@@ -203,8 +204,10 @@
 //
 // Example: for _, x := range c.Step(clk.Now()) { send(x) }
 func (c *Core) Step(now time.Duration) []Call {
+	if c.turn++; c.turn == 1 {
+		c.born = now
+	}
 	c.self.Beat++
-	c.turn++
 	ring := c.ring()
 	at, ds := 0, steps(len(ring))
 	for i, x := range ring {
--- a/internal/yard/operate.go
+++ b/internal/yard/operate.go
@@ -26,6 +26,36 @@
 	return settings.Place{}
 }
 
+// usurp starts an empty machine under the name that a process has, at another address,
+// while the process itself lives on, frozen or not.
+func (f *Fleet) usurp(name string) error {
+	for _, p := range f.Site.Processes {
+		if p.Name != name {
+			continue
+		}
+		p.Name += "-again"
+		at := strings.Split(p.Place.Listen, ".")
+		at[3] = "98:" + strings.Split(at[3], ":")[1]
+		p.Place.Listen = strings.Join(at, ".")
+		if p.Place.Operator != "" {
+			p.Place.Operator = strings.Join(at[:3], ".") + ".98:8090"
+		}
+		if p.Place.Data != "" {
+			p.Place.Data += "-again"
+		}
+		raw, err := json.MarshalIndent(p.Place, "", " ")
+		if err == nil {
+			err = writeFile(filepath.Join(f.Dir, p.Name+".json"), raw)
+		}
+		if err != nil {
+			return errs.Wrap(err, "write settings")
+		}
+		f.Site.Processes = append(f.Site.Processes, p)
+		return f.Start(p.Name)
+	}
+	return errs.New(errs.NotFound, "process %q", name)
+}
+
 // net is the second byte of the site's addresses.
 func (f *Fleet) net() string { return strings.Split(f.rank(), ".")[1] }
 
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -282,6 +282,8 @@
 			b.Note(n, p.f.Start(n))
 		case "wipe":
 			b.Note(n, os.RemoveAll(p.f.place(n).Data))
+		case "usurp":
+			b.Note(n, p.f.usurp(n))
 		case "move":
 			b.Note(n, p.f.move(n))
 		case "disk":
