--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,133 @@
+package link
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/roster"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+// member is a core machine that answers a change by a script, one word a question; the
+// last word goes on.
+type member struct {
+	wire.Archive
+	script []string
+	asked  int
+}
+
+func (m *member) Change(context.Context, *wire.ChangeAsk) (*wire.ChangeTell, error) {
+	w := m.script[min(m.asked, len(m.script)-1)]
+	m.asked++
+	switch w {
+	case "lost": // it happened, or not; the answer doesn't come
+		panic(http.ErrAbortHandler)
+	case "core-2", "core-3", "core-4":
+		return &wire.ChangeTell{Outcome: "not-owner", Owner: w}, nil
+	}
+	return &wire.ChangeTell{Outcome: w, Epoch: 7}, nil
+}
+
+func control(t *testing.T, ms map[string]*member) *Control {
+	t.Helper()
+	var v roster.View
+	for n, m := range ms {
+		s := httptest.NewServer(wire.NewArchiveServer(m))
+		t.Cleanup(s.Close)
+		v.Nodes = append(v.Nodes, &wire.Node{Name: "archive/" + n, Addr: s.Listener.Addr().String()})
+	}
+	b := settings.Default()
+	b.HealMs = 1200 // all waits are ratios of it
+	return New([]string{"core-1", "core-2", "core-3", "core-4"}, func() roster.View { return v }, daemon.NewCalls(settings.Place{Bounds: b}), b)
+}
+
+func put(token string, guarded bool) *wire.ChangeAsk {
+	return &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Put{Put: &wire.Put{Key: "k", Token: token, AnyEpoch: !guarded}}}}
+}
+
+// How a change ends, by what the members answer. A change whose answer was lost is asked
+// again only where that can't make it happen twice, and the caller hears what is known.
+func TestAChangeIsMadeOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script []string // of core-3, which core-2 and core-4 name as the owner
+		ask    *wire.ChangeAsk
+		kind   *errs.Kind // nil: done
+		asked  int        // how often core-3 was asked; 0: any number
+	}{
+		{"the owner does it", []string{"done"}, put("t", false), nil, 1},
+		{"under a token a lost answer is asked for again", []string{"lost", "done"}, put("t", false), nil, 2},
+		{"without token or epoch it isn't", []string{"lost", "done"}, put("", false), errs.MayHaveRun, 1},
+		{"onto an epoch it is, and a conflict then proves nothing", []string{"lost", "epoch-conflict"}, put("", true), errs.MayHaveRun, 2},
+		{"a conflict with all answers heard is one", []string{"epoch-conflict"}, put("", true), errs.Conflict, 1},
+		{"lost for good", []string{"lost"}, put("t", false), errs.MayHaveRun, 0},
+		{"what the owner finds wrong", []string{"bad-input"}, put("t", false), errs.BadInput, 1},
+		{"too busy, then done", []string{"overloaded", "overloaded", "done"}, put("t", false), nil, 3},
+		{"nobody owns it", []string{"core-4"}, put("t", false), errs.CantSay, 0},
+	} {
+		owner := &member{script: c.script}
+		x := control(t, map[string]*member{"core-2": {script: []string{"core-3"}}, "core-3": owner, "core-4": {script: []string{"core-3"}}})
+		r, err := x.Change(context.Background(), c.ask)
+		if c.kind == nil && (err != nil || r.Epoch != 7) || c.kind != nil && (err == nil || errs.KindOf(err) != c.kind) {
+			t.Errorf("%s: %v, %v", c.name, r, err)
+		}
+		if c.asked > 0 && owner.asked != c.asked {
+			t.Errorf("%s: asked %d times, want %d", c.name, owner.asked, c.asked)
+		}
+	}
+	if _, err := control(t, nil).Change(context.Background(), put("t", false)); errs.KindOf(err) != errs.CantSay {
+		t.Errorf("no member is known: %v", err)
+	}
+}
+
+// The holder's lease ends before anyone may be granted the duty, and a conflict ends it at once.
+func TestTheHolderStopsFirst(t *testing.T) {
+	clk := &clock.Hand{T: time.Minute}
+	l := NewLease(nil, clk, "d", 1, "a", 8*time.Second)
+	if _, ok := l.Held(); ok {
+		t.Fatal("held before it was asked for")
+	}
+	asked := clk.T
+	clk.T += time.Second // the answer takes a second: the lease is counted from the question
+	l.Tell(asked, &wire.ChangeTell{Outcome: "done", Fence: 3})
+	for at, want := range map[time.Duration]bool{0: true, 5 * time.Second: true, 6 * time.Second: false, time.Hour: false} {
+		clk.T = asked + time.Second + at
+		if f, ok := l.Held(); ok != want || f != 3 {
+			t.Errorf("%v after the answer: held %v, fence %d", at, ok, f)
+		}
+	}
+	clk.T = asked + 2*time.Second
+	l.Tell(clk.T, &wire.ChangeTell{Outcome: "epoch-conflict", Fence: 4, Owner: "b"})
+	if _, ok := l.Held(); ok || l.Ask().IfFence != 4 {
+		t.Error("another holds it, yet it is held here")
+	}
+}
+
+// Each part is kept by three of the four, and each of the four is left out in turn.
+func TestWhoKeepsWhat(t *testing.T) {
+	out := map[string]int{}
+	for p := range uint32(Parts) {
+		ms := Members(p, []string{"d", "b", "c", "a"})
+		if len(ms) != 3 {
+			t.Fatalf("part %d: %v", p, ms)
+		}
+		for _, n := range []string{"a", "b", "c", "d"} {
+			if ms[0] != n && ms[1] != n && ms[2] != n {
+				out[n]++
+			}
+		}
+	}
+	if len(out) != 4 || out["a"] != 2 {
+		t.Errorf("left out: %v", out)
+	}
+	if p := PartOf("lector-main"); p == 0 || p >= Parts || p != PartOf("lector-main") {
+		t.Errorf("a service's part: %d", p)
+	}
+}
