A try at a part isn't cut off by the end of the whole time

Cause: the deadline of all tries together fell into one that had begun, whose answer (not the owner) was then unheard. Ruled out: the members (each answers at once). Each try now has its own time.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -58,6 +58,9 @@
 // each tries a part's members in turn, the named owner first, until done says so or the
 // time is over.
 func (c *Control) each(ctx context.Context, part uint32, try func(context.Context, wire.Archive) (done bool, owner string)) bool {
+	// The whole time bounds when a try may begin; a try that has begun has its own, so that the
+	// end of the whole doesn't leave an answer unheard.
+	asker := ctx
 	ctx, end := context.WithTimeout(ctx, c.b.Heal(0.5))
 	defer end()
 	ms := Members(part, c.core)
@@ -68,7 +71,7 @@
 			m, next = next, ""
 		}
 		if addr, ok := c.view().Addr("archive/" + m); ok {
-			one, stop := context.WithTimeout(ctx, c.b.Heal(1.0/8))
+			one, stop := context.WithTimeout(asker, c.b.Heal(1.0/8))
 			done, owner := try(one, c.calls.Archive(addr))
 			stop()
 			if done {
