--- /dev/null
+++ b/internal/cab/cab_test.go
@@ -0,0 +1,120 @@
+package cab
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/settings"
+)
+
+// The stand-in keeps to the contract: fences, weights, reports and the cache's bound.
+func TestTheContract(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	l := daemon.New("cab", settings.Place{Name: "cab-1", District: "d", Listen: "127.0.0.1:1", Public: addr, Bounds: settings.Default(),
+		Extra: []string{"log=off", "model=m", "service=s", "kv=100", "token_us=1", "piece_us=1", "fixed_us=1"}})
+	if err := Start(l); err != nil {
+		t.Fatal(err)
+	}
+	defer l.Stop(time.Second)
+	be, ctx := contract.NewBackends(&net.Dialer{}), context.Background()
+	opening := "o"
+	ask := func(id string, weights uint64, domain string) (contract.Go, *contract.Check) {
+		g := be.Begin(ctx, addr, contract.Start{RequestID: id, Domain: domain, Model: "m", Weights: weights, Parts: []string{strings.Repeat(opening, 160), "question"}, Pieces: 3, WaitMs: 2000}, nil)
+		c := contract.NewCheck(id, "cab-1")
+		if g.Body != nil {
+			var b bytes.Buffer
+			if _, err := b.ReadFrom(g.Body); err != nil {
+				t.Fatal(err)
+			}
+			for _, raw := range bytes.Split(bytes.TrimSpace(b.Bytes()), []byte("\n")) {
+				if w := c.Line(raw); w != "" {
+					t.Fatalf("%s: %s", id, w)
+				}
+			}
+			g.Body.Close()
+		}
+		return g, c
+	}
+	if _, c := ask("a", 1, "shared"); c.Last == nil || c.Last.Prefilled != 42 {
+		t.Fatalf("the first go: %+v", c.Last)
+	}
+	if _, c := ask("b", 1, "shared"); c.Last == nil || c.Last.Hit != 42 {
+		t.Errorf("the same prompt again: %+v", c.Last)
+	}
+	if _, c := ask("c", 1, "t:walled"); c.Last == nil || c.Last.Hit != 0 {
+		t.Errorf("the same prompt behind a wall: %+v", c.Last)
+	}
+	if err := be.Order(ctx, addr, contract.Order{Fence: 5, Kind: "weights", Weights: 2}); err != nil {
+		t.Fatal(err)
+	}
+	if err := be.Order(ctx, addr, contract.Order{Fence: 4, Kind: "weights", Weights: 3}); err == nil {
+		t.Error("an order under a lower fence was obeyed")
+	}
+	if g, _ := ask("d", 1, "shared"); !g.NotRun() || g.Denied.Reason != "weights" {
+		t.Errorf("a start on older weights: %+v", g)
+	}
+	if _, c := ask("e", 2, "shared"); c.Last == nil || c.Last.Hit != 0 || c.Last.Weights != 2 {
+		t.Errorf("the same prompt under newer weights: %+v", c.Last)
+	}
+	// A prefix of older weights is handed over late, by a colleague that is behind: it is
+	// held, and nothing that runs now can name it.
+	key := prefix.Chain("shared", "m", 1, []string{strings.Repeat("p", 160)})[0].Key.String()
+	q, err := http.NewRequest(http.MethodPut, "http://"+addr+"/kv/"+key, strings.NewReader(`{"k":"`+key+`","n":40}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err := http.DefaultClient.Do(q); err != nil || r.StatusCode != 200 {
+		t.Fatalf("%v %v", r, err)
+	}
+	opening = "p"
+	if _, c := ask("f", 2, "shared"); c.Last == nil || c.Last.Hit != 0 || c.Last.Prefilled != 42 {
+		t.Errorf("a prompt whose opening is held under older weights: %+v", c.Last)
+	}
+	s, err := be.State(ctx, addr)
+	if err != nil || s.KvTokens > 100 || s.Weights != 2 || s.Fence != 5 {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
+
+// The longest unused goes first, reports are numbered, and one lost on the way is a gap.
+func TestCacheAndReports(t *testing.T) {
+	k := NewKV(100)
+	k.Keep("a", 40)
+	k.Keep("b", 40)
+	k.Has("a")
+	k.Turn(false)
+	k.Keep("c", 40) // b goes
+	k.Turn(true)
+	k.Keep("d", 20)
+	k.Turn(false)
+	if _, ok := k.Has("b"); ok {
+		t.Error("b was used longest ago, and is still held")
+	}
+	if _, ok := k.Has("a"); !ok {
+		t.Error("a was used after b, and is gone")
+	}
+	r := k.Reports(0, false)
+	if r.Number != 3 || len(r.List) != 2 || r.List[0].Number != 1 || r.List[1].Number != 3 {
+		t.Errorf("%+v", r)
+	}
+	if w := k.Reports(0, true); !w.Whole || len(w.Held) != 3 {
+		t.Errorf("%+v", w)
+	}
+	k.Keep("huge", 101)
+	if used, room := k.Used(); used != 100 || room != 100 {
+		t.Errorf("%d of %d", used, room)
+	}
+}
