--- a/internal/fares/check.go
+++ b/internal/fares/check.go
@@ -9,7 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 
@@ -130,6 +130,8 @@
 	MaxToMean float64        `json:"load_max_to_mean"`
 	P50Ms     int64          `json:"p50_ms"`
 	P99Ms     int64          `json:"p99_ms"`
+	OnceP50Ms int64          `json:"p50_once_only_ms"`  // what claims cost shows against
+	ManyP50Ms int64          `json:"p50_repeatable_ms"` // these, in the same run
 	Workers   map[string]int `json:"workers,omitempty"`
 	Faults    []string       `json:"faults"`
 }
@@ -182,7 +184,7 @@
 			s.Faults = append(s.Faults, o.Request.ID+": "+fmt.Sprintf(format, a...))
 		}
 	}
-	var took []int64
+	var took, once, many []int64
 	for _, o := range b.All() {
 		s.Requests++
 		if o.Twin {
@@ -197,6 +199,11 @@
 			s.Sealed++
 			s.Hit, s.Fetched, s.Prefilled = s.Hit+o.Last.Hit, s.Fetched+o.Last.Fetched, s.Prefilled+o.Last.Prefilled
 			took = append(took, o.TookMs)
+			if o.Request.Once {
+				once = append(once, o.TookMs)
+			} else {
+				many = append(many, o.TookMs)
+			}
 			if !o.Request.App {
 				s.Workers[o.Worker]++
 				if n == 0 && whole {
@@ -233,13 +240,20 @@
 	if sum > 0 {
 		s.MaxToMean = float64(most) * float64(len(s.Workers)) / float64(sum)
 	}
-	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
-	if n := len(took); n > 0 {
-		s.P50Ms, s.P99Ms = took[n/2], took[n*99/100]
-	}
+	s.P50Ms, s.P99Ms = part(took, 0.5), part(took, 0.99)
+	s.OnceP50Ms, s.ManyP50Ms = part(once, 0.5), part(many, 0.5)
 	return s
 }
 
+// part is the value below which that share of a list lies.
+func part(l []int64, share float64) int64 {
+	if len(l) == 0 {
+		return 0
+	}
+	slices.Sort(l)
+	return l[min(len(l)-1, int(float64(len(l))*share))]
+}
+
 // NotRun tells whether a denial's kind says that nothing ran.
 //
 // Example: fares.NotRun("over-budget")
