--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -129,6 +129,7 @@
 	if d.last == nil {
 		return nil // first learn what is in force
 	}
+	d.roll.Whole = svc.RollOut == "at-once"
 	order, changed := d.roll.Step(ws, seen.Weights, now-seen.First, now, a.life.Place.Bounds)
 	var b errs.Batch
 	for _, w := range order {
--- a/internal/appraiser/rollout.go
+++ b/internal/appraiser/rollout.go
@@ -22,6 +22,7 @@
 type Roll struct {
 	Batch []string
 	At    time.Duration // when the batch was set aside
+	Whole bool          // all at once, to compare with
 }
 
 // Step moves the roll-out on: it says whom to order now, and whether the batch has changed.
@@ -57,6 +58,9 @@
 	left := time.Duration(float64(b.WeightsMs)*span*float64(time.Millisecond)) - since
 	rounds := max(1, int(left/b.Heal(settle)))
 	n := min((len(old)+rounds-1)/rounds, max(1, int(float64(len(ws))*mostOut)))
+	if r.Whole {
+		n = len(old)
+	}
 	r.At = now
 	for _, w := range old[:min(n, len(old))] {
 		r.Batch = append(r.Batch, w.Name)
--- a/internal/setup/model.go
+++ b/internal/setup/model.go
@@ -34,6 +34,7 @@
 	Alpha     float64 `json:"alpha,omitempty"`     // fetch time tolerated over prefill time
 	WindowS   int     `json:"window_s,omitempty"`  // hotness window
 	Placement string  `json:"placement,omitempty"` // hrcs, or a switch to compare with
+	RollOut   string  `json:"roll_out,omitempty"`  // paced, or at-once to compare with
 }
 
 // Way leads a model's requests to a service.
--- a/internal/setup/model_easyjson.go
+++ b/internal/setup/model_easyjson.go
@@ -4,7 +4,6 @@
 
 import (
 	json "encoding/json"
-
 	easyjson "github.com/mailru/easyjson"
 	jlexer "github.com/mailru/easyjson/jlexer"
 	jwriter "github.com/mailru/easyjson/jwriter"
@@ -651,6 +650,12 @@
 			} else {
 				out.Placement = string(in.String())
 			}
+		case "roll_out":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.RollOut = string(in.String())
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -689,6 +694,11 @@
 		out.RawString(prefix)
 		out.String(string(in.Placement))
 	}
+	if in.RollOut != "" {
+		const prefix string = ",\"roll_out\":"
+		out.RawString(prefix)
+		out.String(string(in.RollOut))
+	}
 	out.RawByte('}')
 }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -117,6 +117,9 @@
 		if v.WindowS < 0 || v.WindowS > 86400 {
 			bad(p+".window_s", "%d: give 0 (the default, 30) to 86400", v.WindowS)
 		}
+		if v.RollOut != "" && v.RollOut != "paced" && v.RollOut != "at-once" {
+			bad(p+".roll_out", "%q: give paced or at-once", v.RollOut)
+		}
 		switch v.Placement {
 		case "", "hrcs", "all-replicated", "all-sharded", "no-index":
 		default:
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -85,7 +85,8 @@
 	Healed   float64   `json:"sealed_share_after_healing"`
 	During   float64   `json:"sealed_share_during"`
 	Extra    int       `json:"extra_runs"`
-	// Share of prompt tokens found kept before the first step, up to the last, and after it.
+	// Share of prompt tokens found kept before the first step, up to the bound after the
+	// last, and from there on.
 	Hits   [3]float64 `json:"hit_shares"`
 	Faults []string   `json:"faults"`
 }
--- a/internal/yard/settle.go
+++ b/internal/yard/settle.go
@@ -52,13 +52,15 @@
 	var before, during, after tally
 	first := closed
 	for _, x := range p.sc.Steps {
-		first = min(first, p.began+int64(x.At))
+		if x.Do != "patch" {
+			first = min(first, p.began+int64(x.At))
+		}
 	}
 	for _, o := range book.All() {
 		switch {
 		case o.SentMs < first:
 			before.add(o)
-		case o.SentMs < closed:
+		case o.SentMs < closed+heal: // trouble and what it takes to get over it
 			during.add(o)
 		default:
 			after.add(o)
