--- a/internal/dispatcher/pick.go
+++ b/internal/dispatcher/pick.go
@@ -99,7 +99,7 @@
 		}
 		o := q.weigh(w, es, holders, addr, district)
 		home := ""
-		if k, i, _ := q.deciding(es); i >= 0 && !q.hot(es, i) && q.Mode != "no-index" {
+		if k, i, _ := q.deciding(es); i >= 0 && !q.Placement.Hot(k) && q.Mode != "no-index" {
 			for _, h := range placement.Home(k, names) {
 				if q.Load(h) <= boundLoad*mean+1 {
 					home = h
@@ -152,36 +152,11 @@
 	return m
 }
 
-// hotness of a prompt's entry i. While weights are rolled out a prompt has a key under
-// each epoch; the newer one is as hot as the older one was, before anybody has used it.
-func (q *Query) hotness(es []prefix.Entry, i int) float64 {
-	h := q.Found[es[i].Key].GetHotness()
-	for _, o := range q.Entries {
-		if i < len(o) {
-			h = max(h, q.Found[o[i].Key].GetHotness())
-		}
-	}
-	return h
-}
-
-// hot tells whether every worker shall hold a prompt's entry i, under any of its keys.
-func (q *Query) hot(es []prefix.Entry, i int) bool {
-	if q.Placement.Hot(es[i].Key) {
-		return true
-	}
-	for _, o := range q.Entries {
-		if i < len(o) && q.Placement.Hot(o[i].Key) {
-			return true
-		}
-	}
-	return false
-}
-
 // shared is the longest opening that other requests use too: used more than once lately,
 // and about as much as the prompt's first part. The last part is the request's own.
 func (q *Query) shared(es []prefix.Entry) int {
 	at := 0
-	hot := func(i int) float64 { return q.hotness(es, i) }
+	hot := func(i int) float64 { return q.Found[es[i].Key].GetHotness() }
 	for i := 1; i < len(es)-1; i++ {
 		if hot(i) >= sharedHot && hot(i) >= sharedPart*hot(0) {
 			at = i
@@ -201,7 +176,7 @@
 	at = q.shared(es)
 	own := len(es) - 2
 	if own > at && q.Placement != nil && es[own].Upto-es[at].Upto >= es[at].Upto &&
-		q.hotness(es, own) > q.Placement.Floor {
+		q.Found[es[own].Key].GetHotness() > q.Placement.Floor {
 		return es[own].Key, own, true
 	}
 	return es[at].Key, at, false
@@ -277,7 +252,7 @@
 		}
 	}
 	c.Session = session
-	if c.Hot = q.hot(c.Entries, at); c.Hot {
+	if c.Hot = q.Placement.Hot(k); c.Hot {
 		for _, n := range placement.Home(prefixKey(q.ID), names) {
 			if !holders[k][n] && n != c.Worker.Name {
 				to(n)
@@ -289,7 +264,7 @@
 				to(s)
 			}
 		}
-	} else if c.Home != "" && c.Home != c.Worker.Name && !holders[k][c.Home] && (session || q.hotness(c.Entries, at) >= sharedHot) {
+	} else if c.Home != "" && c.Home != c.Worker.Name && !holders[k][c.Home] && (session || q.Found[k].GetHotness() >= sharedHot) {
 		to(c.Home)
 	}
 	if len(c.SaveTo) > 0 {
--- a/internal/dispatcher/pick_test.go
+++ b/internal/dispatcher/pick_test.go
@@ -135,17 +135,6 @@
 			t.Errorf("of two set aside: %v %v", c.Worker, ok)
 		}
 	})
-	t.Run("a hot entry is hot under newer weights before anybody used it there", func(t *testing.T) {
-		q := query(true, map[string]string{"w0": "", "w1": ""})
-		q.Entries[2] = prefix.Chain("shared", "m", 2, []string{strings.Repeat("o", 4000), strings.Repeat("q", 40)})
-		q.Newest, q.Workers = 2, q.Workers[2:]
-		for _, w := range q.Workers {
-			w.Weights = 2
-		}
-		if c, ok := Pick(q); !ok || !c.Hot || c.SaveUpto != 1 || c.Hit != 0 {
-			t.Errorf("%+v %v", c, ok)
-		}
-	})
 	t.Run("workers on other weights, tried ones and unsure ones are left out", func(t *testing.T) {
 		q := query(true, nil)
 		q.Workers[0].Weights, q.Workers[1].State, q.Tried = 2, 1, map[string]bool{"w2": true}
