A prompt is hashed and led home once a request, not once a look or a worker

The calendar asked all runners for health once an entry instead of once a turn. Which weights may still start is asked anew every time, as before. A clock for tests that nothing used is gone, and one comment said 'every' where 'any' is meant.

--- a/internal/appraiser/pace.go
+++ b/internal/appraiser/pace.go
@@ -96,12 +96,13 @@
 		return errs.Wrap(err, "read calendar")
 	}
 	var b errs.Batch
+	lately := sync.OnceValue(a.seen) // asked of all runners once a turn, and only when a move needs it
 	for _, doc := range t.Docs {
 		e, err := calendar.Read(doc.Body)
 		if b.Note(doc.Key, err); err != nil || !e.Active() || e.State == calendar.Paused {
 			continue
 		}
-		w := a.world(s, name, e)
+		w := a.world(s, name, e, lately)
 		next, move, changed := d.pacer.Next(e, w)
 		if move.Patch != nil {
 			if _, ok := d.lease.Held(); !ok {
@@ -143,12 +144,12 @@
 	return errs.Wrap(err, "write entry")
 }
 
-func (a *Appraiser) world(s *feed.Snapshot, name string, e *calendar.Entry) calendar.World {
+func (a *Appraiser) world(s *feed.Snapshot, name string, e *calendar.Entry, lately func() seen) calendar.World {
 	w := calendar.World{Clock: a.clk.Now(), Epoch: s.Epoch, Setup: s.Setup}
 	if e.State == calendar.Planned && e.At != "" {
 		w.Wall = a.wall()
 	}
-	all := a.seen()
+	all := lately()
 	for _, x := range s.Workers {
 		if x.Service != name {
 			if e.Kind == calendar.Handover && x.Service == e.To { // the new service's failures stop it too
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -35,15 +35,6 @@
 // Example: (&clock.Hand{T: time.Second}).Now() == time.Second
 func (h *Hand) Now() time.Duration { return h.T }
 
-type origin struct{ t time.Time }
-
-func (o origin) Now() time.Duration { return time.Since(o.t) }
-
-// Since is a clock over time.Now, which testing/synctest drives in tests.
-//
-// Example: c := clock.Since(time.Now())
-func Since(t time.Time) Clock { return origin{t} }
-
 // Every is a clock event that comes again and again.
 //
 // Example: t := clock.Every(time.Second); defer t.Stop(); <-t.C
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -88,7 +88,8 @@
 			return nil, deny(errs.MayHaveRun, q.RequestID, 0, "a once-only request of this id was taken before")
 		}
 	}
-	found := d.index.seek(ctx, keysOf(d.entries(s, q, tenant)))
+	es := d.entries(s, q, tenant, nil)
+	found := d.index.seek(ctx, keysOf(es))
 	// Every end below goes through give: once a go may have run, no denial says that it didn't.
 	give := func(err error) (*caller.AnswerOKHeaders, error) { leave(); return nil, honest(err, mayHaveRun) }
 	tried := map[string]bool{}
@@ -100,14 +101,15 @@
 			if s = now; !s.Setup.Has(h.XTenantKey, tenant) {
 				return give(deny(errs.BadKey, q.RequestID, 0, "the key was taken out of force"))
 			}
-			found = d.index.seek(ctx, keysOf(d.entries(s, q, tenant)))
+			es = d.entries(s, q, tenant, nil)
+			found = d.index.seek(ctx, keysOf(es))
 		}
 		way, ok := s.Setup.Ways[q.Model]
 		if !ok {
 			return give(deny(errs.NoModel, q.RequestID, 0, "no way leads to model %q", q.Model))
 		}
 		service := way.For(q.RequestID)
-		c, err := d.pickWorker(s, q, tenant, service, found, tried)
+		c, err := d.pickWorker(s, q, tenant, service, es, found, tried)
 		if err != nil {
 			return give(err)
 		}
@@ -186,8 +188,10 @@
 	return n.Epoch == s.Epoch && n.Fresh(d.clk.Now(), d.b.Setup(0.8))
 }
 
-// entries names a prompt's prefixes under each weights epoch that may still start.
-func (d *Dispatcher) entries(s *feed.Snapshot, q *caller.Ask, tenant string) map[uint64][]prefix.Entry {
+// entries names a prompt's prefixes under each weights epoch that may still start. Which
+// ones may is asked anew every time; the names in have, made under the same setup, are used
+// again, since hashing a long prompt takes its time.
+func (d *Dispatcher) entries(s *feed.Snapshot, q *caller.Ask, tenant string, have map[uint64][]prefix.Entry) map[uint64][]prefix.Entry {
 	m := map[uint64][]prefix.Entry{}
 	w := s.WeightsAt[q.Model]
 	service := s.Setup.Ways[q.Model].For(q.RequestID)
@@ -197,6 +201,10 @@
 			continue
 		}
 		if x.Weights == w.Weights || old && x.Weights < w.Weights && x.Weights > 0 {
+			if es, ok := have[x.Weights]; ok {
+				m[x.Weights] = es
+				continue
+			}
 			m[x.Weights] = prefix.Chain(s.Setup.Domain(tenant), q.Model, x.Weights, q.Parts)
 		}
 	}
@@ -214,9 +222,9 @@
 }
 
 // pickWorker picks the worker of the next go.
-func (d *Dispatcher) pickWorker(s *feed.Snapshot, q *caller.Ask, tenant, service string, found map[prefix.Key]*wire.Found, tried map[string]bool) (Choice, error) {
+func (d *Dispatcher) pickWorker(s *feed.Snapshot, q *caller.Ask, tenant, service string, es map[uint64][]prefix.Entry, found map[prefix.Key]*wire.Found, tried map[string]bool) (Choice, error) {
 	p := s.Placements[service]
-	u := Query{ID: q.RequestID, Mode: modeOf(s.Setup, service), District: d.life.Place.District, Entries: d.entries(s, q, tenant), Found: found,
+	u := Query{ID: q.RequestID, Mode: modeOf(s.Setup, service), District: d.life.Place.District, Entries: d.entries(s, q, tenant, es), Found: found,
 		Tried: tried, Newest: s.WeightsAt[q.Model].Weights, Placement: p, Curve: d.curve, NearB: d.near.Load(), FarB: d.far.Load(), StoreB: d.storeB.Load(), Stores: map[string]string{}}
 	if p != nil {
 		u.Curve = p.Prefill
@@ -242,18 +250,14 @@
 			}
 		}
 		u.Workers = up
-		u.Load = func(n string) float64 {
-			l := 0.0
-			if x := g.workers[n]; x != nil {
-				l = float64(x.goes)
-			}
-			for _, w := range u.Workers {
-				if w.Name == n {
-					l = max(l, float64(w.Busy+w.Queued))
-				}
+		loads := make(map[string]float64, len(up))
+		for _, w := range up {
+			loads[w.Name] = float64(w.Busy + w.Queued)
+			if x := g.workers[w.Name]; x != nil {
+				loads[w.Name] = max(loads[w.Name], float64(x.goes))
 			}
-			return l
 		}
+		u.Load = func(n string) float64 { return loads[n] }
 		if c, ok = Pick(u); ok {
 			g.worker(c.Worker.Name).goes++
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// up tells whether every service that a way leads to has a worker up.
+// up tells whether any service that a way leads to has a worker up.
 func up(s *feed.Snapshot) bool {
 	has := map[string]bool{}
 	for _, w := range s.Workers {
--- a/internal/dispatcher/pick.go
+++ b/internal/dispatcher/pick.go
@@ -91,27 +91,23 @@
 		mean /= float64(n)
 	}
 	var best *option
-	var bestHome string
+	homes := map[uint64]leaning{} // what a prompt leans to is the same for all workers of one weights epoch
 	for _, w := range q.Workers {
 		es, ok := q.Entries[w.Weights]
 		if !ok || q.Tried[w.Name] || w.State != feed.WorkerUp || q.aside(w) {
 			continue
 		}
 		o := q.weigh(w, es, holders, addr, district)
-		home := ""
-		if k, i, _ := q.deciding(es); i >= 0 && !q.Placement.Hot(k) && q.Mode != "no-index" {
-			for _, h := range placement.Home(k, names) {
-				if q.Load(h) <= boundLoad*mean+1 {
-					home = h
-					break
-				}
-			}
-			if home != "" && home != w.Name {
-				o.cost += lean * q.Curve.At(float64(es[i].Upto))
-			}
+		h, ok := homes[w.Weights]
+		if !ok {
+			h = q.home(es, names, mean)
+			homes[w.Weights] = h
+		}
+		if h.name != "" && h.name != w.Name {
+			o.cost += lean * q.Curve.At(float64(h.upto))
 		}
 		if best == nil || o.cost < best.cost || o.cost == best.cost && less(q.ID, w.Name, best.w.Name) {
-			best, bestHome = o, home
+			best = o
 		}
 	}
 	if best == nil && !q.pressed && q.Placement != nil && len(q.Placement.Rolling) > 0 {
@@ -122,11 +118,32 @@
 		return Choice{}, false
 	}
 	c := Choice{Worker: best.w, Entries: best.es, Hit: best.hit, Fetch: best.got, Cost: best.cost, Wait: best.wait,
-		Fetches: strings.Join(best.from, ","), Home: bestHome}
+		Fetches: strings.Join(best.from, ","), Home: homes[best.w.Weights].name}
 	q.save(&c, holders, addr, names)
 	return c, true
 }
 
+// leaning is the worker that a prompt leans to, and how many tokens that is for.
+type leaning struct {
+	name string
+	upto int
+}
+
+// home finds the first home of a tail entry that isn't loaded beyond the bound; a hot entry
+// leans to nobody.
+func (q *Query) home(es []prefix.Entry, names []string, mean float64) leaning {
+	k, i, _ := q.deciding(es)
+	if i < 0 || q.Placement.Hot(k) || q.Mode == "no-index" {
+		return leaning{}
+	}
+	for _, h := range placement.Home(k, names) {
+		if q.Load(h) <= boundLoad*mean+1 {
+			return leaning{h, es[i].Upto}
+		}
+	}
+	return leaning{}
+}
+
 // aside tells whether a worker is set aside: it is about to load newer weights.
 func (q *Query) aside(w *wire.Worker) bool {
 	return !q.pressed && q.Placement != nil && w.Weights < q.Newest && slices.Contains(q.Placement.Rolling, w.Name)
