Each superseded weights epoch has its own expiry, however often weights are named

Cause: feed.adopt timed all older weights from the latest naming. Roll-outs were paced from the latest naming as well, and a whole setup could name earlier weights. Ruled out: counting from when a process saw the naming; it may have missed it. After: a chain of what was named, each with the last proof that it was the newest; what a process doesn't know, or forgot past eight, may not start. The last proof outlives a runner's restart. The oldest weights are rolled out first. Setups that go back are bad input.

--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -130,7 +130,8 @@
 		return nil // first learn what is in force
 	}
 	d.roll.Whole = svc.RollOut == "at-once"
-	order, changed := d.roll.Step(ws, seen.Weights, now-seen.First, now, a.life.Place.Bounds)
+	since := func(w uint64) time.Duration { _, first, _ := seen.Since(w); return now - first }
+	order, changed := d.roll.Step(ws, seen.Weights, since, now, a.life.Place.Bounds)
 	var b errs.Batch
 	for _, w := range order {
 		fence, ok := d.lease.Held()
--- a/internal/appraiser/pick_test.go
+++ b/internal/appraiser/pick_test.go
@@ -107,7 +107,7 @@
 			if at == 4*time.Second {
 				r = &Roll{Batch: r.Batch, At: at} // another holder goes on from the placement in force
 			}
-			l, changed := r.Step(ws, 2, at, at, b)
+			l, changed := r.Step(ws, 2, func(uint64) time.Duration { return at }, at, b)
 			if changed {
 				for _, n := range r.Batch {
 					asideAt[n] = at
@@ -140,3 +140,29 @@
 		}
 	}
 }
+
+// Weights named again in quick succession: the workers on the oldest go first, and are through
+// within the bound from when those were superseded, not from the latest naming.
+func TestRollOutOfWeightsNamedAgain(t *testing.T) {
+	b := settings.Default()
+	var ws []*wire.Worker
+	for i := range 18 {
+		ws = append(ws, &wire.Worker{Name: fmt.Sprintf("w%02d", i), Weights: 1})
+	}
+	r, want := &Roll{}, uint64(2)
+	for at := time.Duration(0); at < 30*time.Second; at += 500 * time.Millisecond {
+		if at == 6*time.Second {
+			want = 3
+		}
+		since := func(w uint64) time.Duration { return at - 6*time.Second*time.Duration(w-1) }
+		l, _ := r.Step(ws, want, since, at, b)
+		for _, w := range l {
+			w.Weights = want
+		}
+		for _, w := range ws {
+			if limit := b.Weights(0.8) + 6*time.Second*time.Duration(w.Weights-1); w.Weights < want && at > limit {
+				t.Fatalf("%s is on weights %d at %v", w.Name, w.Weights, at)
+			}
+		}
+	}
+}
--- a/internal/appraiser/rollout.go
+++ b/internal/appraiser/rollout.go
@@ -27,8 +27,10 @@
 
 // Step moves the roll-out on: it says whom to order now, and whether the batch has changed.
 //
+// since tells how long ago a worker's own weights were superseded: each epoch has its bound.
+//
 // Example: order, changed := r.Step(workers, 4, since, now, bounds)
-func (r *Roll) Step(ws []*wire.Worker, want uint64, since, now time.Duration, b settings.Bounds) (order []*wire.Worker, changed bool) {
+func (r *Roll) Step(ws []*wire.Worker, want uint64, since func(uint64) time.Duration, now time.Duration, b settings.Bounds) (order []*wire.Worker, changed bool) {
 	in := map[string]bool{}
 	for _, n := range r.Batch {
 		in[n] = true
@@ -54,8 +56,10 @@
 	if len(old) == 0 {
 		return nil, changed
 	}
-	sort.Slice(old, func(i, j int) bool { return old[i].Name < old[j].Name })
-	left := time.Duration(float64(b.WeightsMs)*span*float64(time.Millisecond)) - since
+	sort.Slice(old, func(i, j int) bool { // what was superseded first goes first
+		return old[i].Weights < old[j].Weights || old[i].Weights == old[j].Weights && old[i].Name < old[j].Name
+	})
+	left := b.Weights(span) - since(old[0].Weights)
 	rounds := max(1, int(left/b.Heal(settle)))
 	n := min((len(old)+rounds-1)/rounds, max(1, int(float64(len(ws))*mostOut)))
 	if r.Whole {
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -285,9 +285,15 @@
 		} else {
 			u.Body, err = setup.Merge(nil, u.Body)
 		}
+		if err == nil {
+			err = setup.Follows(old.GetBody(), u.Body)
+		}
 		if err != nil {
 			return &wire.ChangeTell{Outcome: errs.KindOf(err).Name, Epoch: old.GetEpoch(), Faults: []string{err.Error()}}
 		}
+		if u.AnyEpoch && len(p.core.Unsettled()) > 0 { // it was checked against what another change may replace
+			return &wire.ChangeTell{Outcome: "overloaded"}
+		}
 	}
 	if !u.AnyEpoch && u.IfEpoch != old.GetEpoch() {
 		return &wire.ChangeTell{Outcome: "epoch-conflict", Epoch: old.GetEpoch()}
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -195,12 +195,11 @@
 	m := map[uint64][]prefix.Entry{}
 	w := s.WeightsAt[q.Model]
 	service := s.Setup.Ways[q.Model].For(q.RequestID)
-	old := w.Since > 0 && d.clk.Now()-w.Since < time.Duration(float64(d.b.WeightsMs)*0.85)*time.Millisecond
 	for _, x := range s.Workers {
 		if _, ok := m[x.Weights]; ok || x.Service != service || x.State == feed.WorkerGone {
 			continue
 		}
-		if x.Weights == w.Weights || old && x.Weights < w.Weights && x.Weights > 0 {
+		if x.Weights == w.Weights || d.older(w, x.Weights) > 0 {
 			if es, ok := have[x.Weights]; ok {
 				m[x.Weights] = es
 				continue
@@ -211,6 +210,15 @@
 	return m
 }
 
+// older tells how long superseded weights may still start; zero: no more.
+func (d *Dispatcher) older(w feed.Seen, weights uint64) time.Duration {
+	not, _, ok := w.Since(weights)
+	if !ok || weights == 0 {
+		return 0
+	}
+	return max(0, not+d.b.Weights(0.85)-d.clk.Now())
+}
+
 func keysOf(m map[uint64][]prefix.Entry) []prefix.Key {
 	var ks []prefix.Key
 	for _, es := range m {
--- a/internal/dispatcher/answer_test.go
+++ b/internal/dispatcher/answer_test.go
@@ -270,7 +270,7 @@
 		}
 	}
 	b := newBench(t, "well")
-	b.snap.WeightsAt = map[string]feed.Seen{"m": {Weights: 2, Since: time.Hour - time.Second}}
+	b.snap.WeightsAt = map[string]feed.Seen{"m": {Weights: 2, Past: []feed.Seen{{Weights: 1, Until: time.Hour - time.Second}}}}
 	if o := b.ask("r", true); !o.Sealed {
 		t.Errorf("older weights within their bound: %+v", o)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -31,6 +31,7 @@
 	View       uint64 // of workers, nodes, placements and stores
 	Setup      *setup.Setup
 	ProofAt    time.Duration // no setup newer than Epoch had been acknowledged then
+	Proved     time.Duration // the latest such instant known, also while the runner has just begun anew
 	WorkersAt  time.Duration // when the worker table was last known good
 	Workers    []*wire.Worker
 	Nodes      []*wire.Node
@@ -39,13 +40,6 @@
 	WeightsAt  map[string]Seen // when each model's weights epoch was first seen here
 }
 
-// Seen is a weights epoch and when it came.
-type Seen struct {
-	Weights uint64
-	Since   time.Duration // it was not acknowledged before this instant; zero: nobody here knows
-	First   time.Duration // this process saw it then
-}
-
 // Fresh tells whether the setup may still be followed at an instant: the proof is younger
 // than the age.
 //
@@ -178,22 +172,20 @@
 func (s *Snapshot) adopt(t *wire.FeedTell, old *Snapshot, now time.Duration) error {
 	if old != nil && old.Setup != nil && (t.Setup == nil || old.Epoch == t.Setup.Epoch) {
 		s.Epoch, s.Setup, s.WeightsAt = old.Epoch, old.Setup, old.WeightsAt
+		s.Proved = max(old.Proved, s.ProofAt) // a proof of this epoch stays true, whoever forgot it
 	} else if t.Setup != nil {
 		v, err := setup.Read(t.Setup.Body)
 		if err != nil {
 			return errs.Wrap(err, "setup in feed")
 		}
-		s.Epoch, s.Setup, s.WeightsAt = t.Setup.Epoch, v.Ready(), map[string]Seen{}
+		s.Epoch, s.Setup, s.Proved, s.WeightsAt = t.Setup.Epoch, v.Ready(), s.ProofAt, map[string]Seen{}
 		for n, m := range v.Models {
-			w := Seen{Weights: m.Weights, First: now}
+			var o Seen
+			proved := time.Duration(0)
 			if old != nil {
-				if o, ok := old.WeightsAt[n]; ok && o.Weights == m.Weights {
-					w = o
-				} else if ok {
-					w.Since = old.ProofAt
-				}
+				o, proved = old.WeightsAt[n], old.Proved
 			}
-			s.WeightsAt[n] = w
+			s.WeightsAt[n] = o.next(m.Weights, proved, now)
 		}
 	}
 	return nil
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,23 +39,54 @@
 	}
 }
 
-// Newer weights can't have been acknowledged before the last proof of the older ones; a
-// process that never saw the older ones knows no such instant, and allows none of them.
+// follow reads a chain of answers, each a setup epoch, a proof and the weights named.
+func follow(t *testing.T, l ...[3]uint64) (s *Snapshot) {
+	for _, x := range l {
+		tell := &wire.FeedTell{View: 1, ProofAt: x[1]}
+		if x[0] > 0 {
+			tell.Setup = doc(x[0], fmt.Sprint(x[2]))
+		}
+		s = must(t, tell, s, time.Duration(x[1]+10))
+	}
+	return s
+}
+
+// Each superseded epoch has its own instant, however many are named after it: newer weights
+// can't have been acknowledged before the last proof of the older ones. A process that never
+// saw the older ones knows no such instant, and allows none of them.
 func TestSinceWhenWeightsAreNewer(t *testing.T) {
-	a := must(t, &wire.FeedTell{View: 1, ProofAt: 50, Setup: doc(1, "1")}, nil, 60)
-	if w := a.WeightsAt["m"]; w.Since != 0 || w.First != 60 {
-		t.Errorf("%+v", w)
+	for name, x := range map[string]struct {
+		chain [][3]uint64
+		since map[uint64]uint64 // zero: unknown
+	}{
+		"first seen":                  {[][3]uint64{{1, 50, 2}}, map[uint64]uint64{1: 0, 2: 0}},
+		"named once":                  {[][3]uint64{{1, 50, 1}, {2, 500, 2}}, map[uint64]uint64{1: 50}},
+		"another change between":      {[][3]uint64{{1, 50, 1}, {2, 500, 2}, {3, 900, 2}}, map[uint64]uint64{1: 50}},
+		"a later proof counts":        {[][3]uint64{{1, 50, 1}, {0, 90, 0}, {2, 500, 2}}, map[uint64]uint64{1: 90}},
+		"named thrice":                {[][3]uint64{{1, 50, 1}, {2, 500, 2}, {3, 900, 3}}, map[uint64]uint64{1: 50, 2: 500}},
+		"one naming missed":           {[][3]uint64{{1, 50, 1}, {3, 900, 3}}, map[uint64]uint64{1: 50, 2: 50}},
+		"the runner began anew":       {[][3]uint64{{1, 50, 1}, {0, 0, 0}, {2, 500, 2}}, map[uint64]uint64{1: 50}},
+		"anew without proof, renamed": {[][3]uint64{{1, 50, 1}, {2, 0, 2}, {3, 900, 3}}, map[uint64]uint64{1: 50, 2: 0}},
+		"put back at an earlier one":  {[][3]uint64{{1, 50, 1}, {2, 500, 2}, {3, 600, 1}, {4, 900, 2}}, map[uint64]uint64{1: 600}},
+	} {
+		s := follow(t, x.chain...)
+		for w, want := range x.since {
+			if not, _, ok := s.WeightsAt["m"].Since(w); ok != (want > 0) || not != time.Duration(want) {
+				t.Errorf("%s: weights %d: %d %v, %d is due", name, w, not, ok, want)
+			}
+		}
 	}
-	b := must(t, &wire.FeedTell{View: 1, ProofAt: 500, Setup: doc(2, "2")}, a, 510)
-	if w := b.WeightsAt["m"]; w.Weights != 2 || w.Since != 50 || w.First != 510 {
-		t.Errorf("%+v", w)
+	a := follow(t, [3]uint64{1, 50, 1})
+	if must(t, &wire.FeedTell{View: 1, ProofAt: 500, Setup: doc(2, "2")}, a, 510); a.WeightsAt["m"].Weights != 1 {
+		t.Error("a shared snapshot was changed")
 	}
-	c := must(t, &wire.FeedTell{View: 1, ProofAt: 900, Setup: doc(3, "2")}, b, 910)
-	if w := c.WeightsAt["m"]; w.Since != 50 || w.First != 510 {
-		t.Errorf("another change of the setup moved it: %+v", w)
+	many := [][3]uint64{}
+	for i := uint64(1); i <= 20; i++ {
+		many = append(many, [3]uint64{i, 100 * i, i})
 	}
-	if a.WeightsAt["m"].Weights != 1 {
-		t.Error("a shared snapshot was changed")
+	s := follow(t, many...).WeightsAt["m"]
+	if _, _, ok := s.Since(5); ok || len(s.Past) != maxPast {
+		t.Errorf("what was forgotten may start: %+v", s)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,6 +64,11 @@
 // Example: b.Setup(0.8) is how old a proof may be
 func (b Bounds) Setup(r float64) time.Duration { return ms(b.SetupMs, r) }
 
+// Weights is a ratio of the bound on older weights.
+//
+// Example: b.Weights(0.85) is how long they may be picked
+func (b Bounds) Weights(r float64) time.Duration { return ms(b.WeightsMs, r) }
+
 // Leave is a ratio of the bound on workers that left.
 //
 // Example: b.Leave(0.1) is the beat
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -90,3 +90,18 @@
 		}
 	}
 }
+
+// A model's weights don't go back, also where a whole setup names them.
+func TestWeightsDoNotGoBack(t *testing.T) {
+	at := func(w string) []byte {
+		return []byte(`{"models":{"m":{"weights":` + w + `}},"services":{"s":{"model":"m"}}}`)
+	}
+	for _, x := range []struct {
+		old, next []byte
+		ok        bool
+	}{{nil, at("3"), true}, {at("3"), at("3"), true}, {at("3"), at("4"), true}, {at("3"), at("2"), false}, {[]byte(`{}`), at("1"), true}} {
+		if err := Follows(x.old, x.next); (err == nil) != x.ok || err != nil && errs.KindOf(err) != errs.BadInput {
+			t.Errorf("%s after %s: %v", x.next, x.old, err)
+		}
+	}
+}
