Extra tries bounded in every window; tenants' budgets are the site's

Cause: the sliding window of extra tries held only where a window ended with an extra try, and each dispatcher had an allowance of its own, unknown to the settings. A tenant's budget was counted at each dispatcher alone: nine times the rate site-wide. Ruled out: a finer sliding window (falling traffic still leaves a window with tries it didn't earn); allowance by living edges (a cut-off edge would be counted out while it still tries). A crash with several goes on one edge may now give one extra try there, not several; those beyond are denied at once with a time to come back.

--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -63,7 +63,7 @@
 	}
 	var why string
 	kind := errs.OverBudget
-	d.gate.Ask(func(g *gate) { kind, why, back = g.admit(tenant, t, d.b.Waiting, t0) })
+	d.gate.Ask(func(g *gate) { kind, why, back = g.admit(tenant, t, d.b.Waiting, edges(s, false), t0) })
 	if why != "" {
 		cancel()
 		return nil, deny(kind, q.RequestID, back, "%s", why)
@@ -122,7 +122,7 @@
 		}
 		if n == 0 {
 			n++
-			d.gate.Tell(func(g *gate) { d.tries(g, service).First(d.clk.Now()) })
+			d.gate.Tell(func(g *gate) { d.tries(g, service).First(d.allowance(g, s)) })
 		}
 		if !d.current(s) { // a new setup came while this was thought over
 			d.gate.Tell(func(g *gate) { g.release(c.Worker.Name) })
@@ -141,7 +141,7 @@
 		d.life.Log.Debug("go failed", "request", q.RequestID, "worker", c.Worker.Name, "not_run", notRun, "error", err)
 		again, late := false, ctx.Err() != nil
 		if (notRun || !q.Once.Or(false)) && !late {
-			d.gate.Ask(func(g *gate) { again = d.tries(g, service).Extra(d.clk.Now()) })
+			d.gate.Ask(func(g *gate) { again = d.tries(g, service).Extra(d.allowance(g, s)) })
 		}
 		if again {
 			d.stats.extra.Add(1)
--- a/internal/dispatcher/answer_test.go
+++ b/internal/dispatcher/answer_test.go
@@ -150,6 +150,7 @@
 	}
 	d := &Dispatcher{life: l, b: p.Bounds, clk: b.clk, be: contract.NewBackends(&net.Dialer{}), curve: placement.Default(), log: queue.NewRing[*wire.Decided](8), claims: fakeClaims{b}}
 	d.gate = queue.NewDesk(newGate(), 64)
+	d.gate.Ask(func(g *gate) { d.tries(g, "s").saved = 1 }) // as after a few requests
 	d.index = newIndex(l, b.clk)
 	d.fol = feed.Fixed(func() *feed.Snapshot { b.mu.Lock(); defer b.mu.Unlock(); return b.snap })
 	srv, err := caller.NewServer(d, caller.WithErrorHandler(turnAway))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"pebbleloom/internal/feed"
 	"pebbleloom/internal/placement"
 	"pebbleloom/internal/queue"
+	"pebbleloom/internal/roster"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -127,15 +128,33 @@
 	}
 }
 
+// tries is a service's bucket of extra tries.
 func (d *Dispatcher) tries(g *gate, service string) *Tries {
 	t := g.tries[service]
 	if t == nil {
-		t = &Tries{Span: d.b.Try(1), Share: float64(d.b.TryShare) / 100, Allowance: 1}
+		t = &Tries{Share: float64(d.b.TryShare) / 100}
 		g.tries[service] = t
 	}
 	return t
 }
 
+// allowance is this edge's part of the extra tries that a service may save up. Edges that are
+// gone count too, as long as they are remembered: one that is only cut off has its part still.
+func (d *Dispatcher) allowance(g *gate, s *feed.Snapshot) float64 {
+	g.edges = max(g.edges, edges(s, true))
+	return part(float64(d.b.TryAllow), g.edges)
+}
+
+// edges counts the edge machines that a snapshot knows; gone ones where asked for.
+func edges(s *feed.Snapshot, gone bool) (n int) {
+	for _, x := range s.Nodes {
+		if x.Role == "runner" && (gone || x.State < roster.Gone) {
+			n++
+		}
+	}
+	return n
+}
+
 // goes hands the runner what the goes since the last time have shown, and why they went
 // where they went.
 func (d *Dispatcher) goes(a *wire.FeedAsk) {
--- a/internal/dispatcher/gate.go
+++ b/internal/dispatcher/gate.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"time"
 
 	"pebbleloom/internal/errs"
@@ -16,6 +17,7 @@
 	tries    map[string]*Tries
 	meanUs   float64
 	goes     map[string]*wire.GoReport
+	edges    int // the most edge machines seen in this life
 }
 
 type tenantState struct {
@@ -38,27 +40,28 @@
 		tries: map[string]*Tries{}, meanUs: 100000, goes: map[string]*wire.GoReport{}}
 }
 
-// admit takes a request in, or says why not and when to come back.
-func (g *gate) admit(tenant string, t setup.Tenant, most int, now time.Duration) (k *errs.Kind, why string, back time.Duration) {
+// admit takes a request in, or says why not and when to come back. A tenant's budget is the
+// site's: each of the living edges has its part of it.
+func (g *gate) admit(tenant string, t setup.Tenant, most, edges int, now time.Duration) (k *errs.Kind, why string, back time.Duration) {
 	if g.inflight >= most {
 		return errs.Overloaded, "this dispatcher holds as many requests as it may", time.Duration(g.meanUs) * time.Microsecond
 	}
 	s := g.tenants[tenant]
 	if s == nil {
 		if len(g.tenants) >= maxTenants {
-			clear(g.tenants)
+			maps.DeleteFunc(g.tenants, func(_ string, x *tenantState) bool { return x.inflight == 0 })
 		}
-		s = &tenantState{tokens: t.Rate, at: now}
+		s = &tenantState{tokens: 1, at: now}
 		g.tenants[tenant] = s
 	}
-	if t.Inflight > 0 && s.inflight >= t.Inflight {
+	if t.Inflight > 0 && s.inflight >= int(part(float64(t.Inflight), edges)) {
 		return errs.OverBudget, "the tenant has as many requests under way as its budget allows", time.Duration(g.meanUs) * time.Microsecond
 	}
-	if t.Rate > 0 {
-		s.tokens = min(max(t.Rate, 1), s.tokens+t.Rate*(now-s.at).Seconds())
+	if rate := t.Rate / float64(max(1, edges)); rate > 0 {
+		s.tokens = min(max(rate, 1), s.tokens+rate*(now-s.at).Seconds())
 		s.at = now
 		if s.tokens < 1 {
-			return errs.OverBudget, "the tenant's rate is over its budget", time.Duration((1 - s.tokens) / t.Rate * float64(time.Second))
+			return errs.OverBudget, "the tenant's rate is over its budget", time.Duration((1-s.tokens)/rate*float64(time.Second)) + time.Millisecond
 		}
 		s.tokens--
 	}
--- a/internal/dispatcher/tries.go
+++ b/internal/dispatcher/tries.go
@@ -1,45 +1,39 @@
-// Package dispatcher is the edge proxy: one function carries a request from its caller to
-// a worker and the sealed stream back.
 package dispatcher
 
-import "time"
-
-// Tries is the exact sliding window over which extra tries of one service are counted.
-// Every first go and every extra go is kept with its instant, so the share is exact.
+// Tries bounds the extra tries of one service: each first go earns a share of an extra one,
+// and no more than the allowance is ever saved up. So in any window whatever, wherever it
+// begins and ends, extra goes are at most the share of its first goes plus the allowance. It
+// begins empty, so that restarts add nothing.
 type Tries struct {
-	Span      time.Duration
-	Share     float64 // extra goes over first goes
-	Allowance int     // this dispatcher's share of the small allowance
-	first     []time.Duration
-	extra     []time.Duration
+	Share float64 // extra goes over first goes
+	saved float64
 }
 
-func (t *Tries) trim(now time.Duration) {
-	for len(t.first) > 0 && now-t.first[0] >= t.Span {
-		t.first = t.first[1:]
-	}
-	for len(t.extra) > 0 && now-t.extra[0] >= t.Span {
-		t.extra = t.extra[1:]
-	}
-}
+// tiny makes up for shares that have no exact binary form: five fifths are a whole.
+const tiny = 1e-9
 
-// First counts a request's first go.
+// First counts a request's first go; the allowance is this dispatcher's part of the site's.
 //
-// Example: t.First(clk.Now())
-func (t *Tries) First(now time.Duration) {
-	t.trim(now)
-	t.first = append(t.first, now)
-}
+// Example: t.First(allowance)
+func (t *Tries) First(allowance float64) { t.saved = min(allowance, t.saved+t.Share) }
 
-// Extra tells whether one more go fits, and counts it if so. The allowance is whole goes:
-// the share alone may round down to none.
+// Extra tells whether one more go fits, and spends it if so.
 //
-// Example: if !t.Extra(clk.Now()) { deny() }
-func (t *Tries) Extra(now time.Duration) bool {
-	t.trim(now)
-	if float64(len(t.extra)+1) > t.Share*float64(len(t.first))+float64(t.Allowance) {
+// Example: if !t.Extra(allowance) { deny() }
+func (t *Tries) Extra(allowance float64) bool {
+	t.saved = min(allowance, t.saved) // the part may have become smaller
+	if t.saved < 1-tiny {
 		return false
 	}
-	t.extra = append(t.extra, now)
+	t.saved--
 	return true
 }
+
+// part is this dispatcher's part of what the site may do. More edges than it has whole parts
+// get one each: less would be none.
+func part(whole float64, edges int) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return max(1, whole/float64(max(1, edges)))
+}
--- a/internal/yard/settle.go
+++ b/internal/yard/settle.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 
@@ -148,7 +149,8 @@
 	}
 }
 
-// extra: second runs of a request, in any ten seconds, against the share and the allowances.
+// extra: second runs of a service's requests, in any ten seconds, against the share of its
+// requests and the site's allowance.
 func (p *play) extra(book *fares.Book, js map[string][]cab.Run) {
 	b := p.f.Site.Processes[0].Place.Bounds
 	seen := map[string]bool{}
@@ -169,21 +171,39 @@
 			first = append(first, o.SentMs)
 		}
 	}
-	sort.Slice(first, func(i, j int) bool { return first[i] < first[j] })
 	p.rep.Extra = len(extra)
-	count := func(l []int64, from, to int64) int {
-		return sort.Search(len(l), func(i int) bool { return l[i] > to }) - sort.Search(len(l), func(i int) bool { return l[i] > from })
-	}
-	for _, to := range extra {
-		from := to - int64(b.TrySpan)
-		e, f := count(extra, from, to), count(first, from, to)
-		if float64(e) > float64(b.TryShare)/100*float64(f)+float64(len(p.f.Site.Edges)) {
-			p.fault("%d extra runs on %d requests in ten seconds", e, f)
-			return
-		}
+	allow := float64(max(b.TryAllow, len(p.f.Site.Edges))) // an edge's part is one at least
+	if e, f := worst(extra, first, int64(b.TrySpan), float64(b.TryShare)/100); float64(e) > float64(b.TryShare)/100*float64(f)+allow {
+		p.fault("%d extra runs on %d requests in ten seconds", e, f)
 	}
 }
 
+// worst finds the window, wherever it begins, that holds the most extra runs over the share of
+// its requests. A run may begin up to a tenth of the window after its request earned it.
+func worst(extra, first []int64, span int64, share float64) (e, f int) {
+	slices.Sort(extra)
+	slices.Sort(first)
+	count := func(l []int64, from, to int64) int { // from <= t < to
+		at := func(t int64) int { i, _ := slices.BinarySearch(l, t); return i }
+		return at(to) - at(from)
+	}
+	var begins []int64
+	for _, t := range extra {
+		begins = append(begins, t, t-span+1)
+	}
+	for _, t := range first {
+		begins = append(begins, t+1)
+	}
+	most := 0.0
+	for _, t := range begins {
+		n, m := count(extra, t, t+span), count(first, t-span/10, t+span)
+		if over := float64(n) - share*float64(m); n > 0 && (over > most || e == 0) {
+			most, e, f = over, n, m
+		}
+	}
+	return e, f
+}
+
 // readAll: every operator address tells the same setup, no older than what was acknowledged.
 func (p *play) readAll(ctx context.Context) {
 	bodies := map[string][]string{}
--- a/internal/yard/yard_test.go
+++ b/internal/yard/yard_test.go
@@ -92,3 +92,20 @@
 		t.Logf("%s: sealed %d of %d; %v", sc.Name, rep.Sum.Sealed, rep.Sum.Requests, rep.Steps)
 	}
 }
+
+// The check of extra runs looks at every window: a planted burst is seen where the traffic
+// before it has stopped, and where a window only begins with it.
+func TestWorstWindowOfExtraRuns(t *testing.T) {
+	var first []int64
+	for i := range int64(100) {
+		first = append(first, i*100) // ten a second for ten seconds, then none
+	}
+	for _, x := range []struct {
+		extra       []int64
+		e, least, f int
+	}{{[]int64{5000, 5001, 5002}, 3, 40, 100}, {[]int64{18000, 18001, 18002, 18003}, 4, 0, 30}, {nil, 0, 0, 0}} {
+		if e, f := worst(x.extra, first, 10000, 0.2); e != x.e || f < x.least || f > x.f {
+			t.Errorf("%v: %d extra runs on %d requests", x.extra, e, f)
+		}
+	}
+}
