Once-only ids are forgotten by age, never by count

Cause: a part remembered its latest 30 000 ids. A flood (65 536 claims in the new test) made an old id runnable again while its caller could still repeat it. Ruled out: the wall clock, and each member's own clock (members would forget differently); an instant stamped by the owner (owners' clocks differ). After: the part has an age in its log, to which each owner adds what it saw pass in its term; ids younger than once_ms (half an hour) are kept, a part with 65 536 young ones denies as not run. Data of earlier releases is read; their ids count as young.

--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -69,6 +69,7 @@
 			l.Log.Error("part stays closed", "part", i, "error", errs.Text(err))
 			continue
 		}
+		p.keep = l.Place.Bounds.Once(1)
 		n.parts[i] = p
 		l.Go(func() { p.run(tick) })
 	}
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -26,20 +26,23 @@
 
 // part runs one member of one part: one thread owns core, state and shelf.
 type part struct {
-	n       uint32
-	core    *ledger.Core
-	st      *state
-	sh      *shelf.Shelf
-	clk     clock.Clock
-	log     hclog.Logger
-	post    func(*wire.Letter)
-	in      *queue.Ring[func()]
-	pending map[uint64]pend
-	reads   map[uint64]chan bool
-	news    map[chan struct{}]bool
-	turnAt  int // the log is turned into a slot when it is longer than this
-	bad     error
-	ctx     context.Context
+	n        uint32
+	core     *ledger.Core
+	st       *state
+	sh       *shelf.Shelf
+	clk      clock.Clock
+	log      hclog.Logger
+	post     func(*wire.Letter)
+	in       *queue.Ring[func()]
+	pending  map[uint64]pend
+	reads    map[uint64]chan bool
+	news     map[chan struct{}]bool
+	keep     time.Duration // how long once-only ids are remembered
+	agedAt   time.Duration // when the part's age was last told, and in which term
+	agedTerm uint64
+	turnAt   int // the log is turned into a slot when it is longer than this
+	bad      error
+	ctx      context.Context
 }
 
 // openPart reads the shelf and makes the member; an empty disk begins blank under a new
@@ -51,7 +54,7 @@
 	}
 	p := &part{n: cfg.Part, st: newState(), sh: sh, clk: clk, log: log.With("part", cfg.Part), post: post, ctx: ctx,
 		in: queue.NewRing[func()](512), pending: map[uint64]pend{}, reads: map[uint64]chan bool{},
-		news: map[chan struct{}]bool{}, turnAt: 1 << 20}
+		news: map[chan struct{}]bool{}, turnAt: 1 << 20, keep: keepIds}
 	if l.Slot == nil {
 		l.Slot = ledger.First(inc()) // whatever was here before counts no more, under any name
 		if err := sh.Turn(l.Slot, nil); err != nil {
@@ -264,6 +267,7 @@
 		return nil
 	}
 	if c := cmd.GetClaims(); c != nil && len(c.List) > 0 && len(c.List) <= 1024 {
+		c.PassedNs, c.KeepNs = uint64(p.passed(p.core.Stands().Term)), uint64(p.keep)
 		return nil
 	}
 	u := cmd.GetPut()
--- a/internal/archive/state.go
+++ b/internal/archive/state.go
@@ -13,13 +13,16 @@
 	"pebbleloom/internal/wire"
 )
 
+// keepIds is how long once-only ids are remembered where the settings say nothing.
+const keepIds = 30 * time.Minute
+
 // Bounds of one part's state.
 const (
 	maxDocs   = 512
 	maxLeases = 64
 	maxTokens = 256
 	maxState  = 8 << 20
-	maxClaims = 30000 // the latest once-only ids are remembered, in log order
+	maxClaims = 1 << 16 // once-only ids of a part; more than this at once are denied, not forgotten
 )
 
 // state is what a part's log adds up to. It is changed by apply alone, in log order, and
@@ -54,14 +57,12 @@
 		s.leases[l.Duty], s.seen[l.Duty] = l, now
 	}
 	s.tokens = p.Tokens
-	for _, c := range p.Claims {
-		s.claims.take(c)
-	}
+	s.claims.load(p.Claims, p.AgeNs)
 	return nil
 }
 
 func (s *state) save() ([]byte, error) {
-	p := &wire.PartState{Epoch: 1, Tokens: s.tokens, Claims: s.claims.save()}
+	p := &wire.PartState{Epoch: 1, Tokens: s.tokens, Claims: s.claims.save(), AgeNs: s.claims.age}
 	for _, k := range queue.Keys(s.docs) {
 		p.Docs = append(p.Docs, s.docs[k])
 	}
@@ -80,8 +81,12 @@
 		return s.grant(k.Grant, now)
 	case *wire.Command_Claims:
 		t := &wire.ChangeTell{Outcome: "done"}
+		if k.Claims.KeepNs > 0 { // zero: of a release that told no age
+			s.claims.pass(k.Claims.PassedNs, k.Claims.KeepNs)
+		}
 		for _, c := range k.Claims.List {
-			t.Granted = append(t.Granted, s.claims.take(c))
+			granted, full := s.claims.take(c)
+			t.Granted, t.Full = append(t.Granted, granted), append(t.Full, full)
 		}
 		return t
 	}
--- a/internal/archive/state_test.go
+++ b/internal/archive/state_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"pebbleloom/internal/clock"
 	"pebbleloom/internal/wire"
 )
 
@@ -133,7 +134,7 @@
 	}
 }
 
-// Bounds: documents, tokens and claims stay within theirs, and the oldest are forgotten.
+// Bounds: documents and tokens stay within theirs.
 func TestAPartsStateIsBounded(t *testing.T) {
 	s := newState()
 	for i := range maxDocs + 10 {
@@ -148,13 +149,82 @@
 	if r := s.apply(put("k0", string(make([]byte, maxState+1)), "", 1), 0); r.Outcome != "too-big" {
 		t.Errorf("a body over the bound: %s", r.Outcome)
 	}
-	for i := range maxClaims + 100 {
-		id := fmt.Appendf(nil, "%016d", i)
-		if !s.claims.take(&wire.Claim{Id: id, Nonce: 1}) {
+}
+
+func claim(i int, nonce uint64) *wire.Claim {
+	return &wire.Claim{Id: fmt.Appendf(nil, "%016d", i), Nonce: nonce}
+}
+
+// A flood of ids never makes an old one runnable again while its caller may repeat it: a full
+// part takes no more. Ids go by age alone, the same at every member, also through a slot; ids
+// given back leave room at once, and the order of what was given back stays bounded.
+func TestOnceOnlyIdsGoByAge(t *testing.T) {
+	apply := func(s *state, passed time.Duration, c *wire.Claim) (bool, bool) {
+		r := s.apply(&wire.Command{Kind: &wire.Command_Claims{Claims: &wire.Claims{List: []*wire.Claim{c}, PassedNs: uint64(passed), KeepNs: uint64(keepIds)}}}, 0)
+		return r.Granted[0], r.Full[0]
+	}
+	s := newState()
+	for i := range maxClaims {
+		if ok, full := apply(s, 0, claim(i, 1)); !ok || full {
 			t.Fatalf("claim %d was denied", i)
 		}
 	}
-	if len(s.claims.by) != maxClaims || s.claims.take(&wire.Claim{Id: fmt.Appendf(nil, "%016d", maxClaims+99), Nonce: 2}) {
-		t.Errorf("%d claims, or a late one was given away", len(s.claims.by))
+	if ok, full := apply(s, keepIds-1, claim(maxClaims, 1)); ok || !full {
+		t.Fatalf("a full part took one more: %v %v", ok, full)
+	}
+	if ok, _ := apply(s, 0, claim(0, 2)); ok {
+		t.Fatal("the oldest id was given away while it was young")
+	}
+	if ok, _ := apply(s, 0, claim(0, 1)); !ok {
+		t.Fatal("a claim asked for again by its holder was denied")
+	}
+	body, err := s.save()
+	if err != nil || len(body) > 4<<20 {
+		t.Fatalf("a full part's slot: %d bytes, %v", len(body), err)
+	}
+	o := newState()
+	if err := o.load(body, 0); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []*state{s, o} {
+		if ok, _ := apply(x, 0, &wire.Claim{Id: claim(7, 1).Id, Nonce: 1, Release: true}); !ok {
+			t.Fatal("an id can't be given back")
+		}
+		if ok, _ := apply(x, 0, claim(7, 9)); !ok {
+			t.Fatal("an id that was given back can't be taken")
+		}
+		if ok, _ := apply(x, 1, claim(0, 2)); !ok {
+			t.Fatal("an id outlived its age")
+		}
+		if ok, _ := apply(x, 0, claim(7, 8)); ok {
+			t.Fatal("an id taken again goes by its first life's age")
+		}
+	}
+	a, _ := s.save()
+	b, _ := o.save()
+	if string(a) != string(b) {
+		t.Error("members that read a slot differ from those that applied the log")
+	}
+	for i := range 4 * maxClaims {
+		apply(s, 0, claim(3, uint64(i+100)))
+		apply(s, 0, &wire.Claim{Id: claim(3, 1).Id, Nonce: uint64(i + 100), Release: true})
+	}
+	if len(s.claims.order) > 2*maxClaims+2 {
+		t.Errorf("%d places for %d ids", len(s.claims.order), len(s.claims.by))
+	}
+}
+
+// The part's age is what its owners saw pass: none between owners, none twice.
+func TestAPartsAgeIsItsOwners(t *testing.T) {
+	h := &clock.Hand{T: time.Hour}
+	p := &part{clk: h}
+	for _, x := range []struct {
+		at, term uint64
+		want     time.Duration
+	}{{0, 1, 0}, {5, 1, 5}, {9, 2, 0}, {10, 2, 1}, {30, 4, 0}} {
+		h.T = time.Hour + time.Duration(x.at)
+		if got := p.passed(x.term); got != x.want {
+			t.Errorf("%+v: %d", x, got)
+		}
 	}
 }
--- a/internal/dispatcher/claim.go
+++ b/internal/dispatcher/claim.go
@@ -108,8 +108,12 @@
 				err = errs.New(errs.Inside, "%d claims, %d answers", len(l), len(t.Granted))
 			}
 			for i, y := range l {
+				r := claimed{err == nil && t.Granted[i], err}
+				if err == nil && i < len(t.Full) && t.Full[i] {
+					r.err = errs.New(errs.Overloaded, "the part remembers as many once-only ids as it may")
+				}
 				if y.tell != nil {
-					y.tell <- claimed{err == nil && t.Granted[i], err}
+					y.tell <- r
 				}
 			}
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,7 @@
 	TryShare  int `json:"try_share"`  // extra tries, percent of traffic
 	TrySpan   int `json:"try_span_ms"`
 	TryAllow  int `json:"try_allow"` // extra tries beside the share, of a service at the whole site
+	OnceMs    int `json:"once_ms"`   // a once-only id is remembered at least this long
 	BodyKB    int `json:"body_kb"`
 	Waiting   int `json:"waiting"` // requests that one dispatcher holds at once
 	Entries   int `json:"entries"` // prefix entries that one catalogue holds
@@ -53,7 +54,7 @@
 // Example: p.Bounds = settings.Default()
 func Default() Bounds {
 	return Bounds{SetupMs: 2000, KeyMs: 5000, LeaveMs: 3000, WeightsMs: 20000, HealMs: 12000,
-		TryShare: 20, TrySpan: 10000, TryAllow: 10, BodyKB: 512, Waiting: 256, Entries: 60000}
+		TryShare: 20, TrySpan: 10000, TryAllow: 10, OnceMs: 1800000, BodyKB: 512, Waiting: 256, Entries: 60000}
 }
 
 func ms(n int, ratio float64) time.Duration {
@@ -80,6 +81,11 @@
 // Example: b.Heal(0.25) is a lease
 func (b Bounds) Heal(r float64) time.Duration { return ms(b.HealMs, r) }
 
+// Once is a ratio of how long once-only ids are remembered.
+//
+// Example: b.Once(1) is the whole of it
+func (b Bounds) Once(r float64) time.Duration { return ms(b.OnceMs, r) }
+
 // Try is a ratio of the window over which extra tries are counted.
 //
 // Example: b.Try(1) is the whole window
@@ -175,7 +181,7 @@
 		"rank": &p.Rank, "extra": &p.Extra}
 	bf := map[string]*int{"setup_ms": &p.Bounds.SetupMs, "key_ms": &p.Bounds.KeyMs, "leave_ms": &p.Bounds.LeaveMs,
 		"weights_ms": &p.Bounds.WeightsMs, "heal_ms": &p.Bounds.HealMs, "try_share": &p.Bounds.TryShare,
-		"try_span_ms": &p.Bounds.TrySpan, "try_allow": &p.Bounds.TryAllow, "body_kb": &p.Bounds.BodyKB, "waiting": &p.Bounds.Waiting, "entries": &p.Bounds.Entries}
+		"try_span_ms": &p.Bounds.TrySpan, "try_allow": &p.Bounds.TryAllow, "once_ms": &p.Bounds.OnceMs, "body_kb": &p.Bounds.BodyKB, "waiting": &p.Bounds.Waiting, "entries": &p.Bounds.Entries}
 	var bounds map[string]json.RawMessage
 	for _, k := range queue.Keys(top) {
 		if k == "bounds" {
@@ -253,6 +259,7 @@
 	rng("try_share", p.Bounds.TryShare, 0, 100)
 	rng("try_span_ms", p.Bounds.TrySpan, 1000, 600000)
 	rng("try_allow", p.Bounds.TryAllow, 0, 10000)
+	rng("once_ms", p.Bounds.OnceMs, 600000, 86400000) // no wait is longer than the least of these
 	rng("body_kb", p.Bounds.BodyKB, 1, 16384)
 	rng("waiting", p.Bounds.Waiting, 1, 65536)
 	rng("entries", p.Bounds.Entries, 100, 10000000)
