--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -18,6 +18,7 @@
 	"pebbleloom/internal/link"
 	"pebbleloom/internal/placement"
 	"pebbleloom/internal/roster"
+	"pebbleloom/internal/settings"
 	"pebbleloom/internal/setup"
 	"pebbleloom/internal/wire"
 )
@@ -36,6 +37,8 @@
 }
 
 type duty struct {
+	name  string
+	end   context.CancelFunc
 	lease *link.Lease
 	doc   *wire.Doc
 	last  *placement.Placement
@@ -61,7 +64,7 @@
 	if err := l.Serve(l.Place.Listen, mux); err != nil {
 		return err
 	}
-	l.Every(l.Place.Bounds.Heal(1.0/24), a.turn)
+	l.Every(l.Place.Bounds.Heal(1.0/24), a.assign)
 	l.Ready.Store(true)
 	return nil
 }
@@ -76,38 +79,74 @@
 	return nil
 }
 
-// turn is one step of every duty.
-func (a *Appraiser) turn() {
+// assign keeps a duty for every service that any worker serves. Each has two threads of its
+// own, one that renews its lease and one that works: whatever hangs there holds up nobody
+// else, nor its own renewal.
+func (a *Appraiser) assign() {
 	s := a.fol.Now()
 	if s == nil || s.Setup == nil {
 		return
 	}
-	for name, svc := range s.Setup.Services {
-		d := a.duties[name]
-		if d == nil {
-			ttl := a.life.Place.Bounds.Heal(0.25)
-			d = &duty{lease: link.NewLease(a.ctl, a.clk, "appraise/"+name, link.PartOf(name), a.holder, ttl), pacer: calendar.NewPacer()}
+	served := map[string]bool{}
+	for _, w := range s.Workers {
+		served[w.Service] = true
+	}
+	for name := range s.Setup.Services {
+		if a.duties[name] == nil && served[name] {
+			ctx, end := context.WithCancel(a.life.Ctx)
+			b := a.life.Place.Bounds
+			d := &duty{name: name, end: end, lease: link.NewLease(a.ctl, a.clk, "appraise/"+name, link.PartOf(name), a.holder, b.Heal(settings.LeasePart)), pacer: calendar.NewPacer()}
 			a.duties[name] = d
+			a.again(ctx, func() {
+				if err := d.lease.Renew(ctx); err != nil {
+					a.life.Log.Debug("no lease", "service", name, "error", err)
+				}
+			})
+			a.again(ctx, func() { a.turn(d) })
 		}
-		if err := d.lease.Renew(a.life.Ctx); err != nil {
-			a.life.Log.Debug("no lease", "service", name, "error", err)
-		}
-		fence, ok := d.lease.Held()
-		if !ok {
-			d.doc = nil
-			continue
-		}
-		if fence != d.fence {
-			a.life.Log.Info("duty taken", "service", name, "fence", fence)
-			d.fence, d.doc = fence, nil
+	}
+	for name, d := range a.duties {
+		if _, ok := s.Setup.Services[name]; !ok {
+			d.end() // the lease runs out by itself
+			delete(a.duties, name)
 		}
-		var b errs.Batch
-		b.Note("roll out weights", a.rollOut(d, s, name, svc))
-		b.Note("place", a.place(d, s, name, svc))
-		b.Note("calendar", a.pace(d, s, name))
-		if err := b.Look(); err != nil {
-			a.life.Log.Warn("duty step failed", "service", name, "error", errs.Text(err))
+	}
+}
+
+// again runs a step of a duty now and at every tick, until its context ends.
+func (a *Appraiser) again(ctx context.Context, step func()) {
+	a.life.Go(func() {
+		t := clock.Every(a.life.Place.Bounds.Heal(1.0 / 24))
+		defer t.Stop()
+		for ctx.Err() == nil {
+			step()
+			select {
+			case <-ctx.Done():
+			case <-t.C:
+			}
 		}
+	})
+}
+
+// turn is one step of a duty's work.
+func (a *Appraiser) turn(d *duty) {
+	s := a.fol.Now()
+	svc, ok := s.Setup.Services[d.name]
+	fence, held := d.lease.Held()
+	if !ok || !held {
+		d.doc = nil
+		return
+	}
+	if fence != d.fence {
+		a.life.Log.Info("duty taken", "service", d.name, "fence", fence)
+		d.fence, d.doc = fence, nil
+	}
+	var b errs.Batch
+	b.Note("roll out weights", a.rollOut(d, s, d.name, svc))
+	b.Note("place", a.place(d, s, d.name, svc))
+	b.Note("calendar", a.pace(d, s, d.name))
+	if err := b.Look(); err != nil {
+		a.life.Log.Warn("duty step failed", "service", d.name, "error", errs.Text(err))
 	}
 }
 
@@ -134,15 +173,7 @@
 	since := func(w uint64) time.Duration { _, first, _ := seen.Since(w); return now - first }
 	order, changed := d.roll.Step(ws, seen.Weights, since, now, a.life.Place.Bounds)
 	var b errs.Batch
-	for _, w := range order {
-		fence, ok := d.lease.Held()
-		if !ok {
-			break
-		}
-		ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(1.0/24))
-		b.Note("order "+w.Name, a.be.Order(ctx, w.Addr, contract.Order{Fence: fence, Kind: "weights", Weights: seen.Weights}))
-		end()
-	}
+	b.Note("order", a.order(d.lease, order, seen.Weights))
 	if changed {
 		p := *d.last
 		p.Rolling, p.Why = d.roll.Batch, "weights are rolled out"
@@ -151,6 +182,30 @@
 	return b.Look()
 }
 
+// order tells workers to load weights, all at once: a silent one holds up no other. The lease
+// is looked at right before each goes off, and no order is waited for, and so under way, for
+// longer than from the lease's end here until another may hold it.
+func (a *Appraiser) order(lease *link.Lease, ws []*wire.Worker, weights uint64) error {
+	ctx, end := context.WithTimeout(a.life.Ctx, a.life.Place.Bounds.Heal(settings.OrderPart))
+	defer end()
+	got := make(chan error, len(ws))
+	for _, w := range ws {
+		go func() {
+			fence, ok := lease.Held()
+			if !ok {
+				got <- nil // another may hold it soon
+				return
+			}
+			got <- errs.Wrap(a.be.Order(ctx, w.Addr, contract.Order{Fence: fence, Kind: "weights", Weights: weights}), "order "+w.Name)
+		}()
+	}
+	var b errs.Batch
+	for range ws {
+		b.Note("weights", <-got)
+	}
+	return b.Look()
+}
+
 func (a *Appraiser) place(d *duty, s *feed.Snapshot, name string, svc setup.Service) error {
 	now := a.clk.Now()
 	b := a.life.Place.Bounds
--- a/internal/archive/state.go
+++ b/internal/archive/state.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pebbleloom/internal/queue"
+	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
 
@@ -181,5 +182,5 @@
 		return true
 	}
 	ttl := time.Duration(l.TtlNs)
-	return now-s.seen[g.Duty] > ttl+ttl/8
+	return now-s.seen[g.Duty] > ttl+time.Duration(float64(ttl)*settings.MarginPart)
 }
--- a/internal/catalogue/core.go
+++ b/internal/catalogue/core.go
@@ -40,12 +40,15 @@
 	number uint64
 	whole  bool // a full report is needed
 	heard  time.Duration
-	asked  bool // it is one that reports are asked of
-	told   bool // it has told all it holds
+	asked  bool   // it is one that reports are asked of
+	told   bool   // it has told all it holds
+	turn   uint64 // counts its leavings
 }
 
 type teller struct {
 	inc, number uint64
+	past        uint64 // the life before: its late batches aren't counted
+	heard       time.Duration
 }
 
 // Core is one index node's tables.
@@ -117,20 +120,33 @@
 
 // Want tells what to ask a worker for next.
 //
-// Example: after, whole := c.Want("cab-3")
-func (c *Core) Want(name string) (after uint64, whole bool) {
+// Example: q := c.Want("cab-3"); reports := ask(q.After, q.Whole); c.Report(q, reports, now)
+func (c *Core) Want(name, service string) Question {
 	w := c.worker(name)
 	w.asked = true
-	return w.number, w.whole
+	return Question{name, service, w.number, w.whole, w.turn}
+}
+
+// Question is what a worker is asked for. An answer to one from before the worker left, or from
+// before another answer, tells of what may be gone.
+type Question struct {
+	Name, Service string
+	After         uint64
+	Whole         bool
+	turn          uint64
 }
 
 // Report takes a worker's answer. A gap in the numbers or another incarnation means that a
 // full report is asked for next; until then what is known stays, and lapses as it would.
 //
-// Example: c.Report("cab-3", "appraisals", r, now)
-func (c *Core) Report(name, service string, r contract.Reports, now time.Duration) {
-	w := c.worker(name)
+// Example: c.Report(question, r, now)
+func (c *Core) Report(q Question, r contract.Reports, now time.Duration) {
+	name, service, w := q.Name, q.Service, c.worker(q.Name)
+	if q.turn != w.turn {
+		return
+	}
 	w.heard = now
+	w.turn++ // each question is answered once
 	if r.Incarnation != w.inc {
 		w.inc, w.number, w.whole = r.Incarnation, 0, true
 		w.gen++ // whatever the old life held is gone
@@ -191,6 +207,7 @@
 func (c *Core) Leave(name string) {
 	if w := c.workers[name]; w != nil {
 		w.gen++
+		w.turn++
 		w.inc, w.number, w.whole, w.asked, w.told = "", 0, true, false, false
 	}
 }
@@ -254,16 +271,17 @@
 func (c *Core) Count(a *wire.CountAsk, now time.Duration) *wire.CountTell {
 	t := c.tellers[a.Teller]
 	if t == nil {
-		if len(c.tellers) >= 1024 {
-			clear(c.tellers) // bounded; tellers are asked to tell again
+		if len(c.tellers) >= maxTellers && !c.forget(now) {
+			return &wire.CountTell{Number: a.Number} // not counted: better too cold than counted twice
 		}
 		t = &teller{}
 		c.tellers[a.Teller] = t
 	}
-	if t.inc != a.Incarnation {
-		t.inc, t.number = a.Incarnation, 0
+	t.heard = now
+	if t.inc != a.Incarnation && t.past != a.Incarnation {
+		t.past, t.inc, t.number = t.inc, a.Incarnation, 0
 	}
-	if a.Number <= t.number {
+	if a.Number <= t.number || t.inc != a.Incarnation {
 		c.Stats.Repeats++
 		return &wire.CountTell{Number: t.number}
 	}
@@ -294,6 +312,24 @@
 	return &wire.CountTell{Number: t.number, Again: again}
 }
 
+const maxTellers = 1024
+
+// forget makes room by the teller that was silent longest, if that is longer than any batch is
+// sent again.
+func (c *Core) forget(now time.Duration) bool {
+	name, at := "", now
+	for n, t := range c.tellers {
+		if t.heard < at || t.heard == at && n < name {
+			name, at = n, t.heard
+		}
+	}
+	if now-at < c.b.Heal(1) {
+		return false
+	}
+	delete(c.tellers, name)
+	return true
+}
+
 // Hottest lists a service's hottest entries with the sum over all of them.
 //
 // Example: t := c.Hottest("appraisals", 1000, now)
--- a/internal/catalogue/core_test.go
+++ b/internal/catalogue/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 
 func all(prefix.Key) bool { return true }
 
+func tell(c *Core, r contract.Reports, now time.Duration) { c.Report(c.Want("cab", "s"), r, now) }
+
 // Four numbered reports come in every order, and each may be lost: the index either knows
 // exactly what the worker holds, or knows that it must ask for the whole.
 func TestEveryOrderAndGapOfReports(t *testing.T) {
@@ -41,14 +44,14 @@
 	walk = func(left, done []contract.Report) {
 		orders++
 		c := New(settings.Default(), all)
-		c.Report("cab", "s", contract.Reports{Incarnation: "i", Whole: true}, 1)
+		tell(c, contract.Reports{Incarnation: "i", Whole: true}, 1)
 		for _, r := range done {
-			c.Report("cab", "s", contract.Reports{Incarnation: "i", Number: r.Number, List: []contract.Report{r}}, 2)
+			tell(c, contract.Reports{Incarnation: "i", Number: r.Number, List: []contract.Report{r}}, 2)
 		}
-		c.Report("cab", "s", contract.Reports{Incarnation: "i", Number: 4}, 3) // nothing new: it stands at 4
-		if _, whole := c.Want("cab"); whole {
+		tell(c, contract.Reports{Incarnation: "i", Number: 4}, 3) // nothing new: it stands at 4
+		if c.Want("cab", "s").Whole {
 			asked++
-			c.Report("cab", "s", contract.Reports{Incarnation: "i", Number: 4, Whole: true, Held: []contract.Kept{kept(1)}}, 4)
+			tell(c, contract.Reports{Incarnation: "i", Number: 4, Whole: true, Held: []contract.Kept{kept(1)}}, 4)
 		}
 		if a, b, d := holders(c, 1, 5), holders(c, 2, 5), holders(c, 3, 5); a != truth || b+d != "" {
 			t.Fatalf("after %v: key 1 %q, key 2 %q, key 3 %q", done, a, b, d)
@@ -71,7 +74,7 @@
 		c.Count(&wire.CountAsk{Teller: "d", Incarnation: 1, Number: n, Accesses: []*wire.Access{{Key: k[:], Count: 1, Service: "s", Presumed: []string{"cab"}}}}, now)
 	}
 	c := New(b, all)
-	c.Report("cab", "s", contract.Reports{Incarnation: "i", Whole: true}, 1)
+	tell(c, contract.Reports{Incarnation: "i", Whole: true}, 1)
 	presume(c, 1, 1)
 	if got := holders(c, 1, b.Heal(0.4)); got != "cab:1 " {
 		t.Errorf("presumed: %q", got)
@@ -79,19 +82,19 @@
 	if got := holders(c, 1, b.Heal(0.6)); got != "" {
 		t.Errorf("presumed and never confirmed: %q", got)
 	}
-	c.Report("cab", "s", contract.Reports{Incarnation: "i", Number: 1, List: []contract.Report{{Number: 1, Added: []contract.Kept{kept(1)}}}}, b.Heal(1))
+	tell(c, contract.Reports{Incarnation: "i", Number: 1, List: []contract.Report{{Number: 1, Added: []contract.Kept{kept(1)}}}}, b.Heal(1))
 	if got := holders(c, 1, b.Heal(3)); got != "cab:2 " {
 		t.Errorf("confirmed: %q", got)
 	}
 	if got := holders(c, 1, b.Heal(4)); got != "" {
 		t.Errorf("confirmed, and the worker fell silent long ago: %q", got)
 	}
-	c.Report("cab", "s", contract.Reports{Incarnation: "i", Whole: true, Number: 1, Held: []contract.Kept{kept(1)}}, b.Heal(4))
-	c.Report("cab", "s", contract.Reports{Incarnation: "j"}, b.Heal(4))
+	tell(c, contract.Reports{Incarnation: "i", Whole: true, Number: 1, Held: []contract.Kept{kept(1)}}, b.Heal(4))
+	tell(c, contract.Reports{Incarnation: "j"}, b.Heal(4))
 	if got := holders(c, 1, b.Heal(4)); got != "" {
 		t.Errorf("another incarnation holds what the last one held: %q", got)
 	}
-	if _, whole := c.Want("cab"); !whole {
+	if !c.Want("cab", "s").Whole {
 		t.Error("another incarnation isn't asked for the whole")
 	}
 }
@@ -123,6 +126,84 @@
 	}
 }
 
+// A teller's late batches, of its life before, are never counted among those of the next; and a
+// table full of tellers makes none of them count twice.
+func TestNoBatchCountsTwice(t *testing.T) {
+	b, k := settings.Default(), key(1)
+	ask := func(who string, inc, n uint64) *wire.CountAsk {
+		return &wire.CountAsk{Teller: who, Incarnation: inc, Number: n, Accesses: []*wire.Access{{Key: k[:], Count: 1, Service: "s"}}}
+	}
+	hot := func(c *Core) float64 { return c.Seek([]prefix.Key{k}, 1)[0].Hotness }
+	c := New(b, all)
+	for _, x := range [][2]uint64{{9, 1}, {4, 1}, {9, 1}, {9, 2}, {4, 1}, {4, 2}} { // a reboot may have made its life's number smaller
+		c.Count(ask("d", x[0], x[1]), 1)
+	}
+	if h := hot(c); h != 3 {
+		t.Errorf("hotness %v after three batches", h)
+	}
+	c = New(b, all)
+	for range 2 {
+		for i := range maxTellers + 50 {
+			c.Count(ask(fmt.Sprint("d", i), 1, 1), 1)
+		}
+	}
+	if h := hot(c); h != maxTellers || len(c.tellers) != maxTellers {
+		t.Errorf("hotness %v, %d tellers", h, len(c.tellers))
+	}
+	if c.Count(ask("new", 1, 1), b.Heal(2)); c.tellers["new"] == nil || len(c.tellers) != maxTellers {
+		t.Error("who was silent for long made no room")
+	}
+}
+
+// A worker goes and returns under its name at another address, while answers of both lives are
+// under way: in every order, what the old life held counts for nothing once it was seen to go,
+// and what the new one holds is known once it was told.
+func TestEveryOrderOfAWorkerReturning(t *testing.T) {
+	old := contract.Reports{Incarnation: "a", Number: 3, Whole: true, Held: []contract.Kept{kept(1)}}
+	next := contract.Reports{Incarnation: "b", Number: 1, Whole: true, Held: []contract.Kept{kept(2)}}
+	events := []string{"ask old", "tell old", "leave", "ask new", "tell new"}
+	n := 0
+	var walk func(done []string)
+	walk = func(done []string) {
+		if len(done) == len(events) {
+			n++
+			c := New(settings.Default(), all)
+			qs := map[string]Question{}
+			left := false
+			for _, e := range done {
+				switch e {
+				case "leave":
+					c.Leave("cab")
+					left = true
+				case "tell old":
+					c.Report(qs["ask old"], old, 1)
+				case "tell new":
+					c.Report(qs["ask new"], next, 1)
+				default:
+					qs[e] = c.Want("cab", "s")
+				}
+				if left && holders(c, 1, 1) != "" {
+					t.Fatalf("%v: after %s the old life's part counts", done, e)
+				}
+			}
+			if got := holders(c, 2, 1); got != "cab:2 " {
+				t.Fatalf("%v: what the new life holds: %q", done, got)
+			}
+			return
+		}
+		for _, e := range events {
+			at := func(x string) bool { return slices.Contains(done, x) }
+			if at(e) || e == "tell old" && !at("ask old") || e == "tell new" && !at("ask new") || e == "ask new" && !at("leave") || e == "leave" && !at("ask old") {
+				continue
+			}
+			walk(append(slices.Clone(done), e))
+		}
+	}
+	if walk(nil); n != 4 {
+		t.Fatalf("%d orders", n)
+	}
+}
+
 func TestTheTableIsBounded(t *testing.T) {
 	b := settings.Default()
 	b.Entries = 100
@@ -176,7 +257,7 @@
 	before := heap()
 	c := New(b, all)
 	for w := range 3 {
-		c.Report(fmt.Sprint("cab-", w), "s", contract.Reports{Incarnation: "i", Whole: true}, 1)
+		c.Report(c.Want(fmt.Sprint("cab-", w), "s"), contract.Reports{Incarnation: "i", Whole: true}, 1)
 	}
 	for i := range b.Entries {
 		k := key(i)
--- a/internal/catalogue/node.go
+++ b/internal/catalogue/node.go
@@ -92,8 +92,7 @@
 				continue
 			}
 			n.busy[w.Name] = true
-			after, whole := c.Want(w.Name)
-			go n.ask(w, after, whole)
+			go n.ask(w.Addr, c.Want(w.Name, w.Service))
 		}
 		for name := range n.seen {
 			if !here[name] {
@@ -104,14 +103,14 @@
 	})
 }
 
-func (n *Node) ask(w *wire.Worker, after uint64, whole bool) {
+func (n *Node) ask(addr string, q Question) {
 	ctx, end := context.WithTimeout(n.life.Ctx, n.life.Place.Bounds.Heal(1.0/6))
 	defer end()
-	r, err := n.be.Kept(ctx, w.Addr, after, whole)
+	r, err := n.be.Kept(ctx, addr, q.After, q.Whole)
 	n.desk.Ask(func(c *Core) {
-		delete(n.busy, w.Name)
+		delete(n.busy, q.Name)
 		if err == nil {
-			c.Report(w.Name, w.Service, r, n.clk.Now())
+			c.Report(q, r, n.clk.Now())
 		}
 	})
 }
--- a/internal/link/lease.go
+++ b/internal/link/lease.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pebbleloom/internal/clock"
+	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
 
@@ -57,7 +58,7 @@
 	defer l.mu.Unlock()
 	switch t.GetOutcome() {
 	case "done":
-		l.fence, l.until = t.Fence, max(l.until, asked+l.TTL-l.TTL/8)
+		l.fence, l.until = t.Fence, max(l.until, asked+l.TTL-time.Duration(float64(l.TTL)*settings.MarginPart))
 	case "epoch-conflict":
 		// Another holds it, or an earlier answer was lost: learn the fence and ask again later.
 		if l.fence = t.Fence; t.Owner != l.Holder {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -223,11 +223,13 @@
 		if t.setup == nil {
 			return
 		}
-		for n := range t.setup.Services {
-			have[n] = t.places[n].GetEpoch()
+		for _, w := range t.lastRows { // the others have no placement
+			if _, ok := t.setup.Services[w.Service]; ok {
+				have[w.Service] = t.places[w.Service].GetEpoch()
+			}
 		}
 		for n := range t.places {
-			if _, ok := have[n]; !ok {
+			if _, ok := t.setup.Services[n]; !ok {
 				delete(t.places, n)
 			}
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,20 @@
 		TryShare: 20, TrySpan: 10000, TryAllow: 10, OnceMs: 1800000, BodyKB: 512, Waiting: 256, Entries: 60000}
 }
 
+// What keeps two holders of a duty apart, as ratios of the heal bound. A holder stops MarginPart
+// of a lease before its end, another gets it MarginPart after it, and an order is under way for
+// OrderPart: it must land in between.
+const (
+	LeasePart  = 1.0 / 4
+	MarginPart = 1.0 / 8 // of a lease
+	OrderPart  = 1.0 / 24
+)
+
+// apart is how long after the last order of a holder has landed the next one's first may go.
+func (b Bounds) apart() time.Duration {
+	return b.Heal(2*MarginPart*LeasePart) - b.Heal(OrderPart)
+}
+
 func ms(n int, ratio float64) time.Duration {
 	return time.Duration(float64(n) * ratio * float64(time.Millisecond))
 }
@@ -260,6 +274,9 @@
 	rng("try_span_ms", p.Bounds.TrySpan, 1000, 600000)
 	rng("try_allow", p.Bounds.TryAllow, 0, 10000)
 	rng("once_ms", p.Bounds.OnceMs, 600000, 86400000) // no wait is longer than the least of these
+	if p.Bounds.HealMs > 0 && p.Bounds.apart() < p.Bounds.Heal(OrderPart)/4 {
+		bad("bounds.heal_ms", "%d: an order could land after the next holder's first: give more", p.Bounds.HealMs)
+	}
 	rng("body_kb", p.Bounds.BodyKB, 1, 16384)
 	rng("waiting", p.Bounds.Waiting, 1, 65536)
 	rng("entries", p.Bounds.Entries, 100, 10000000)
