--- a/internal/fares/fares.go
+++ b/internal/fares/fares.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -145,9 +144,21 @@
 //
 // Example: c := fares.NewCaller([]string{"127.10.1.1:8080"})
 func NewCaller(edges []string) *Caller {
-	return &Caller{edges, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+	return NewCallerIn((&net.Dialer{Timeout: time.Second}).DialContext, edges)
 }
 
+// NewCallerIn makes a caller that connects as it is told to.
+//
+// Example: c := fares.NewCallerIn(world.Dial, []string{"127.10.1.1:8080"})
+func NewCallerIn(dial func(ctx context.Context, network, addr string) (net.Conn, error), edges []string) *Caller {
+	return &Caller{edges, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: dial}}}
+}
+
+// Close lets go of idle connections.
+//
+// Example: defer c.Close()
+func (c *Caller) Close() { c.h.CloseIdleConnections() }
+
 const refused = "refused" // no connection was made
 
 // Ask sends one request to an edge and checks the answer.
@@ -240,13 +251,8 @@
 // ReadJournal reads the journal that a worker has kept on disk; a line cut off by a kill
 // is its last.
 //
-// Example: runs, err := fares.ReadJournal("/tmp/run/cab-1.runs")
-func ReadJournal(file string) ([]cab.Run, error) {
-	f, err := os.Open(file)
-	if err != nil {
-		return nil, errs.Wrap(err, "open journal")
-	}
-	defer f.Close()
+// Example: runs, err := fares.ReadJournal(file)
+func ReadJournal(f io.Reader) ([]cab.Run, error) {
 	var l []cab.Run
 	for d := json.NewDecoder(f); ; {
 		var r cab.Run
--- a/internal/yard/fit.go
+++ b/internal/yard/fit.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return placement.Curve{}, err
 	}
-	f := newFleet(s, o.Dir, o.Bin)
+	f := newFleet(s, o.Dir, newMachines(o.Dir, o.Bin))
 	if err := s.Write(o.Dir); err != nil {
 		return placement.Curve{}, err
 	}
--- a/internal/yard/fleet.go
+++ b/internal/yard/fleet.go
@@ -6,37 +6,34 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 
 	"pebbleloom/internal/cab"
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/fares"
 )
 
 // Fleet is a site that runs.
 type Fleet struct {
 	Site *Site
 	Dir  string
-	bin  string
-	mu   sync.Mutex
-	proc map[string]*exec.Cmd
-	done map[string]chan struct{}
+	on   Ground
+	h    *http.Client
 }
 
-func newFleet(s *Site, dir, bin string) *Fleet {
-	return &Fleet{Site: s, Dir: dir, bin: bin, proc: map[string]*exec.Cmd{}, done: map[string]chan struct{}{}}
+func newFleet(s *Site, dir string, on Ground) *Fleet {
+	return &Fleet{Site: s, Dir: dir, on: on, h: &http.Client{Transport: &http.Transport{DialContext: on.Dial}}}
 }
 
-// Up starts every process of a site and waits until it serves its first setup.
+// Up starts every process of a site on this machine, and waits until it serves its first setup.
 //
 // Example: f, err := yard.Up(ctx, site, "/tmp/run", "bin")
 func Up(ctx context.Context, s *Site, dir, bin string) (*Fleet, error) {
-	f := newFleet(s, dir, bin)
+	return raise(ctx, s, dir, newMachines(dir, bin))
+}
+
+func raise(ctx context.Context, s *Site, dir string, on Ground) (*Fleet, error) {
+	f := newFleet(s, dir, on)
 	if err := s.Write(dir); err != nil {
 		return nil, err
 	}
@@ -53,79 +50,37 @@
 	return f, nil
 }
 
+func (f *Fleet) process(name string) (Process, error) {
+	for _, p := range f.Site.Processes {
+		if p.Name == name {
+			return p, nil
+		}
+	}
+	return Process{}, errs.New(errs.NotFound, "process %q", name)
+}
+
 // Start starts one process, or starts it again.
 //
 // Example: err := f.Start("cab-3")
 func (f *Fleet) Start(name string) error {
-	for _, p := range f.Site.Processes {
-		if p.Name != name {
-			continue
-		}
-		log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-		if err != nil {
-			return errs.Wrap(err, "open log")
-		}
-		c := exec.Command(filepath.Join(f.bin, p.Program), "--settings", filepath.Join(f.Dir, name+".json"))
-		c.Stdout, c.Stderr = log, log
-		// Small machines: two threads at once, and a heap that stays within 200 MB a machine.
-		c.Env = append(os.Environ(), "GOMAXPROCS=2", "GOMEMLIMIT=60MiB")
-		c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := c.Start(); err != nil {
-			log.Close()
-			return errs.Wrap(err, "start "+name)
-		}
-		d := make(chan struct{})
-		f.mu.Lock()
-		f.proc[name], f.done[name] = c, d
-		f.mu.Unlock()
-		go func() {
-			_ = c.Wait() // how it ended is in its log
-			log.Close()
-			close(d)
-		}()
-		return nil
+	p, err := f.process(name)
+	if err != nil {
+		return err
 	}
-	return errs.New(errs.NotFound, "process %q", name)
+	return f.on.Start(p)
 }
 
 // Signal sends a signal to one process that this fleet started.
 //
 // Example: err := f.Signal("cab-3", syscall.SIGKILL)
-func (f *Fleet) Signal(name string, s syscall.Signal) error {
-	f.mu.Lock()
-	c, d := f.proc[name], f.done[name]
-	f.mu.Unlock()
-	if c == nil {
-		return errs.New(errs.NotFound, "process %q", name)
-	}
-	if err := c.Process.Signal(s); err != nil {
-		return errs.Wrap(err, "signal "+name)
-	}
-	if s == syscall.SIGKILL {
-		<-d
-	}
-	return nil
-}
+func (f *Fleet) Signal(name string, s syscall.Signal) error { return f.on.Signal(name, s) }
 
 // Down ends every process that this fleet started.
 //
 // Example: defer f.Down()
 func (f *Fleet) Down() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, c := range f.proc {
-		_ = c.Process.Signal(syscall.SIGCONT) // one that ended already can't be signalled, nor need it be
-		_ = c.Process.Signal(syscall.SIGTERM)
-	}
-	late := time.After(6 * time.Second)
-	for n, d := range f.done {
-		select {
-		case <-d:
-		case <-late:
-			_ = f.proc[n].Process.Kill()
-			<-d
-		}
-	}
+	f.on.Down()
+	f.h.CloseIdleConnections()
 }
 
 // first applies the site's first setup through any operator address, and waits until every
@@ -139,7 +94,7 @@
 	}
 	last := "nothing answered"
 	for i := 0; ctx.Err() == nil; i++ {
-		code, said := Post(ctx, f.Site.Operators[i%len(f.Site.Operators)], "/v1/setup", raw)
+		code, said := f.Post(ctx, f.Site.Operators[i%len(f.Site.Operators)], "/v1/setup", raw)
 		if code == 200 {
 			return f.ready(ctx)
 		}
@@ -157,7 +112,7 @@
 			if a == "" {
 				a = p.Place.Listen
 			}
-			if r, err := http.Get("http://" + a + "/readyz"); err == nil {
+			if r, err := f.h.Get("http://" + a + "/readyz"); err == nil {
 				if r.Body.Close(); r.StatusCode == 200 {
 					n++
 				}
@@ -172,7 +127,7 @@
 }
 
 func (f *Fleet) placed(ctx context.Context) bool {
-	code, _ := Get(ctx, f.Site.Operators[0], "/v1/placements/"+f.Site.Traffic.Model+"-main")
+	code, _ := f.Get(ctx, f.Site.Operators[0], "/v1/placements/"+f.Site.Traffic.Model+"-main")
 	return code == 200
 }
 
@@ -183,19 +138,21 @@
 	m := map[string][]cab.Run{}
 	var b errs.Batch
 	for n := range f.Site.Cabs {
-		l, err := fares.ReadJournal(filepath.Join(f.Dir, n+".runs"))
-		b.Note(n, err)
-		m[n] = l
+		p, err := f.process(n)
+		if b.Note(n, err); err == nil {
+			m[n], err = f.on.Journal(p)
+			b.Note(n, err)
+		}
 	}
 	return m, b.Look()
 }
 
-func do(q *http.Request, err error) (int, string) {
+func (f *Fleet) do(q *http.Request, err error) (int, string) {
 	if err != nil {
 		return 0, err.Error()
 	}
 	q.Header.Set("Content-Type", "application/json")
-	r, err := http.DefaultClient.Do(q)
+	r, err := f.h.Do(q)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -209,14 +166,14 @@
 
 // Post sends JSON to an operator address.
 //
-// Example: code, said := yard.Post(ctx, addr, "/v1/setup", raw)
-func Post(ctx context.Context, addr, path string, raw []byte) (int, string) {
-	return do(http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(raw)))
+// Example: code, said := f.Post(ctx, addr, "/v1/setup", raw)
+func (f *Fleet) Post(ctx context.Context, addr, path string, raw []byte) (int, string) {
+	return f.do(http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(raw)))
 }
 
 // Get reads from an operator address.
 //
-// Example: code, said := yard.Get(ctx, addr, "/v1/nodes")
-func Get(ctx context.Context, addr, path string) (int, string) {
-	return do(http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil))
+// Example: code, said := f.Get(ctx, addr, "/v1/nodes")
+func (f *Fleet) Get(ctx context.Context, addr, path string) (int, string) {
+	return f.do(http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil))
 }
--- a/internal/yard/moves.go
+++ b/internal/yard/moves.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return errs.Wrap(err, "write")
 		}
-		if code, said := Post(ctx, p.f.Site.Operators[0], "/v1/calendar", raw); code != 409 || !strings.Contains(said, "clashes") {
+		if code, said := p.f.Post(ctx, p.f.Site.Operators[0], "/v1/calendar", raw); code != 409 || !strings.Contains(said, "clashes") {
 			return errs.New(errs.Inside, "a clash was answered by %d %s", code, said)
 		}
 		return nil
@@ -57,7 +57,7 @@
 		return nil
 	}
 	for i := 0; ; i++ {
-		_, said := Get(ctx, p.f.Site.Operators[i%len(p.f.Site.Operators)], "/v1/calendar")
+		_, said := p.f.Get(ctx, p.f.Site.Operators[i%len(p.f.Site.Operators)], "/v1/calendar")
 		var l struct {
 			Moves []json.RawMessage `json:"moves"`
 		}
@@ -83,7 +83,7 @@
 	if err != nil {
 		return errs.Wrap(err, "write")
 	}
-	if code, said := Post(ctx, p.f.rank(), "/v1/workers", raw); code != 200 {
+	if code, said := p.f.Post(ctx, p.f.rank(), "/v1/workers", raw); code != 200 {
 		return errs.New(errs.Inside, "list %s: %d %s", w.Name, code, said)
 	}
 	return nil
@@ -92,11 +92,12 @@
 // platform replaces every worker that the setup drains, once it is idle: it warns it, ends
 // it and starts it anew.
 func (p *play) platform(ctx context.Context) {
-	be := contract.NewBackends(p.f.place("rank-1").Dialer().DialContext)
+	be := contract.NewBackends(p.f.on.Dial)
+	defer be.Close()
 	done := map[string]bool{}
 	for ctx.Err() == nil {
 		time.Sleep(300 * time.Millisecond)
-		_, said := Get(ctx, p.f.Site.Operators[5], "/v1/setup")
+		_, said := p.f.Get(ctx, p.f.Site.Operators[5], "/v1/setup")
 		var s struct {
 			Setup struct {
 				Drains map[string]bool `json:"drains"`
--- a/internal/yard/operate.go
+++ b/internal/yard/operate.go
@@ -5,12 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"path/filepath"
 	"strings"
 	"sync"
 	"time"
 
-	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
@@ -43,12 +41,8 @@
 		if p.Place.Data != "" {
 			p.Place.Data += "-again"
 		}
-		raw, err := json.MarshalIndent(p.Place, "", " ")
-		if err == nil {
-			err = writeFile(filepath.Join(f.Dir, p.Name+".json"), raw)
-		}
-		if err != nil {
-			return errs.Wrap(err, "write settings")
+		if err := f.on.Put(p); err != nil {
+			return err
 		}
 		f.Site.Processes = append(f.Site.Processes, p)
 		return f.Start(p.Name)
@@ -68,7 +62,7 @@
 			continue
 		}
 		one, end := context.WithTimeout(ctx, time.Second)
-		t, err := daemon.NewCalls(daemon.New("yard", settings.Place{Bounds: settings.Default()})).Archive(p.Place.Listen).Stand(one, &wire.StandAsk{})
+		t, err := wire.NewArchiveProtobufClient("http://"+p.Place.Listen, f.h).Stand(one, &wire.StandAsk{})
 		end()
 		for _, x := range t.GetParts() {
 			if err == nil && x.Part == 0 && x.Owns {
@@ -102,11 +96,7 @@
 				}
 			}
 		}
-		raw, err := json.MarshalIndent(p.Place, "", " ")
-		if err != nil {
-			return errs.Wrap(err, "write settings")
-		}
-		return errs.Wrap(writeFile(filepath.Join(f.Dir, name+".json"), raw), "write settings")
+		return f.on.Put(*p)
 	}
 	return errs.New(errs.NotFound, "process %q", name)
 }
@@ -120,7 +110,7 @@
 	last := ""
 	for i := range 40 {
 		one, end := context.WithTimeout(ctx, 8*time.Second)
-		code, said := Post(one, p.f.Site.Operators[(i+p.r.IntN(3))%len(p.f.Site.Operators)], path, raw)
+		code, said := p.f.Post(one, p.f.Site.Operators[(i+p.r.IntN(3))%len(p.f.Site.Operators)], path, raw)
 		end()
 		var c struct {
 			Epoch int64  `json:"epoch"`
@@ -210,7 +200,7 @@
 	base := p.acked
 	p.mu.Unlock()
 	if x.Do == "race" {
-		_, said := Get(ctx, p.f.Site.Operators[p.r.IntN(len(p.f.Site.Operators))], "/v1/setup")
+		_, said := p.f.Get(ctx, p.f.Site.Operators[p.r.IntN(len(p.f.Site.Operators))], "/v1/setup")
 		var s struct {
 			Epoch int64 `json:"epoch"`
 		}
@@ -235,7 +225,7 @@
 			}
 			one, end := context.WithTimeout(ctx, 3*time.Second) // the node may be frozen
 			defer end()
-			code, said := Post(one, at, "/v1/setup", raw)
+			code, said := p.f.Post(one, at, "/v1/setup", raw)
 			var c struct {
 				Epoch int64 `json:"epoch"`
 			}
--- a/internal/yard/runbook_test.go
+++ b/internal/yard/runbook_test.go
@@ -66,7 +66,7 @@
 		ctx, end := context.WithTimeout(context.Background(), 30*time.Second)
 		defer end()
 		for ctx.Err() == nil { // each look takes its time: it asks every core machine
-			if _, said := Get(ctx, node, "/v1/status"); strings.Contains(said, view) {
+			if _, said := f.Get(ctx, node, "/v1/status"); strings.Contains(said, view) {
 				return
 			}
 		}
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"path"
 	"path/filepath"
 	"slices"
@@ -95,7 +94,6 @@
 type play struct {
 	sc     Scenario
 	f      *Fleet
-	links  *Links
 	r      *rand.Rand
 	mu     sync.Mutex
 	rep    *Report
@@ -112,6 +110,26 @@
 //
 // Example: rep, err := yard.Play(ctx, scenario, yard.Options{Seed: 1, Net: 10, Dir: dir, Bin: "bin"})
 func Play(ctx context.Context, sc Scenario, o Options) (*Report, error) {
+	return PlayOn(ctx, sc, o, func(s *Site) (Ground, error) {
+		m := newMachines(o.Dir, o.Bin)
+		for i := range s.Processes {
+			p := &s.Processes[i]
+			if p.Program == "archive" {
+				p.Place.Extra = append(p.Place.Extra, "faults="+filepath.Join(o.Dir, p.Place.Name+".fault"), "wall="+filepath.Join(o.Dir, p.Place.Name+".wall"))
+			}
+		}
+		if !sc.Links {
+			return m, nil
+		}
+		m.links = NewLinks()
+		return m, s.relay(m.links, o.Net)
+	})
+}
+
+// PlayOn runs a scenario on a ground that is made for its site.
+//
+// Example: rep, err := yard.PlayOn(ctx, scenario, o, func(s *yard.Site) (yard.Ground, error) { return table, nil })
+func PlayOn(ctx context.Context, sc Scenario, o Options, on func(*Site) (Ground, error)) (*Report, error) {
 	if o.Site != "" {
 		sc.Site = o.Site
 	}
@@ -122,21 +140,13 @@
 	if s.Traffic.Rate = sc.Rate; sc.Rate == 0 {
 		s.Traffic.Rate = 25
 	}
-	for i := range s.Processes {
-		if p := &s.Processes[i]; p.Program == "archive" {
-			p.Place.Extra = append(p.Place.Extra, "faults="+filepath.Join(o.Dir, p.Place.Name+".fault"))
-		}
-	}
 	p := &play{sc: sc, r: rand.New(rand.NewPCG(o.Seed, 11)), rep: &Report{Scenario: sc.Name, Site: sc.Site, Seed: o.Seed, Faults: []string{}},
 		picked: map[string][]string{}, revoked: map[string]int64{}, weights: map[uint64]int64{}, drained: map[string]int64{}}
-	if sc.Links {
-		p.links = NewLinks()
-		defer p.links.Down()
-		if err := s.relay(p.links, o.Net); err != nil {
-			return nil, err
-		}
+	ground, err := on(s)
+	if err != nil {
+		return nil, err
 	}
-	if p.f, err = Up(ctx, s, o.Dir, o.Bin); err != nil {
+	if p.f, err = raise(ctx, s, o.Dir, ground); err != nil {
 		return nil, err
 	}
 	defer p.f.Down()
@@ -154,9 +164,11 @@
 	total := last + heal + tail
 	book, t0 := &fares.Book{}, time.Now()
 	p.began = t0.UnixMilli()
+	caller := fares.NewCallerIn(ground.Dial, s.Edges)
+	defer caller.Close()
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		fares.Drive(ctx, s.Traffic, fares.NewCaller(s.Edges), o.Seed, "s", int(s.Traffic.Rate*float64(total)/1000), book)
+		fares.Drive(ctx, s.Traffic, caller, o.Seed, "s", int(s.Traffic.Rate*float64(total)/1000), book)
 	})
 	for _, x := range sc.Steps {
 		if err := p.await(ctx, t0, x.At); err != nil {
@@ -247,7 +259,7 @@
 func (p *play) step(ctx context.Context, x Step) error {
 	switch x.Do {
 	case "heal":
-		p.links.Heal()
+		p.f.on.Heal()
 		return nil
 	case "write", "platform", "ask", "ended", "patch", "second", "clash":
 		return p.calendar(ctx, x)
@@ -266,7 +278,7 @@
 		case "kill":
 			b.Note(n, p.f.Signal(n, syscall.SIGKILL))
 		case "warn":
-			code, said := Post(ctx, p.f.rank(), "/v1/warn/"+n, nil)
+			code, said := p.f.Post(ctx, p.f.rank(), "/v1/warn/"+n, nil)
 			if code != 200 {
 				b.Fault(errs.Inside, "warn %s: %d %s", n, code, said)
 			}
@@ -282,18 +294,13 @@
 		case "start":
 			b.Note(n, p.f.Start(n))
 		case "wipe":
-			b.Note(n, os.RemoveAll(p.f.place(n).Data))
+			b.Note(n, p.on(n, p.f.on.Wipe))
 		case "usurp":
 			b.Note(n, p.f.usurp(n))
 		case "move":
 			b.Note(n, p.f.move(n))
-		case "disk":
-			f := filepath.Join(p.f.Dir, p.f.place(n).Name+".fault")
-			if x.To == "" {
-				b.Note(n, os.Remove(f))
-			} else {
-				b.Note(n, os.WriteFile(f, []byte(x.To), 0o644))
-			}
+		case "disk", "wall":
+			b.Note(n, p.on(n, func(q Process) error { return p.f.on.Switch(q, x.Do, x.To) }))
 		default:
 			b.Fault(errs.BadInput, "%q: no such step", x.Do)
 		}
@@ -303,9 +310,7 @@
 
 // link sets rules; machines are named, "*" is any, and several are joined by spaces.
 func (p *play) link(x Step) error {
-	if p.links == nil {
-		return errs.New(errs.BadInput, "%s: the scenario has no links: set \"links\": true", x.Do)
-	}
+	var err errs.Batch
 	for _, a := range strings.Fields(x.Who) {
 		to, r := x.To, Rule{Cut: true}
 		if x.Do == "slow" {
@@ -318,11 +323,19 @@
 			to = "*"
 		}
 		for _, b := range strings.Fields(to) {
-			p.links.Set(a, b, r)
+			err.Note(x.Do, p.f.on.Link(a, b, r))
 			if x.Do != "cut" {
-				p.links.Set(b, a, r)
+				err.Note(x.Do, p.f.on.Link(b, a, r))
 			}
 		}
 	}
-	return nil
+	return err.Look()
+}
+
+func (p *play) on(name string, do func(Process) error) error {
+	q, err := p.f.process(name)
+	if err != nil {
+		return err
+	}
+	return do(q)
 }
--- a/internal/yard/settle.go
+++ b/internal/yard/settle.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
 	"sort"
 	"strings"
@@ -14,8 +13,6 @@
 	"pebbleloom/internal/fares"
 )
 
-func writeFile(name string, raw []byte) error { return os.WriteFile(name, append(raw, '\n'), 0o644) }
-
 // settle checks a finished run against what must never happen.
 func (p *play) settle(ctx context.Context, book *fares.Book, closed int64, heal int) error {
 	js, err := p.f.Journals()
@@ -208,7 +205,7 @@
 func (p *play) readAll(ctx context.Context) {
 	bodies := map[string][]string{}
 	for _, a := range p.f.Site.Operators {
-		code, said := Get(ctx, a, "/v1/setup")
+		code, said := p.f.Get(ctx, a, "/v1/setup")
 		var s struct {
 			Epoch int64           `json:"epoch"`
 			Setup json.RawMessage `json:"setup"`
--- a/internal/yard/site.go
+++ b/internal/yard/site.go
@@ -19,6 +19,7 @@
 type Process struct {
 	Name    string // unique in the site
 	Program string
+	Bin     string // the folder of its program, where it isn't the site's
 	Place   settings.Place
 }
 
@@ -97,7 +98,7 @@
 	add := func(n, prog string, p settings.Place) {
 		p.Seeds = append([]string(nil), seeds...)
 		p.Bounds, p.Core, p.Rank = b, core, rank
-		s.Processes = append(s.Processes, Process{n, prog, p})
+		s.Processes = append(s.Processes, Process{Name: n, Program: prog, Place: p})
 	}
 	for z := 1; z <= 4; z++ {
 		a, n, d := ip(z, 1), core[z-1], fmt.Sprintf("district-%d", z)
@@ -135,13 +136,7 @@
 // Example: err := s.Write("/tmp/run")
 func (s *Site) Write(dir string) error {
 	var b errs.Batch
-	put := func(name string, v any) {
-		raw, err := json.MarshalIndent(v, "", " ")
-		b.Note("write "+name, err)
-		if err == nil {
-			b.Note("write "+name, os.WriteFile(filepath.Join(dir, name), append(raw, '\n'), 0o644))
-		}
-	}
+	put := func(name string, v any) { b.Note("write "+name, put(dir, name, v)) }
 	b.Note("make folder", os.MkdirAll(dir, 0o755))
 	put("list.json", s.List)
 	put("setup.json", s.Setup)
@@ -150,3 +145,11 @@
 	}
 	return b.Look()
 }
+
+func put(dir, name string, v any) error {
+	raw, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return errs.Wrap(err, "write "+name)
+	}
+	return errs.Wrap(os.WriteFile(filepath.Join(dir, name), append(raw, '\n'), 0o644), "write "+name)
+}
--- a/internal/yard/usage.go
+++ b/internal/yard/usage.go
@@ -27,10 +27,14 @@
 // Example: for prog, u := range f.Usage() { fmt.Println(prog, u.PeakMB) }
 func (f *Fleet) Usage() map[string]Use {
 	m := map[string]Use{}
+	on, real := f.on.(*machines)
+	if !real {
+		return m
+	}
 	for _, p := range f.Site.Processes {
-		f.mu.Lock()
-		c := f.proc[p.Name]
-		f.mu.Unlock()
+		on.mu.Lock()
+		c := on.proc[p.Name]
+		on.mu.Unlock()
 		if c == nil || c.Process == nil {
 			continue
 		}
