--- /dev/null
+++ b/internal/tabletop/wire.go
@@ -0,0 +1,357 @@
+package tabletop
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// most is how many bytes a pipe holds before its writer waits, as a socket's buffers do.
+const most = 256 << 10
+
+// pipe carries bytes one way between two processes. What is under way waits where the link is
+// cut, as a stream that is sent again and again does; nothing is lost or reordered.
+type pipe struct {
+	t        *Table
+	from, to string // machines
+	delay    time.Duration
+	mu       sync.Mutex
+	bell     chan struct{} // closed at every change
+	segs     []seg
+	size     int
+	last     time.Time // when the latest arrives
+	fin, rst bool
+	over     time.Time // when fin or rst arrives
+}
+
+type seg struct {
+	at time.Time
+	b  []byte
+}
+
+func (p *pipe) ring() { close(p.bell); p.bell = make(chan struct{}) }
+
+// put sends bytes off; false while the pipe is full.
+func (p *pipe) put(b []byte) (bool, <-chan struct{}) {
+	r, _ := p.t.rule(p.from, p.to)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.size > most {
+		return false, p.bell
+	}
+	at := time.Now().Add(p.delay + r.Delay)
+	if at.Before(p.last) {
+		at = p.last
+	}
+	if r.Bytes > 0 {
+		at = at.Add(time.Duration(float64(len(b)) / r.Bytes * float64(time.Second)))
+	}
+	p.last = at
+	p.segs = append(p.segs, seg{at, append([]byte(nil), b...)})
+	p.size += len(b)
+	p.ring()
+	return true, nil
+}
+
+// end closes the pipe after what is in it, or with a reset before it.
+func (p *pipe) end(reset bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rst || p.fin && !reset {
+		return
+	}
+	p.over = time.Now().Add(p.delay)
+	if reset {
+		p.rst = true
+	} else {
+		p.fin = true
+		if p.over.Before(p.last) {
+			p.over = p.last
+		}
+	}
+	p.ring()
+}
+
+// take hands over what has arrived, or says how long to wait and for what.
+func (p *pipe) take(b []byte) (n int, err error, wait time.Duration, bell, link <-chan struct{}) {
+	r, changed := p.t.rule(p.from, p.to)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if r.Cut {
+		return 0, nil, 0, p.bell, changed
+	}
+	if p.rst && !now.Before(p.over) {
+		return 0, syscall.ECONNRESET, 0, nil, nil
+	}
+	if len(p.segs) > 0 {
+		s := &p.segs[0]
+		if now.Before(s.at) {
+			return 0, nil, s.at.Sub(now), p.bell, changed
+		}
+		n = copy(b, s.b)
+		if s.b = s.b[n:]; len(s.b) == 0 {
+			p.segs = p.segs[1:]
+		}
+		p.size -= n
+		p.ring()
+		return n, nil, 0, nil, nil
+	}
+	if p.fin && !now.Before(p.over) {
+		return 0, io.EOF, 0, nil, nil
+	}
+	if p.fin || p.rst {
+		wait = p.over.Sub(now)
+	}
+	return 0, nil, wait, p.bell, changed
+}
+
+func (p *pipe) broken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rst && !time.Now().Before(p.over)
+}
+
+func (p *pipe) unread() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.segs) > 0
+}
+
+// limit is a deadline that wakes whoever waits.
+type limit struct {
+	mu sync.Mutex
+	t  *time.Timer
+	c  chan struct{}
+}
+
+func (l *limit) set(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.t != nil {
+		l.t.Stop()
+		l.t = nil
+	}
+	select {
+	case <-l.c:
+		l.c = make(chan struct{})
+	default:
+	}
+	if at.IsZero() {
+		return
+	}
+	c := l.c
+	over := func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.c == c { // not set anew
+			select {
+			case <-c:
+			default:
+				close(c)
+			}
+		}
+	}
+	if d := time.Until(at); d > 0 {
+		l.t = time.AfterFunc(d, over)
+	} else {
+		close(c)
+	}
+}
+
+func (l *limit) over() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.c
+}
+
+// conn is one end of a connection.
+type conn struct {
+	p       *proc // whose end it is
+	in, out *pipe
+	at, far net.Addr
+	rd, wr  limit
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Read reads what has arrived.
+//
+// Example: n, err := c.Read(b)
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		over := c.rd.over()
+		if !c.p.pass() || done(c.closed) {
+			return 0, net.ErrClosed
+		}
+		if done(over) {
+			return 0, os.ErrDeadlineExceeded
+		}
+		if len(b) == 0 {
+			return 0, nil
+		}
+		n, err, wait, bell, link := c.in.take(b)
+		if n > 0 || err != nil {
+			return n, err
+		}
+		var late <-chan time.Time
+		var t *time.Timer
+		if wait > 0 {
+			t = time.NewTimer(wait)
+			late = t.C
+		}
+		select {
+		case <-bell:
+		case <-link:
+		case <-late:
+		case <-over:
+		case <-c.closed:
+		case <-c.p.dead:
+		}
+		if t != nil {
+			t.Stop()
+		}
+	}
+}
+
+// Write sends bytes off, and waits where too many are under way.
+//
+// Example: n, err := c.Write(b)
+func (c *conn) Write(b []byte) (int, error) {
+	sent := 0
+	for sent < len(b) {
+		over := c.wr.over()
+		switch {
+		case !c.p.pass() || done(c.closed):
+			return sent, net.ErrClosed
+		case done(over):
+			return sent, os.ErrDeadlineExceeded
+		case c.in.broken():
+			return sent, syscall.EPIPE
+		}
+		part := b[sent:min(len(b), sent+most/4)]
+		ok, bell := c.out.put(part)
+		if ok {
+			sent += len(part)
+			continue
+		}
+		select {
+		case <-bell:
+		case <-over:
+		case <-c.closed:
+		case <-c.p.dead:
+		}
+	}
+	return sent, nil
+}
+
+// Close ends this side; what was not read yet makes it a reset.
+//
+// Example: defer c.Close()
+func (c *conn) Close() error {
+	if !c.p.pass() {
+		return net.ErrClosed
+	}
+	c.shut(c.in.unread())
+	return nil
+}
+
+func (c *conn) shut(reset bool) {
+	c.once.Do(func() {
+		c.p.forget(c)
+		close(c.closed)
+		c.out.end(reset)
+		c.rd.set(time.Time{})
+		c.wr.set(time.Time{})
+	})
+}
+
+// LocalAddr is this end's address.
+//
+// Example: c.LocalAddr().String()
+func (c *conn) LocalAddr() net.Addr { return c.at }
+
+// RemoteAddr is the other end's address.
+//
+// Example: c.RemoteAddr().String()
+func (c *conn) RemoteAddr() net.Addr { return c.far }
+
+// SetDeadline bounds reads and writes.
+//
+// Example: c.SetDeadline(time.Now().Add(time.Second))
+func (c *conn) SetDeadline(t time.Time) error { c.rd.set(t); c.wr.set(t); return nil }
+
+// SetReadDeadline bounds reads.
+//
+// Example: c.SetReadDeadline(time.Time{})
+func (c *conn) SetReadDeadline(t time.Time) error { c.rd.set(t); return nil }
+
+// SetWriteDeadline bounds writes.
+//
+// Example: c.SetWriteDeadline(time.Time{})
+func (c *conn) SetWriteDeadline(t time.Time) error { c.wr.set(t); return nil }
+
+func done(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// listener is a process's open door.
+type listener struct {
+	p    *proc
+	addr net.Addr
+	come chan *conn
+	once sync.Once
+	shut chan struct{}
+}
+
+// Accept takes the next caller in.
+//
+// Example: c, err := l.Accept()
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		if !l.p.pass() || done(l.shut) {
+			return nil, net.ErrClosed
+		}
+		select {
+		case c := <-l.come:
+			if !l.p.pass() {
+				return nil, net.ErrClosed
+			}
+			return c, nil
+		case <-l.shut:
+		case <-l.p.dead:
+		}
+	}
+}
+
+// Close shuts the door; who stands before it is reset.
+//
+// Example: defer l.Close()
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.p.t.unlisten(l)
+		close(l.shut)
+		for {
+			select {
+			case c := <-l.come:
+				c.shut(true)
+			default:
+				return
+			}
+		}
+	})
+	return nil
+}
+
+// Addr is where it listens.
+//
+// Example: l.Addr().String()
+func (l *listener) Addr() net.Addr { return l.addr }
--- a/internal/yard/links.go
+++ b/internal/yard/links.go
@@ -71,7 +71,10 @@
 	l.wake = make(chan struct{})
 }
 
-func (l *Links) rule(from, to string) (Rule, chan struct{}) {
+// At gives the rule on the way from one machine to another, and what is closed when rules change.
+//
+// Example: r, changed := l.At("edge-1", "core-2")
+func (l *Links) At(from, to string) (Rule, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var r Rule
@@ -172,7 +175,7 @@
 // pass waits as the link's rule says; false when the links are taken down.
 func (l *Links) pass(from, to string, n int) bool {
 	for {
-		r, wake := l.rule(from, to)
+		r, wake := l.At(from, to)
 		if !r.Cut {
 			d := r.Delay
 			if r.Bytes > 0 {
