--- a/internal/fares/check.go
+++ b/internal/fares/check.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"pebbleloom/internal/cab"
 	"pebbleloom/internal/contract"
@@ -49,6 +50,8 @@
 	Faults     []string // what must never happen
 	SentMs     int64
 	TookMs     int64
+	First      time.Time // when the first piece came
+	FirstMs    int64
 }
 
 // Read checks a stream to its end. A stream that ends broken is no fault as long as it
@@ -63,6 +66,9 @@
 	for {
 		raw, err := b.ReadSlice('\n')
 		if len(raw) > 0 && err == nil {
+			if o.First.IsZero() {
+				o.First = time.Now()
+			}
 			if w := c.Line(raw); w != "" {
 				o.Faults = append(o.Faults, w)
 				return o
@@ -130,6 +136,8 @@
 	MaxToMean float64        `json:"load_max_to_mean"`
 	P50Ms     int64          `json:"p50_ms"`
 	P99Ms     int64          `json:"p99_ms"`
+	First50Ms int64          `json:"p50_first_piece_ms"`
+	First95Ms int64          `json:"p95_first_piece_ms"`
 	OnceP50Ms int64          `json:"p50_once_only_ms"`  // what claims cost shows against
 	ManyP50Ms int64          `json:"p50_repeatable_ms"` // these, in the same run
 	Workers   map[string]int `json:"workers,omitempty"`
@@ -184,7 +192,7 @@
 			s.Faults = append(s.Faults, o.Request.ID+": "+fmt.Sprintf(format, a...))
 		}
 	}
-	var took, once, many []int64
+	var took, once, many, first []int64
 	for _, o := range b.All() {
 		s.Requests++
 		if o.Twin {
@@ -199,6 +207,9 @@
 			s.Sealed++
 			s.Hit, s.Fetched, s.Prefilled = s.Hit+o.Last.Hit, s.Fetched+o.Last.Fetched, s.Prefilled+o.Last.Prefilled
 			took = append(took, o.TookMs)
+			if !o.Request.App {
+				first = append(first, o.FirstMs)
+			}
 			if o.Request.Once {
 				once = append(once, o.TookMs)
 			} else {
@@ -241,6 +252,7 @@
 		s.MaxToMean = float64(most) * float64(len(s.Workers)) / float64(sum)
 	}
 	s.P50Ms, s.P99Ms = part(took, 0.5), part(took, 0.99)
+	s.First50Ms, s.First95Ms = part(first, 0.5), part(first, 0.95)
 	s.OnceP50Ms, s.ManyP50Ms = part(once, 0.5), part(many, 0.5)
 	return s
 }
--- a/internal/fares/fares.go
+++ b/internal/fares/fares.go
@@ -173,6 +173,9 @@
 		o = c.ask(ctx, c.Edges[(edge+i)%len(c.Edges)], q) // nothing was sent: another edge may be asked
 	}
 	o.SentMs, o.TookMs = t0.UnixMilli(), time.Since(t0).Milliseconds()
+	if !o.First.IsZero() {
+		o.FirstMs = o.First.Sub(t0).Milliseconds()
+	}
 	return o
 }
 
--- /dev/null
+++ b/internal/tabletop/compare_test.go
@@ -0,0 +1,72 @@
+package tabletop
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+
+	"pebbleloom/internal/yard"
+)
+
+// What the placement is worth against its own switches, on virtual time, where the machine's speed
+// has no say. `TABLE_COMPARE="kv=6000 skew=1.0 link=40000" TABLE_SITE=paramo TABLE_SEEDS=5 go test
+// ./internal/tabletop -run TestCompare -v -timeout 3h` prints a table; runs are interleaved.
+func TestCompare(t *testing.T) {
+	words := os.Getenv("TABLE_COMPARE")
+	if words == "" {
+		t.Skip("a measurement: run it by hand")
+	}
+	site := os.Getenv("TABLE_SITE")
+	from, n := number(t, "TABLE_SEED", 1), number(t, "TABLE_SEEDS", 5)
+	got := map[string][]*yard.Report{}
+	for seed := from; seed < from+n; seed++ {
+		for _, m := range yard.Modes() {
+			sc := yard.Scenario{Name: m, HealMs: 1000, TailMs: 59000}
+			r := play(t, sc, site, seed, func(s *yard.Site) *Table {
+				v := s.Setup.Services[s.Traffic.Model+"-main"]
+				v.Placement = m
+				s.Setup.Services[s.Traffic.Model+"-main"] = v
+				s.Traffic.Rate = map[string]float64{"paramo": 45, "daegu": 30}[site]
+				for _, w := range strings.Fields(words) {
+					if x, ok := strings.CutPrefix(w, "skew="); ok {
+						for i := range s.Traffic.Kinds {
+							if _, err := fmt.Sscan(x, &s.Traffic.Kinds[i].Skew); err != nil {
+								t.Fatal(err)
+							}
+						}
+						continue
+					}
+					for i := range s.Processes {
+						if s.Processes[i].Program == "cab" { // the first word of a name counts
+							s.Processes[i].Place.Extra = append([]string{w}, s.Processes[i].Place.Extra...)
+						}
+					}
+				}
+				return New(seed, s)
+			})
+			if len(r.Faults) > 0 {
+				t.Errorf("%s, seed %d: %v", m, seed, r.Faults)
+			}
+			got[m] = append(got[m], r)
+		}
+	}
+	fmt.Printf("%s, %s, seeds %d to %d: median (least to most)\n| placement | hit share | fetched share | R_max | replicated | prefilled | load max/mean | first piece ms, median | 95th |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+		site, words, from, from+n-1)
+	for _, m := range yard.Modes() {
+		col := func(form string, f func(*yard.Report) float64) string {
+			var l []float64
+			for _, r := range got[m] {
+				l = append(l, f(r))
+			}
+			sort.Float64s(l)
+			return fmt.Sprintf(form+" ("+form+" to "+form+")", l[len(l)/2], l[0], l[len(l)-1])
+		}
+		fmt.Printf("| %s | %s | %s | %s | %s | %s | %s | %s | %s |\n", m, col("%.3f", func(r *yard.Report) float64 { return r.Sum.HitShare }),
+			col("%.3f", func(r *yard.Report) float64 { return r.Sum.FetchPart }), col("%.2f", func(r *yard.Report) float64 { return r.RMax }),
+			col("%.0f", func(r *yard.Report) float64 { return float64(r.Copied) }), col("%.0f", func(r *yard.Report) float64 { return float64(r.Sum.Prefilled) }),
+			col("%.2f", func(r *yard.Report) float64 { return r.Sum.MaxToMean }), col("%.0f", func(r *yard.Report) float64 { return float64(r.Sum.First50Ms) }),
+			col("%.0f", func(r *yard.Report) float64 { return float64(r.Sum.First95Ms) }))
+	}
+}
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -91,6 +91,8 @@
 	// Share of prompt tokens found kept before the first step, up to the bound after the
 	// last, and from there on.
 	Hits   [3]float64 `json:"hit_shares"`
+	RMax   float64    `json:"r_max"` // of the placement in the end
+	Copied int        `json:"replicated"`
 	Faults []string   `json:"faults"`
 }
 
--- a/internal/yard/settle.go
+++ b/internal/yard/settle.go
@@ -30,10 +30,25 @@
 	if p.sc.ReadAll {
 		p.readAll(ctx)
 	}
+	p.placed(ctx)
 	sort.Strings(p.rep.Faults)
 	return nil
 }
 
+// placed notes the placement that is in force in the end.
+func (p *play) placed(ctx context.Context) {
+	_, said := p.f.Get(ctx, p.f.Site.Operators[0], "/v1/placements/"+p.f.Site.Traffic.Model+"-main")
+	var s struct {
+		Placement struct {
+			RMax       float64  `json:"r_max"`
+			Replicated []string `json:"replicated"`
+		} `json:"placement"`
+	}
+	if json.Unmarshal([]byte(said), &s) == nil { // else nobody can say, which other checks look at
+		p.rep.RMax, p.rep.Copied = s.Placement.RMax, len(s.Placement.Replicated)
+	}
+}
+
 // tally adds up how many prompt tokens were found kept.
 type tally struct{ hit, all int }
 
