An optional operators' key, checked on every operator address

Cause: whoever reached an operator address could change setups and read keys back. After: operator_key in the settings; without it every operator call is denied as bad-operator-key (401, exit code 3); desk shows it from a file or the environment. Ruled out: keys by person (no store of people is asked for), a flag with the key itself (others on the machine could read it).

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 
 	"pebbleloom/api/operator"
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/frontdesk"
 	set "pebbleloom/internal/settings"
 )
 
@@ -49,7 +51,7 @@
 // request is one command line, read.
 type request struct {
 	node, file, token, model, tenant, key, worker, service, request, name string
-	record, resume                                                        string
+	record, resume, keyFile                                               string
 	asJSON, back, dry, yes                                                bool
 	ifEpoch, weights                                                      int64
 	parts, set, overlays                                                  []string
@@ -106,6 +108,7 @@
 	ps.DisableShowVersionWithVersion()
 	ps.ShowCompletion = false
 	ps.String(&r.node, "n", "node", "operator address of any node (also PEBBLELOOM_NODE)")
+	ps.String(&r.keyFile, "", "operator-key", "file with the operators' key (or the key itself in PEBBLELOOM_KEY)")
 	ps.Bool(&r.asJSON, "j", "json", "answer in JSON")
 	ps.String(&r.file, "f", "file", "file to read (- for standard input)")
 	ps.Int64(&r.ifEpoch, "e", "if-epoch", "only onto this epoch")
@@ -153,7 +156,11 @@
 	if c == nil {
 		return fail(errs.New(errs.BadInput, "no such command: see desk --help"))
 	}
-	cl, err := operator.NewClient("http://" + r.node)
+	key, err := opKey(r)
+	if err != nil {
+		return fail(err)
+	}
+	cl, err := operator.NewClient("http://"+r.node, operator.WithClient(&http.Client{Transport: shows{key}}))
 	if err != nil {
 		return fail(errs.As(err, errs.BadInput, "node "+r.node))
 	}
@@ -179,6 +186,28 @@
 	return 0
 }
 
+// shows puts the operators' key on every call.
+type shows struct{ key string }
+
+// RoundTrip sends a call with the key.
+//
+// Example: h := &http.Client{Transport: shows{key}}
+func (s shows) RoundTrip(r *http.Request) (*http.Response, error) {
+	if s.key != "" {
+		r = r.Clone(r.Context())
+		r.Header.Set(frontdesk.KeyHead, s.key)
+	}
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func opKey(r *request) (string, error) {
+	if r.keyFile == "" {
+		return os.Getenv("PEBBLELOOM_KEY"), nil
+	}
+	raw, err := os.ReadFile(r.keyFile)
+	return strings.TrimSpace(string(raw)), errs.As(err, errs.BadInput, "--operator-key")
+}
+
 // attach makes flaggy's tree of commands; the function it gives tells which was used.
 func attach(ps *flaggy.Parser) func() *command {
 	groups := map[string]*flaggy.Subcommand{}
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -22,6 +22,7 @@
 var (
 	BadInput   = &Kind{"bad-input", "correct the named fields and send it again", 400, 2}
 	BadKey     = &Kind{"bad-key", "use a key that the setup in force lists for the tenant", 401, 3}
+	NotOurs    = &Kind{"bad-operator-key", "give the operators' key of this site: --operator-key FILE or PEBBLELOOM_KEY", 401, 3}
 	NoModel    = &Kind{"no-such-model", "name a model that the setup in force routes", 404, 4}
 	NotFound   = &Kind{"not-found", "check the name with the matching list command", 404, 4}
 	Conflict   = &Kind{"epoch-conflict", "read the setup back, redo the change on the epoch in force, apply again", 409, 5}
@@ -41,7 +42,7 @@
 //
 // Example: for _, k := range errs.Kinds() { fmt.Println(k.Name, k.Exit) }
 func Kinds() []*Kind {
-	return []*Kind{BadInput, BadKey, NoModel, NotFound, Conflict, TooBig, OverBudget, Overloaded,
+	return []*Kind{BadInput, BadKey, NotOurs, NoModel, NotFound, Conflict, TooBig, OverBudget, Overloaded,
 		Expired, NotRun, MayHaveRun, CantSay, NotAsDue, DiskBad, Inside}
 }
 
--- a/internal/frontdesk/frontdesk.go
+++ b/internal/frontdesk/frontdesk.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -43,7 +44,26 @@
 	if err != nil {
 		return errs.Wrap(err, "operator API")
 	}
-	return l.Serve(l.Place.Operator, http.MaxBytesHandler(s, 2*setup.MaxBytes))
+	return l.Serve(l.Place.Operator, keyed(l.Place.OpKey, http.MaxBytesHandler(s, 2*setup.MaxBytes)))
+}
+
+// KeyHead carries the operators' key.
+const KeyHead = "X-Operator-Key"
+
+// keyed lets in who shows the operators' key, where the settings name one.
+func keyed(key string, h http.Handler) http.Handler {
+	if key == "" {
+		return h
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get(KeyHead)), []byte(key)) == 1 {
+			h.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(errs.NotOurs.HTTP)
+		_ = json.NewEncoder(w).Encode(operator.Denial{Kind: errs.NotOurs.Name, Message: "the operators' key is missing or another", Remedy: errs.NotOurs.Remedy}) // who hung up can't be told
+	})
 }
 
 // NewError turns an error into its typed answer.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,18 +18,19 @@
 
 // Place is what one process is told about where it stands.
 type Place struct {
-	Name     string   `json:"name"`     // the machine's or worker's name; stays over restarts
-	District string   `json:"district"` // one of the site's districts
-	Listen   string   `json:"listen"`   // own address towards pebbleloom's processes
-	Tell     string   `json:"tell"`     // the address that others are told, where it isn't Listen
-	Public   string   `json:"public"`   // own address towards downstreams, or a stand-in's
-	Operator string   `json:"operator"` // own address towards operators
-	Seeds    []string `json:"seeds"`    // three addresses of other processes
-	Core     []string `json:"core"`     // the names of the core machines
-	Data     string   `json:"data"`     // the one data folder; only where there is a disk
-	Runner   string   `json:"runner"`   // the agent beside a dispatcher, on loopback
-	Rank     string   `json:"rank"`     // where the platform lists workers
-	Extra    []string `json:"extra"`    // a program's own words, checked by the program
+	Name     string   `json:"name"`         // the machine's or worker's name; stays over restarts
+	District string   `json:"district"`     // one of the site's districts
+	Listen   string   `json:"listen"`       // own address towards pebbleloom's processes
+	Tell     string   `json:"tell"`         // the address that others are told, where it isn't Listen
+	Public   string   `json:"public"`       // own address towards downstreams, or a stand-in's
+	Operator string   `json:"operator"`     // own address towards operators
+	OpKey    string   `json:"operator_key"` // what operators must show; empty: nothing
+	Seeds    []string `json:"seeds"`        // three addresses of other processes
+	Core     []string `json:"core"`         // the names of the core machines
+	Data     string   `json:"data"`         // the one data folder; only where there is a disk
+	Runner   string   `json:"runner"`       // the agent beside a dispatcher, on loopback
+	Rank     string   `json:"rank"`         // where the platform lists workers
+	Extra    []string `json:"extra"`        // a program's own words, checked by the program
 	Bounds   Bounds   `json:"bounds"`
 }
 
@@ -191,7 +192,7 @@
 		return
 	}
 	fields := map[string]any{"name": &p.Name, "district": &p.District, "listen": &p.Listen, "tell": &p.Tell, "public": &p.Public,
-		"operator": &p.Operator, "seeds": &p.Seeds, "core": &p.Core, "data": &p.Data, "runner": &p.Runner,
+		"operator": &p.Operator, "operator_key": &p.OpKey, "seeds": &p.Seeds, "core": &p.Core, "data": &p.Data, "runner": &p.Runner,
 		"rank": &p.Rank, "extra": &p.Extra}
 	bf := map[string]*int{"setup_ms": &p.Bounds.SetupMs, "key_ms": &p.Bounds.KeyMs, "leave_ms": &p.Bounds.LeaveMs,
 		"weights_ms": &p.Bounds.WeightsMs, "heal_ms": &p.Bounds.HealMs, "try_share": &p.Bounds.TryShare,
@@ -248,6 +249,9 @@
 	addr("operator", p.Operator, need.Operator)
 	addr("runner", p.Runner, need.Runner)
 	addr("rank", p.Rank, need.Rank)
+	if n := len(p.OpKey); n != 0 && (n < 16 || n > 128 || strings.ContainsAny(p.OpKey, " \t\r\n")) {
+		bad("operator_key", "%d letters: give 16 to 128 without spaces, or none", n)
+	}
 	if need.Seeds && len(p.Seeds) != 3 {
 		bad("seeds", "%d given: give three addresses of other processes", len(p.Seeds))
 	}
--- a/internal/tabletop/compare_test.go
+++ b/internal/tabletop/compare_test.go
@@ -18,11 +18,14 @@
 	if words == "" {
 		t.Skip("a measurement: run it by hand")
 	}
-	site := os.Getenv("TABLE_SITE")
+	site, modes := os.Getenv("TABLE_SITE"), yard.Modes()
+	if w := os.Getenv("TABLE_MODES"); w != "" {
+		modes = strings.Split(w, ",")
+	}
 	from, n := number(t, "TABLE_SEED", 1), number(t, "TABLE_SEEDS", 5)
 	got := map[string][]*yard.Report{}
 	for seed := from; seed < from+n; seed++ {
-		for _, m := range yard.Modes() {
+		for _, m := range modes {
 			sc := yard.Scenario{Name: m, HealMs: 1000, TailMs: 59000}
 			r := play(t, sc, site, seed, func(s *yard.Site) *Table {
 				v := s.Setup.Services[s.Traffic.Model+"-main"]
@@ -54,7 +57,7 @@
 	}
 	fmt.Printf("%s, %s, seeds %d to %d: median (least to most)\n| placement | hit share | fetched share | R_max | replicated | prefilled | load max/mean | first piece ms, median | 95th |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
 		site, words, from, from+n-1)
-	for _, m := range yard.Modes() {
+	for _, m := range modes {
 		col := func(form string, f func(*yard.Report) float64) string {
 			var l []float64
 			for _, r := range got[m] {
