A site of the first landed release is upgraded machine by machine, and back

Cause: shapes carry epochs and recorded data was read, but no two releases had run together. After: yard upgrade starts a site from an earlier release's folder and swaps core machines, then edge machines, to this one under traffic, with storms of setups between, and back. Settings that the older programs don't know are left out for them.

--- a/internal/yard/fleet.go
+++ b/internal/yard/fleet.go
@@ -38,6 +38,9 @@
 		return nil, err
 	}
 	for _, p := range s.Processes {
+		if err := errs.Wrap(on.Put(p), "write settings"); err != nil {
+			return nil, err
+		}
 		if err := f.Start(p.Name); err != nil {
 			f.Down()
 			return nil, err
--- a/internal/yard/ground.go
+++ b/internal/yard/ground.go
@@ -34,6 +34,7 @@
 type machines struct {
 	dir, bin string
 	links    *Links // nil: the site has none
+	old      string // the folder of an earlier release, in upgrades
 	mu       sync.Mutex
 	proc     map[string]*exec.Cmd
 	done     map[string]chan struct{}
@@ -89,7 +90,7 @@
 	return nil
 }
 
-func (m *machines) Put(p Process) error { return put(m.dir, p.Name+".json", p.Place) }
+func (m *machines) Put(p Process) error { return m.settingsOf(p) }
 
 func (m *machines) Wipe(p Process) error { return os.RemoveAll(p.Place.Data) }
 
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -22,6 +22,7 @@
 // Options are what the yard's commands take.
 type Options struct {
 	Site, Dir, Bin, Mode string
+	Old                  string // folder of an earlier release's programs
 	Scenario             string
 	Seconds, Net, Seeds  int
 	Times                int
@@ -45,12 +46,14 @@
 		{"scenarios", "list the runs with failures"},
 		{"mix", "draw troubles by the seed and run them: yard mix --seed 7 --seeds 10"},
 		{"play", "run one scenario, or all: yard play --scenario owner-killed"},
+		{"upgrade", "bring a site of an earlier release to this one and back: yard upgrade --old /tmp/old-bin"},
 		{"fit", "measure a worker's prefill and fit the curve (JSON, to be kept as internal/placement/curve.json)"}} {
 		s := flaggy.NewSubcommand(c[0])
 		s.Description = c[1]
 		s.String(&o.Site, "s", "site", "paramo or daegu")
 		s.String(&o.Dir, "d", "dir", "folder for settings, data and logs")
 		s.String(&o.Bin, "b", "bin", "folder with the programs")
+		s.String(&o.Old, "o", "old", "with upgrade: folder with an earlier release's programs")
 		s.String(&o.Mode, "m", "mode", "placement: hrcs, all-replicated, all-sharded or no-index")
 		s.Int(&o.Seconds, "t", "seconds", "how long callers send")
 		s.Int(&o.Net, "n", "net", "second byte of the loopback addresses")
@@ -126,6 +129,16 @@
 	if o.Site == "" {
 		o.Site = "paramo"
 	}
+	if used == "upgrade" {
+		if o.Old == "" {
+			return fail(errs.New(errs.BadInput, "--old is missing: name the folder of an earlier release's programs"))
+		}
+		rep, err := Upgrade(ctx, o)
+		if err != nil {
+			return fail(err)
+		}
+		return tell(out, rep, "upgrade --old "+o.Old, o.Dir)
+	}
 	if used == "fit" {
 		c, err := Fit(ctx, o)
 		if err == nil {
@@ -241,23 +254,29 @@
 			if err != nil {
 				return fail(errs.Wrap(err, "scenario "+sc.Name))
 			}
-			fmt.Fprintf(out, "%-16s %-7s seed %d: sealed %d of %d, during %.3f, after healing %.3f, hit share %.2f %.2f %.2f, extra runs %d, denied %v, broken %d, faults %d\n",
-				sc.Name, rep.Site, p.Seed, rep.Sum.Sealed, rep.Sum.Requests, rep.During, rep.Healed, rep.Hits[0], rep.Hits[1], rep.Hits[2], rep.Extra, rep.Sum.Denied, rep.Sum.Broken, len(rep.Faults))
-			for _, m := range rep.Sum.Samples {
-				fmt.Fprintln(out, "  "+m)
-			}
-			for _, f := range rep.Faults {
-				code = 1
-				fmt.Fprintln(out, "  FAULT "+f)
-			}
-			if len(rep.Faults) > 0 {
-				how := "play --scenario " + sc.Name
-				if strings.HasPrefix(sc.Name, "mix-") {
-					how = "mix"
-				}
-				fmt.Fprintf(out, "  steps: %s\n  replay: yard %s --site %s --seed %d (logs in %s)\n", strings.Join(rep.Steps, "; "), how, rep.Site, p.Seed, p.Dir)
+			how := "play --scenario " + sc.Name
+			if strings.HasPrefix(sc.Name, "mix-") {
+				how = "mix"
 			}
+			code = max(code, tell(out, rep, how, p.Dir))
 		}
 	}
 	return code
 }
+
+// tell prints a run's line and what is wrong; 1 if anything is.
+func tell(out io.Writer, rep *Report, how, dir string) int {
+	fmt.Fprintf(out, "%-16s %-7s seed %d: sealed %d of %d, during %.3f, after healing %.3f, hit share %.2f %.2f %.2f, extra runs %d, denied %v, broken %d, faults %d\n",
+		rep.Scenario, rep.Site, rep.Seed, rep.Sum.Sealed, rep.Sum.Requests, rep.During, rep.Healed, rep.Hits[0], rep.Hits[1], rep.Hits[2], rep.Extra, rep.Sum.Denied, rep.Sum.Broken, len(rep.Faults))
+	for _, m := range rep.Sum.Samples {
+		fmt.Fprintln(out, "  "+m)
+	}
+	for _, f := range rep.Faults {
+		fmt.Fprintln(out, "  FAULT "+f)
+	}
+	if len(rep.Faults) == 0 {
+		return 0
+	}
+	fmt.Fprintf(out, "  steps: %s\n  replay: yard %s --site %s --seed %d (logs in %s)\n", strings.Join(rep.Steps, "; "), how, rep.Site, rep.Seed, dir)
+	return 1
+}
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -98,6 +98,7 @@
 
 // play is a scenario under way.
 type play struct {
+	o      Options
 	sc     Scenario
 	f      *Fleet
 	r      *rand.Rand
@@ -147,7 +148,7 @@
 	if s.Traffic.Rate = sc.Rate; sc.Rate == 0 {
 		s.Traffic.Rate = 25
 	}
-	p := &play{sc: sc, r: rand.New(rand.NewPCG(o.Seed, 11)), rep: &Report{Scenario: sc.Name, Site: sc.Site, Seed: o.Seed, Faults: []string{}},
+	p := &play{o: o, sc: sc, r: rand.New(rand.NewPCG(o.Seed, 11)), rep: &Report{Scenario: sc.Name, Site: sc.Site, Seed: o.Seed, Faults: []string{}},
 		picked: map[string][]string{}, revoked: map[string]int64{}, weights: map[uint64]int64{}, drained: map[string]int64{}}
 	ground, err := on(s)
 	if err != nil {
@@ -337,6 +338,11 @@
 			b.Note(n, p.f.Start(n))
 		case "wipe":
 			b.Note(n, p.on(n, p.f.on.Wipe))
+		case "swap":
+			bin, err := p.o.binOf(x.To)
+			if b.Note(n, err); err == nil {
+				b.Note(n, p.f.swap(n, bin))
+			}
 		case "usurp":
 			b.Note(n, p.f.usurp(n))
 		case "move":
--- a/internal/yard/site.go
+++ b/internal/yard/site.go
@@ -140,9 +140,6 @@
 	b.Note("make folder", os.MkdirAll(dir, 0o755))
 	put("list.json", s.List)
 	put("setup.json", s.Setup)
-	for _, p := range s.Processes {
-		put(p.Name+".json", p.Place)
-	}
 	return b.Look()
 }
 
