Setups are merged and checked beside the part's thread, one at a time

Ruled out: the size of letters (230 KB fits one), the disk, the number of placements asked for. After: a change is merged and checked ahead on its own thread, in line; the part's thread checks only that the epoch is still the one it was merged onto.

--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -12,9 +12,7 @@
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/ledger"
-	"pebbleloom/internal/link"
 	"pebbleloom/internal/queue"
-	"pebbleloom/internal/setup"
 	"pebbleloom/internal/shelf"
 	"pebbleloom/internal/wire"
 )
@@ -37,6 +35,7 @@
 	pending  map[uint64]pend
 	reads    map[uint64]chan bool
 	news     map[chan struct{}]bool
+	heavy    chan struct{} // held by the change that merges and checks a setup
 	keep     time.Duration // how long once-only ids are remembered
 	agedAt   time.Duration // when the part's age was last told, and in which term
 	agedTerm uint64
@@ -54,7 +53,7 @@
 	}
 	p := &part{n: cfg.Part, st: newState(), sh: sh, clk: clk, log: log.With("part", cfg.Part), post: post, ctx: ctx,
 		in: queue.NewRing[func()](512), pending: map[uint64]pend{}, reads: map[uint64]chan bool{},
-		news: map[chan struct{}]bool{}, turnAt: 1 << 20, keep: keepIds}
+		news: map[chan struct{}]bool{}, turnAt: 1 << 20, keep: keepIds, heavy: make(chan struct{}, 1)}
 	if l.Slot == nil {
 		l.Slot = ledger.First(inc()) // whatever was here before counts no more, under any name
 		if err := sh.Turn(l.Slot, nil); err != nil {
@@ -208,111 +207,6 @@
 	}
 }
 
-// change proposes a command where this member owns the part, and waits for its outcome.
-func (p *part) change(ctx context.Context, a *wire.ChangeAsk) *wire.ChangeTell {
-	var tell *wire.ChangeTell
-	var w pend
-	if !p.ask(ctx, func() { w, tell = p.propose(a) }) {
-		return &wire.ChangeTell{Outcome: "cant-say"}
-	}
-	if tell != nil {
-		return tell
-	}
-	select {
-	case tell = <-w.tell:
-		return tell
-	case <-ctx.Done():
-		return &wire.ChangeTell{Outcome: "cant-say"}
-	case <-p.ctx.Done():
-		return &wire.ChangeTell{Outcome: "cant-say"}
-	}
-}
-
-// propose puts a command into the log, where this member owns the part; otherwise, or
-// where it needs no log, it gives the answer at once.
-func (p *part) propose(a *wire.ChangeAsk) (pend, *wire.ChangeTell) {
-	s := p.core.Stands()
-	if p.bad != nil || !s.Owns {
-		return pend{}, &wire.ChangeTell{Outcome: "not-owner", Owner: s.Owner}
-	}
-	cmd := proto.Clone(a.Command).(*wire.Command)
-	if tell := p.prepare(cmd, a); tell != nil {
-		return pend{}, tell
-	}
-	body, err := proto.Marshal(cmd)
-	if err != nil || len(body) > setup.MaxBytes*2 {
-		return pend{}, &wire.ChangeTell{Outcome: "too-big", Faults: []string{"command can't be written"}}
-	}
-	if len(p.pending) >= 256 {
-		return pend{}, &wire.ChangeTell{Outcome: "overloaded"}
-	}
-	i, term, _ := p.core.Propose(body) // it owns the part, so it takes it
-	w := pend{term, make(chan *wire.ChangeTell, 1)}
-	p.pending[i] = w
-	return w, nil
-}
-
-// prepare checks a command against the applied state, and merges and validates setups.
-// Nil means: propose it.
-func (p *part) prepare(cmd *wire.Command, a *wire.ChangeAsk) *wire.ChangeTell {
-	if g := cmd.GetGrant(); g != nil {
-		// While a grant may be under way nobody else gets the duty.
-		if h := p.st.leases[g.Duty]; h != nil && h.Holder != g.Holder && len(p.core.Unsettled()) > 0 {
-			return &wire.ChangeTell{Outcome: "overloaded"}
-		}
-		if !p.st.free(g, p.clk.Now()) {
-			l := p.st.leases[g.Duty]
-			return &wire.ChangeTell{Outcome: "epoch-conflict", Fence: l.GetFence(), Owner: l.GetHolder()}
-		}
-		return nil
-	}
-	if c := cmd.GetClaims(); c != nil && len(c.List) > 0 && len(c.List) <= 1024 {
-		c.PassedNs, c.KeepNs = uint64(p.passed(p.core.Stands().Term)), uint64(p.keep)
-		return nil
-	}
-	u := cmd.GetPut()
-	if u == nil || u.Key == "" || len(u.Key) > 256 {
-		return &wire.ChangeTell{Outcome: "bad-input", Faults: []string{"no command: give a put or a grant"}}
-	}
-	u.Sum = sumOf(u, a.Patch)
-	if t := p.st.again(u); t != nil {
-		return t
-	}
-	old := p.st.docs[u.Key]
-	if u.Key == link.SetupKey {
-		var err error
-		if a.Patch {
-			u.Body, err = setup.Merge(old.GetBody(), u.Body)
-			if u.AnyEpoch { // it was merged onto this epoch, so it holds for this epoch alone
-				u.AnyEpoch, u.IfEpoch = false, old.GetEpoch()
-			}
-		} else {
-			u.Body, err = setup.Merge(nil, u.Body)
-		}
-		if err == nil {
-			err = setup.Follows(old.GetBody(), u.Body)
-		}
-		if err != nil {
-			return &wire.ChangeTell{Outcome: errs.KindOf(err).Name, Epoch: old.GetEpoch(), Faults: []string{err.Error()}}
-		}
-		if u.AnyEpoch && len(p.core.Unsettled()) > 0 { // it was checked against what another change may replace
-			return &wire.ChangeTell{Outcome: "overloaded"}
-		}
-	}
-	if !u.AnyEpoch && u.IfEpoch != old.GetEpoch() {
-		return &wire.ChangeTell{Outcome: "epoch-conflict", Epoch: old.GetEpoch()}
-	}
-	if strings.HasPrefix(u.Key, "calendar/") {
-		if err := p.entry(u); err != nil {
-			return &wire.ChangeTell{Outcome: errs.KindOf(err).Name, Epoch: old.GetEpoch(), Faults: []string{err.Error()}}
-		}
-	}
-	if a.Dry {
-		return &wire.ChangeTell{Outcome: "valid", Epoch: old.GetEpoch()}
-	}
-	return nil
-}
-
 // entry checks a calendar entry against the others of its service.
 func (p *part) entry(u *wire.Put) error {
 	e, err := calendar.Read(u.Body)
--- a/internal/archive/sim_run_test.go
+++ b/internal/archive/sim_run_test.go
@@ -15,7 +15,7 @@
 	if !s.up(n) || s.r.Float64() < s.loss {
 		return
 	}
-	w, tell := n.p.propose(a)
+	w, tell := n.p.propose(a, nil)
 	n.p.step()
 	life, begin := n.life, s.now
 	lost := s.r.Float64() < s.loss
