--- a/internal/dispatcher/pick.go
+++ b/internal/dispatcher/pick.go
@@ -253,7 +253,8 @@
 }
 
 // save decides whom the worker hands what to: a hot entry goes to one more worker that
-// lacks it and to the store; a tail entry computed away from home goes home.
+// lacks it; a tail entry computed away from home goes home. Both go to the store, the tail once
+// it is used again: its one worker may have to drop it, and then reading beats prefilling.
 func (q *Query) save(c *Choice, holders map[prefix.Key]map[string]bool, addr map[string]string, names []string) {
 	k, at, session := q.deciding(c.Entries)
 	if at < 0 || q.Mode == "no-index" {
@@ -269,6 +270,7 @@
 		}
 	}
 	c.Session = session
+	again := session || q.Found[k].GetHotness() >= sharedHot // it is worth its way
 	if c.Hot = q.Placement.Hot(k); c.Hot {
 		for _, n := range placement.Home(prefixKey(q.ID), names) {
 			if !holders[k][n] && n != c.Worker.Name {
@@ -276,14 +278,14 @@
 				break
 			}
 		}
-		for s := range q.Stores {
-			if !holders[k][s] {
-				to(s)
-			}
-		}
-	} else if c.Home != "" && c.Home != c.Worker.Name && !holders[k][c.Home] && (session || q.Found[k].GetHotness() >= sharedHot) {
+	} else if c.Home != "" && c.Home != c.Worker.Name && !holders[k][c.Home] && again {
 		to(c.Home)
 	}
+	for s := range q.Stores {
+		if (c.Hot || again) && !holders[k][s] {
+			to(s)
+		}
+	}
 	if len(c.SaveTo) > 0 {
 		c.SaveUpto = at + 1
 	}
--- a/internal/dispatcher/pick_test.go
+++ b/internal/dispatcher/pick_test.go
@@ -45,11 +45,16 @@
 	es := query(false, nil).Entries[1]
 	names := []string{"w0", "w1", "w2", "w3"}
 	home := placement.Home(es[0].Key, names)
-	t.Run("a tail entry goes home", func(t *testing.T) {
-		c, ok := Pick(query(false, nil))
-		if !ok || c.Worker.Name != home[0] || c.Hot || c.Saves != "" {
+	t.Run("a tail entry goes home, and to the store once it is used again", func(t *testing.T) {
+		q := query(false, nil)
+		c, ok := Pick(q)
+		if !ok || c.Worker.Name != home[0] || c.Hot || c.Saves != "d:1" {
 			t.Fatalf("%+v, home is %s", c, home[0])
 		}
+		q.Found[es[0].Key].Hotness = 1
+		if c, _ := Pick(q); c.Worker.Name != home[0] || c.Saves != "" {
+			t.Fatalf("used once: %+v", c)
+		}
 	})
 	t.Run("a full home passes it on to the next", func(t *testing.T) {
 		q := query(false, nil)
--- a/internal/tabletop/planted_test.go
+++ b/internal/tabletop/planted_test.go
@@ -81,7 +81,7 @@
 				return table
 			})
 			if all := strings.Join(r.Faults, "\n"); x.want == "" && all != "" || !strings.Contains(all, x.want) {
-				t.Errorf("%q isn't among %d faults:\n%.1500s\n%s", x.want, len(r.Faults), all, line(r))
+				t.Errorf("%q isn't among %d faults:\n%.1500s\n%s", x.want, len(r.Faults), all, yard.Line(r))
 			}
 		})
 	}
--- a/internal/tabletop/table_test.go
+++ b/internal/tabletop/table_test.go
@@ -46,10 +46,6 @@
 	return rep
 }
 
-func line(r *yard.Report) string {
-	return fmt.Sprintf("%-16s %-6s seed %d: sealed %d of %d, during %.3f, after %.3f, extra runs %d, denied %v", r.Scenario, r.Site, r.Seed, r.Sum.Sealed, r.Sum.Requests, r.During, r.Healed, r.Extra, r.Sum.Denied)
-}
-
 // The scenarios of the yard, on virtual time. `TABLE_SCENARIO=all go test ./internal/tabletop -run
 // TestScenarios -timeout 2h` plays them all; TABLE_SITE, TABLE_SEED and TABLE_SEEDS say where and
 // with which seeds.
@@ -73,7 +69,7 @@
 						sc.Rate = 10
 					}
 					r := play(t, sc, site, seed, func(s *yard.Site) *Table { return New(seed, s) })
-					t.Log(line(r))
+					t.Log(yard.Line(r))
 					if len(r.Faults) > 0 {
 						t.Errorf("%d faults:\n%s\nsteps:\n%s\nreplay: TABLE_SCENARIO=%s TABLE_SITE=%s TABLE_SEED=%d go test ./internal/tabletop -run TestScenarios -v",
 							len(r.Faults), strings.Join(r.Faults, "\n"), strings.Join(r.Steps, "\n"), sc.Name, site, seed)
@@ -90,7 +86,7 @@
 	sc := yard.Script(site, seed, l)
 	sc.Rate = 10
 	r := play(t, sc, site, seed, func(s *yard.Site) *Table { return New(seed, s) })
-	t.Logf("%s: %s", line(r), sc.About)
+	t.Logf("%s: %s", yard.Line(r), sc.About)
 	return r
 }
 
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -46,6 +46,7 @@
 		{"scenarios", "list the runs with failures"},
 		{"mix", "draw troubles by the seed and run them: yard mix --seed 7 --seeds 10"},
 		{"play", "run one scenario, or all: yard play --scenario owner-killed"},
+		{"tally", "draw a table from the lines of many runs, which come in on standard input"},
 		{"upgrade", "bring a site of an earlier release to this one and back: yard upgrade --old /tmp/old-bin"},
 		{"fit", "measure a worker's prefill and fit the curve (JSON, to be kept as internal/placement/curve.json)"}} {
 		s := flaggy.NewSubcommand(c[0])
@@ -129,6 +130,12 @@
 	if o.Site == "" {
 		o.Site = "paramo"
 	}
+	if used == "tally" {
+		if err := Tally(os.Stdin, out); err != nil {
+			return fail(err)
+		}
+		return 0
+	}
 	if used == "upgrade" {
 		if o.Old == "" {
 			return fail(errs.New(errs.BadInput, "--old is missing: name the folder of an earlier release's programs"))
@@ -266,8 +273,7 @@
 
 // tell prints a run's line and what is wrong; 1 if anything is.
 func tell(out io.Writer, rep *Report, how, dir string) int {
-	fmt.Fprintf(out, "%-16s %-7s seed %d: sealed %d of %d, during %.3f, after healing %.3f, hit share %.2f %.2f %.2f, extra runs %d, denied %v, broken %d, faults %d\n",
-		rep.Scenario, rep.Site, rep.Seed, rep.Sum.Sealed, rep.Sum.Requests, rep.During, rep.Healed, rep.Hits[0], rep.Hits[1], rep.Hits[2], rep.Extra, rep.Sum.Denied, rep.Sum.Broken, len(rep.Faults))
+	fmt.Fprintln(out, Line(rep))
 	for _, m := range rep.Sum.Samples {
 		fmt.Fprintln(out, "  "+m)
 	}
--- /dev/null
+++ b/internal/yard/tally.go
@@ -0,0 +1,83 @@
+package yard
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/queue"
+)
+
+// Line is a run in one line, as Tally reads it again.
+//
+// Example: fmt.Println(yard.Line(rep))
+func Line(r *Report) string {
+	return fmt.Sprintf("%-16s %-7s seed %d: sealed %d of %d, during %.3f, after healing %.3f, hit share %.2f %.2f %.2f, extra runs %d, denied %v, broken %d, faults %d",
+		r.Scenario, r.Site, r.Seed, r.Sum.Sealed, r.Sum.Requests, r.During, r.Healed, r.Hits[0], r.Hits[1], r.Hits[2], r.Extra, r.Sum.Denied, r.Sum.Broken, len(r.Faults))
+}
+
+var lineForm = regexp.MustCompile(`(\S+) +(paramo|daegu) +seed \d+: sealed (\d+) of (\d+), during ([\d.]+), after (?:healing )?([\d.]+),.* extra runs (\d+), denied map\[[^]]*\](?:, broken \d+, faults (\d+))?`)
+
+// run is what one line says.
+type run struct{ sealed, during, after, extra, faults float64 }
+
+// Tally draws a table from the lines of many runs: how many, the median and the worst of what
+// was sealed, and every fault. Mixtures count as one row a site.
+//
+// Example: err := yard.Tally(os.Stdin, os.Stdout)
+func Tally(in io.Reader, out io.Writer) error {
+	rows := map[string][]run{}
+	b := bufio.NewScanner(in)
+	b.Buffer(nil, 1<<20)
+	for b.Scan() {
+		m := lineForm.FindStringSubmatch(b.Text())
+		if m == nil {
+			continue
+		}
+		n := make([]float64, len(m))
+		for i := 3; i < len(m); i++ {
+			if m[i] != "" {
+				var err error
+				if n[i], err = strconv.ParseFloat(m[i], 64); err != nil {
+					return errs.As(err, errs.BadInput, "line "+b.Text())
+				}
+			}
+		}
+		name := m[1]
+		if strings.HasPrefix(name, "mix-") {
+			name = "mixtures"
+		}
+		k := name + " | " + m[2]
+		rows[k] = append(rows[k], run{n[3] / max(1, n[4]), n[5], n[6], n[7], n[8]})
+	}
+	if err := b.Err(); err != nil {
+		return errs.Wrap(err, "read lines")
+	}
+	if len(rows) == 0 {
+		return errs.New(errs.BadInput, "no line of a run comes in: give what `yard play` or the table printed")
+	}
+	fmt.Fprintln(out, "| scenario | site | runs | faults | sealed | during | after | extra runs |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, k := range queue.Keys(rows) {
+		l := rows[k]
+		col := func(f func(run) float64) string {
+			var v []float64
+			for _, x := range l {
+				v = append(v, f(x))
+			}
+			sort.Float64s(v)
+			return fmt.Sprintf("%.3f, worst %.3f", v[len(v)/2], v[0])
+		}
+		faults, extra := 0.0, 0.0
+		for _, x := range l {
+			faults, extra = faults+x.faults, max(extra, x.extra)
+		}
+		fmt.Fprintf(out, "| %s | %d | %.0f | %s | %s | %s | %.0f at most |\n", k, len(l), faults, col(func(x run) float64 { return x.sealed }),
+			col(func(x run) float64 { return x.during }), col(func(x run) float64 { return x.after }), extra)
+	}
+	return nil
+}
--- a/internal/yard/yard_test.go
+++ b/internal/yard/yard_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -109,3 +110,18 @@
 		}
 	}
 }
+
+// The table of many runs is drawn from their lines, and loses neither a run nor a fault.
+func TestTally(t *testing.T) {
+	r := &Report{Scenario: "mix-3", Site: "daegu", Seed: 3, During: 0.9, Healed: 1}
+	r.Sum.Sealed, r.Sum.Requests, r.Sum.Denied = 8, 10, map[string]int{"not-run": 2}
+	bad := *r
+	bad.Scenario, bad.Faults, bad.Extra = "mix-4", []string{"one", "two"}, 3
+	var out strings.Builder
+	if err := Tally(strings.NewReader("noise\n"+Line(r)+"\n  "+Line(&bad)+"\n"), &out); err != nil || !strings.Contains(out.String(), "| mixtures | daegu | 2 | 2 | 0.800, worst 0.800 | 0.900, worst 0.900 | 1.000, worst 1.000 | 3 at most |") {
+		t.Errorf("%v\n%s", err, out.String())
+	}
+	if err := Tally(strings.NewReader("noise"), &out); err == nil {
+		t.Error("a table was drawn from nothing")
+	}
+}
