Revoked keys are judged by when workers began their requests, too

Cause: the check went by when requests were sent; one that waited could begin long after. After: the workers' journals are looked at as well.

--- a/internal/yard/settle.go
+++ b/internal/yard/settle.go
@@ -24,7 +24,7 @@
 		p.fault("%s", f)
 	}
 	p.shares(book, closed, int64(heal))
-	p.keys(book)
+	p.keys(book, js)
 	p.workers(js)
 	p.extra(book, js)
 	if p.sc.ReadAll {
@@ -114,8 +114,22 @@
 	}
 }
 
-// keys: a revoked key works no longer than its bound.
-func (p *play) keys(book *fares.Book) {
+// keys: a revoked key works no longer than its bound, by when its requests were sent and by when
+// workers began them.
+func (p *play) keys(book *fares.Book, js map[string][]cab.Run) {
+	gone := map[string]int64{} // request -> when its key was revoked
+	for _, o := range book.All() {
+		if at, ok := p.revoked[o.Request.Key]; ok {
+			gone[o.Request.ID] = at
+		}
+	}
+	for name, l := range js {
+		for _, r := range l {
+			if at, ok := gone[r.RequestID]; ok && r.AtMs > at+int64(p.f.Site.Processes[0].Place.Bounds.KeyMs) {
+				p.fault("%s started %s %d ms after its key was revoked", name, r.RequestID, r.AtMs-at)
+			}
+		}
+	}
 	bound := int64(p.f.Site.Processes[0].Place.Bounds.KeyMs)
 	late, denied := 0, 0
 	for _, o := range book.All() {
