--- a/internal/yard/fleet.go
+++ b/internal/yard/fleet.go
@@ -29,10 +29,13 @@
 //
 // Example: f, err := yard.Up(ctx, site, "/tmp/run", "bin")
 func Up(ctx context.Context, s *Site, dir, bin string) (*Fleet, error) {
-	return raise(ctx, s, dir, newMachines(dir, bin))
+	return raise(ctx, s, dir, newMachines(dir, bin), 0)
 }
 
-func raise(ctx context.Context, s *Site, dir string, on Ground) (*Fleet, error) {
+// raise starts a site, and waits until all is ready; or, cold, only as long as said from the
+// start of its machines, whatever is ready then.
+func raise(ctx context.Context, s *Site, dir string, on Ground, cold time.Duration) (*Fleet, error) {
+	begun := time.Now()
 	f := newFleet(s, dir, on)
 	if err := s.Write(dir); err != nil {
 		return nil, err
@@ -46,7 +49,16 @@
 			return nil, err
 		}
 	}
-	if err := f.first(ctx); err != nil {
+	err := f.first(ctx)
+	if err == nil && cold == 0 {
+		err = f.ready(ctx)
+	} else if err == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(begun.Add(cold))):
+		}
+	}
+	if err != nil {
 		f.Down()
 		return nil, err
 	}
@@ -86,8 +98,7 @@
 	f.h.CloseIdleConnections()
 }
 
-// first applies the site's first setup through any operator address, and waits until every
-// edge is ready.
+// first applies the site's first setup through any operator address.
 func (f *Fleet) first(ctx context.Context) error {
 	ctx, end := context.WithTimeout(ctx, 60*time.Second)
 	defer end()
@@ -99,7 +110,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		code, said := f.Post(ctx, f.Site.Operators[i%len(f.Site.Operators)], "/v1/setup", raw)
 		if code == 200 {
-			return f.ready(ctx)
+			return nil
 		}
 		last = fmt.Sprintf("%d %s", code, said)
 		time.Sleep(200 * time.Millisecond)
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -25,9 +25,10 @@
 	About   string   `json:"about"`
 	Site    string   `json:"site"`
 	Rate    float64  `json:"rate"`
-	Burst   float64  `json:"burst"` // requests a second beside these, until the last step
-	Links   bool     `json:"links"` // relays stand in the path of every link
-	Cab     []string `json:"cab"`   // words of every worker
+	ColdMs  int      `json:"cold_ms"` // callers come that long after the machines start, whatever is ready
+	Burst   float64  `json:"burst"`   // requests a second beside these, until the last step
+	Links   bool     `json:"links"`   // relays stand in the path of every link
+	Cab     []string `json:"cab"`     // words of every worker
 	Steps   []Step   `json:"steps"`
 	HealMs  int      `json:"heal_ms"`  // after the last step all is well again within this; 0: the bound
 	TailMs  int      `json:"tail_ms"`  // how long callers go on after that
@@ -154,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.f, err = raise(ctx, s, o.Dir, ground); err != nil {
+	if p.f, err = raise(ctx, s, o.Dir, ground, time.Duration(sc.ColdMs)*time.Millisecond); err != nil {
 		return nil, err
 	}
 	defer p.f.Down()
