--- a/internal/yard/runbook_test.go
+++ b/internal/yard/runbook_test.go
@@ -91,6 +91,36 @@
 	each(kill, "runner-edge-2", "catalogue-edge-2", "dispatcher-edge-2")()
 	run(&hand{each(f.Start, "runner-edge-2", "catalogue-edge-2", "dispatcher-edge-2")}, "edge-gone", "--set", "machine=edge-2")
 
+	each(kill, "archive-core-3", "appraiser-core-3")()
+	run(&hand{each(f.Start, "archive-core-3", "appraiser-core-3")}, "core-gone", "--set", "machine=core-3")
+
+	// A core machine is replaced: empty, at another address, under its name.
+	each(kill, "archive-core-4", "appraiser-core-4")()
+	if err := os.RemoveAll(f.place("archive-core-4").Data); err != nil {
+		t.Fatal(err)
+	}
+	each(f.move, "archive-core-4")()
+	run(&hand{each(f.Start, "archive-core-4", "appraiser-core-4")}, "core-replaced", "--set", "machine=core-4")
+
+	edge3 := []string{"runner-edge-3", "catalogue-edge-3", "dispatcher-edge-3"}
+	signal := func(s syscall.Signal) func(string) error { return func(n string) error { return f.Signal(n, s) } }
+	each(signal(syscall.SIGSTOP), edge3...)()
+	run(&hand{each(signal(syscall.SIGCONT), edge3...)}, "machine-frozen", "--set", "machine=edge-3")
+
+	many := append([]string{"archive-core-1", "appraiser-core-1", "runner-edge-4", "catalogue-edge-4", "dispatcher-edge-4"}, edge3...)
+	each(kill, many...)()
+	run(&hand{each(f.Start, many...)}, "many-gone")
+
+	part := func(name, body string) string {
+		file := filepath.Join(dir, name)
+		if err := os.WriteFile(file, []byte(body), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return "file=" + file
+	}
+	run(&hand{}, "seeds-change", "--set", part("seeds.json", `{"seeds":["127.34.2.1:7003","127.34.3.1:7003","127.34.2.11:7000"]}`))
+	run(&hand{}, "setup-wrong", "--set", part("right.json", `{"tenants":{"tenant-5":{"inflight":40}}}`))
+
 	run(&hand{}, "weights-midday", "--set", "model=gisa", "--set", "weights=2", "--set", "service=gisa-main")
 	run(&hand{}, "key-leaked", "--set", "tenant=tenant-4", "--set", "key=key-of-daegu-tenant-4")
 
