--- a/internal/appraiser/pick.go
+++ b/internal/appraiser/pick.go
@@ -54,7 +54,7 @@
 			}
 		}
 		edge := sorted[n-1].F
-		room := int(float64(f.Room) * roomPart * scarcity(f))
+		room := int(float64(f.Room) * roomPart)
 		var in []placement.Freq
 		for i, x := range sorted {
 			if i < n || was[x.Key] && x.F >= stay*edge {
@@ -62,11 +62,10 @@
 			}
 		}
 		for _, x := range in {
-			if x.Tokens > room {
+			if room -= x.Tokens; room < 0 {
 				p.Why = "cut to the workers' room"
-				continue
+				break
 			}
-			room -= x.Tokens
 			p.Replicated = append(p.Replicated, x.Key)
 		}
 	}
@@ -76,22 +75,6 @@
 	return p
 }
 
-// scarcity is how much of what is used again all workers' rooms together could hold, at most
-// one. A copy on every worker takes room from the tail, which then is read or prefilled anew: the
-// scarcer room is, the less of it copies may take.
-func scarcity(f Facts) float64 {
-	used := 0.0
-	for _, h := range f.Hot {
-		if h.Hotness >= 1 {
-			used += float64(h.Tokens)
-		}
-	}
-	if all := float64(f.Room * len(f.Workers)); used > all {
-		return all / used
-	}
-	return 1
-}
-
 // Swap brings bursting entries in for the coldest ones, between recomputations. It says
 // whether anything changed.
 //
