--- a/internal/appraiser/order_test.go
+++ b/internal/appraiser/order_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"pebbleloom/internal/clock"
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/link"
@@ -17,16 +18,12 @@
 	"pebbleloom/internal/wire"
 )
 
-type ticking struct{ from time.Time }
-
-func (k ticking) Now() time.Duration { return time.Hour + time.Since(k.from) }
-
 // Eighteen silent workers hold an order up no longer than one does, and every order has landed
 // or been given up before another may hold the lease; once the lease is over none goes off.
 func TestSilentWorkersHoldUpNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := settings.Default()
-		clk := ticking{time.Now()}
+		clk := clock.Ticking()
 		sent := atomic.Int32{}
 		w := daemon.World{Clock: clk, Dial: func(context.Context, string, string) (net.Conn, error) {
 			sent.Add(1)
--- a/internal/cab/begin_test.go
+++ b/internal/cab/begin_test.go
@@ -9,15 +9,12 @@
 	"testing/synctest"
 	"time"
 
+	"pebbleloom/internal/clock"
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/settings"
 )
 
-type ticking struct{ from time.Time }
-
-func (k ticking) Now() time.Duration { return time.Hour + time.Since(k.from) }
-
 // A go that waits at a worker is looked at again right before its prefill begins. Between,
 // each thing that it depends on changes; what was let in never begins then, the denial says
 // that it didn't run, and it comes when its time is over, not when a slot is free.
@@ -38,7 +35,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			w := daemon.Real(settings.Place{})
-			w.Clock, w.Wall = ticking{time.Now()}, time.Now
+			w.Clock, w.Wall = clock.Ticking(), time.Now
 			l := daemon.NewIn(w, "cab", settings.Place{Name: "cab-1", Bounds: settings.Default(),
 				Extra: []string{"log=off", "model=m", "slots=1", "fixed_us=5000000", "token_us=0", "square_us=0"}})
 			defer l.Stop(0)
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -35,6 +35,15 @@
 // Example: (&clock.Hand{T: time.Second}).Now() == time.Second
 func (h *Hand) Now() time.Duration { return h.T }
 
+type ticking struct{ from time.Time }
+
+func (k ticking) Now() time.Duration { return time.Hour + time.Since(k.from) }
+
+// Ticking goes with the time of a test's bubble, from an hour on.
+//
+// Example: clk := clock.Ticking()
+func Ticking() Clock { return ticking{time.Now()} }
+
 // Every is a clock event that comes again and again.
 //
 // Example: t := clock.Every(time.Second); defer t.Stop(); <-t.C
--- a/internal/shelf/faulty.go
+++ b/internal/shelf/faulty.go
@@ -27,18 +27,27 @@
 	if err != nil {
 		return nil // no switch, no fault
 	}
-	w, n, _ := strings.Cut(strings.TrimSpace(string(b)), " ")
+	stall, err := Fault(string(b))
+	time.Sleep(stall)
+	return err
+}
+
+// Fault reads what a disk is to suffer from: how long a write stalls, or with what it fails.
+//
+// Example: stall, err := shelf.Fault("stall 800")
+func Fault(word string) (stall time.Duration, err error) {
+	w, n, _ := strings.Cut(strings.TrimSpace(word), " ")
 	switch w {
 	case "full":
-		return syscall.ENOSPC
+		return 0, syscall.ENOSPC
 	case "sync":
-		return errSync
+		return 0, errSync
 	case "stall":
 		if ms, err := strconv.Atoi(n); err == nil {
-			time.Sleep(time.Duration(ms) * time.Millisecond)
+			return time.Duration(ms) * time.Millisecond, nil
 		}
 	}
-	return nil
+	return 0, nil
 }
 
 func (f faulty) Write(name string, b []byte) error {
--- a/internal/tabletop/proc.go
+++ b/internal/tabletop/proc.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/netip"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -226,10 +224,7 @@
 	return len(b), nil
 }
 
-var (
-	errDead = errors.New("the process is dead")
-	errSync = errors.New("sync failed (switched on by a failure test)")
-)
+var errDead = errors.New("the process is dead")
 
 // disk is a folder of the machine's disk, as this life sees it.
 func (p *proc) disk(folder string) shelf.Disk { return &disk{p, folder} }
@@ -256,19 +251,11 @@
 	if !d.p.pass() {
 		return errDead
 	}
-	word, n, _ := strings.Cut(d.p.m.fault(), " ")
-	took := time.Duration(200+d.p.chance(1800)) * time.Microsecond
-	switch word {
-	case "full":
-		return syscall.ENOSPC
-	case "sync":
-		return errSync
-	case "stall":
-		if ms, err := strconv.Atoi(n); err == nil {
-			took = time.Duration(ms) * time.Millisecond
-		}
+	stall, err := shelf.Fault(d.p.m.fault())
+	if err != nil {
+		return err
 	}
-	t := time.NewTimer(took)
+	t := time.NewTimer(max(stall, time.Duration(200+d.p.chance(1800))*time.Microsecond))
 	defer t.Stop()
 	select {
 	case <-t.C:
