--- a/internal/cab/cab.go
+++ b/internal/cab/cab.go
@@ -193,11 +193,7 @@
 		return
 	}
 	c.fence = o.Fence
-	if c.file != nil {
-		if err := json.NewEncoder(c.file).Encode(Run{Weights: o.Weights, AtMs: c.life.Wall().UnixMilli(), Fence: o.Fence, Holder: o.Holder}); err != nil {
-			c.life.Log.Error("journal", "error", err)
-		}
-	}
+	_ = c.write(&Run{Weights: o.Weights, AtMs: c.life.Wall().UnixMilli(), Fence: o.Fence, Holder: o.Holder}) // logged there; the order is obeyed all the same
 	if o.Kind == "weights" && o.Weights > c.weights && c.lie != "deaf" {
 		c.weights = o.Weights
 		c.kv.Clear()
@@ -273,6 +269,18 @@
 	}
 }
 
+// write adds a line to the journal, where there is one.
+func (c *Cab) write(run *Run) error {
+	if c.file == nil {
+		return nil
+	}
+	err := json.NewEncoder(c.file).Encode(run)
+	if err != nil {
+		c.life.Log.Error("journal", "error", err)
+	}
+	return err
+}
+
 // begin writes down that a request starts now, right before its prefill, or says why it may
 // not: all that it depends on is looked at once more.
 func (c *Cab) begin(s *contract.Start) (*Run, string) {
@@ -285,11 +293,8 @@
 		return nil, why
 	}
 	run := &Run{RequestID: s.RequestID, Once: s.Once, Weights: s.Weights, AtMs: c.life.Wall().UnixMilli()}
-	if c.file != nil {
-		if err := json.NewEncoder(c.file).Encode(run); err != nil {
-			c.life.Log.Error("journal", "error", err)
-			return nil, "full" // what can't be written down isn't begun
-		}
+	if c.write(run) != nil {
+		return nil, "full" // what can't be written down isn't begun
 	}
 	c.lies(run)
 	if c.runs = append(c.runs, run); len(c.runs) > maxRuns {
--- a/internal/catalogue/core.go
+++ b/internal/catalogue/core.go
@@ -42,7 +42,7 @@
 	heard  time.Duration
 	asked  bool   // it is one that reports are asked of
 	told   bool   // it has told all it holds
-	turn   uint64 // counts its leavings
+	turn   uint64 // counts its leavings and its answers
 }
 
 type teller struct {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -44,6 +45,18 @@
 // Example: clk := clock.Ticking()
 func Ticking() Clock { return ticking{time.Now()} }
 
+// Pause waits for a while, or until the context ends.
+//
+// Example: clock.Pause(ctx, 40*time.Millisecond)
+func Pause(ctx context.Context, d time.Duration) {
+	e := time.NewTimer(d)
+	defer e.Stop()
+	select {
+	case <-ctx.Done():
+	case <-e.C:
+	}
+}
+
 // Every is a clock event that comes again and again.
 //
 // Example: t := clock.Every(time.Second); defer t.Stop(); <-t.C
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pebbleloom/api/caller"
+	"pebbleloom/internal/clock"
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/feed"
@@ -123,7 +124,7 @@
 		}
 		if now := d.clk.Now(); now+time.Duration(c.Wait)*time.Microsecond > until { // it waits here, where it is looked at again
 			d.gate.Tell(func(g *gate) { g.release(c.Worker.Name) })
-			d.pause(ctx, d.b.Setup(0.02))
+			clock.Pause(ctx, d.b.Setup(0.02))
 			continue
 		}
 		if n == 0 {
@@ -237,15 +238,6 @@
 	return int64(w.ClockNs/1000) + (until - time.Duration(w.ClockAt)).Microseconds()
 }
 
-func (d *Dispatcher) pause(ctx context.Context, t time.Duration) {
-	e := time.NewTimer(t)
-	defer e.Stop()
-	select {
-	case <-ctx.Done():
-	case <-e.C:
-	}
-}
-
 // older tells how long superseded weights may still start; zero: no more.
 func (d *Dispatcher) older(w feed.Seen, weights uint64) time.Duration {
 	not, _, ok := w.Since(weights)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -116,10 +116,7 @@
 		end()
 		if err != nil {
 			f.log.Debug("no feed", "error", err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(hold / 2):
-			}
+			clock.Pause(ctx, hold/2)
 			continue
 		}
 		f.take(t)
--- a/internal/feed/weights.go
+++ b/internal/feed/weights.go
@@ -35,6 +35,9 @@
 //
 // Example: not, seen, ok := s.WeightsAt["lector"].Since(3)
 func (s Seen) Since(weights uint64) (not, seen time.Duration, ok bool) {
+	if weights >= s.Weights { // the usual case, on every request's way
+		return 0, 0, false
+	}
 	l := append(slices.Clone(s.Past), s)
 	for i, x := range l {
 		if x.Weights <= weights {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -129,7 +129,7 @@
 			}
 		}
 		if tell == nil || tell.Outcome == "cant-say" {
-			r.pause(b.Setup(0.05))
+			clock.Pause(r.life.Ctx, b.Setup(0.05))
 			if tell == nil {
 				continue
 			}
@@ -155,15 +155,6 @@
 	t.changed()
 }
 
-func (r *Runner) pause(d time.Duration) {
-	e := time.NewTimer(d)
-	defer e.Stop()
-	select {
-	case <-r.life.Ctx.Done():
-	case <-e.C:
-	}
-}
-
 func (r *Runner) list() {
 	asked := r.clk.Now()
 	ctx, end := context.WithTimeout(r.life.Ctx, r.life.Place.Bounds.Leave(0.3))
--- a/internal/yard/operate.go
+++ b/internal/yard/operate.go
@@ -16,12 +16,8 @@
 
 // place is where a process stands.
 func (f *Fleet) place(name string) settings.Place {
-	for _, p := range f.Site.Processes {
-		if p.Name == name {
-			return p.Place
-		}
-	}
-	return settings.Place{}
+	p, _ := f.process(name) // none: no place
+	return p.Place
 }
 
 // usurp starts an empty machine under the name that a process has, at another address,
