--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	Rank     string   `json:"rank"`         // where the platform lists workers
 	Extra    []string `json:"extra"`        // a program's own words, checked by the program
 	Bounds   Bounds   `json:"bounds"`
+	Site     *Site    `json:"-"` // nil where the core machines are named
 }
 
 // Bounds are what must hold; every other constant is a ratio of one of them.
