--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -15,7 +15,7 @@
 	Tenants  []Tenant
 	Limits   Limits
 
-	hosts map[string][]*Route // by host, longest prefix first
+	hosts map[string]*host
 	keys  map[string]*Tenant
 	names map[string]*Service
 }
