Index, look-ups and choice of worker for the platform path, thin

Cause: edges need to know who keeps which part of a prompt, and reading a shared part again costs as much as a request is worth.

--- a/internal/catalogue/core.go
+++ b/internal/catalogue/core.go
@@ -20,9 +20,10 @@
 )
 
 type hold struct {
-	state uint32
-	at    time.Duration
-	gen   uint32
+	state  uint32
+	at     time.Duration
+	gen    uint32
+	tokens uint32 // kept of the entry's, where that was told; 0: all
 }
 
 type entry struct {
@@ -59,6 +60,7 @@
 	workers map[string]*worker
 	tellers map[string]*teller
 	mine    func(prefix.Key) bool
+	slack   float64 // the share of those asked that may not have told all while the index is warm
 	Stats   Stats
 }
 
@@ -198,7 +200,7 @@
 	if e.service == "" {
 		e.service = service
 	}
-	e.holders[name] = hold{Confirmed, now, w.gen}
+	e.holders[name] = hold{state: Confirmed, at: now, gen: w.gen}
 }
 
 // Leave forgets a worker that has gone.
@@ -251,6 +253,9 @@
 			f.Hotness = e.hot
 			for n, h := range e.holders {
 				if c.holds(n, h, now) {
+					if h.partial(e) {
+						continue
+					}
 					f.Holders = append(f.Holders, &wire.Holding{Worker: n, State: h.state})
 				} else {
 					delete(e.holders, n)
@@ -304,8 +309,8 @@
 		}
 		for _, p := range x.Presumed {
 			w := c.worker(p)
-			if h, ok := e.holders[p]; !ok || h.gen != w.gen || h.state == Presumed {
-				e.holders[p] = hold{Presumed, now, w.gen}
+			if h, ok := e.holders[p]; !ok || h.gen != w.gen || h.state == Presumed || h.partial(e) {
+				e.holders[p] = hold{state: Presumed, at: now, gen: w.gen}
 			}
 		}
 	}
@@ -359,18 +364,18 @@
 	return t
 }
 
-// Warm tells whether every worker has told all it holds since this index began.
+// Warm tells whether every worker, or all but a few, has told all it holds since this index began.
 //
 // Example: if c.Warm() { … }
 func (c *Core) Warm() bool {
-	n := 0
+	n, untold := 0, 0
 	for _, w := range c.workers {
 		if w.asked && !w.told {
-			return false
+			untold++
 		}
 		if w.told {
 			n++
 		}
 	}
-	return n > 0
+	return n > 0 && float64(untold) <= c.slack*float64(n+untold)
 }
--- /dev/null
+++ b/internal/pick/choice.go
@@ -0,0 +1,144 @@
+package pick
+
+import (
+	"math/bits"
+	"time"
+
+	"pebbleloom/internal/prefix"
+)
+
+// option is what a request would cost on one worker, in ms of its target.
+type option struct {
+	cost  float64
+	read  float64 // tokens
+	moved float64 // ms of its links
+	from  *source
+}
+
+// run is how many parts in a row are kept from one on.
+func run(parts uint64, from int) int { return bits.TrailingZeros64(^(parts >> from)) }
+
+// weigh adds up waiting, reading of what is missing, the move of what another keeps, the crowd's
+// slowdown, and what reading again and distance cost beside their time.
+func (q *query) weigh(i int, o *opening) option {
+	t, x := q.t, q.g.seats[i]
+	ps := len(q.upto) - 1
+	held := min(run(t.maybe[i], 0), ps)
+	missing := q.upto[ps] - q.upto[held] + q.own
+	var opt option
+	if o.shared > held {
+		opt = q.fetch(i, o, held)
+		missing -= opt.read
+	}
+	slots := float64(max(1, x.w.Slots))
+	load := t.loads[i]
+	wait := max(0, x.st.busy-q.now).Seconds()*1e3 + t.others(x.st, q.now)
+	c := t.slowness(x.st, q.now)*(t.a+wait+t.bb*missing) + opt.cost + crowd*t.span*load/slots
+	if load >= slots {
+		c += (load - slots + 1) / slots * t.span
+	}
+	if x.w.District != q.r.District {
+		c += afarPart * q.target * rereadPart * float64(q.r.In)
+	}
+	if again := q.upto[min(o.shared, ps)] - q.upto[held] - opt.read; again > 0 && q.known(o, held) {
+		c += q.read * again // somebody keeps it, and it would be read once more
+	}
+	if o.at >= 0 && !o.hot && o.home >= 0 && o.home != i {
+		lean := leanKept
+		if o.cold {
+			lean = leanCold
+		}
+		c += lean * (q.read + t.bb) * q.upto[o.at+1]
+	}
+	c += x.st.back(q.now) * backCost * q.target
+	return option{cost: c, read: missing, moved: opt.moved, from: opt.from}
+}
+
+// known tells whether anybody keeps the part that a worker lacks first.
+func (q *query) known(o *opening, held int) bool {
+	for _, x := range o.from {
+		if x.parts>>held&1 == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// fetch finds the one source that spares a worker the most. Its read is what it needn't read.
+func (q *query) fetch(i int, o *opening, held int) (best option) {
+	t, w := q.t, q.g.seats[i]
+	gain := 0.0
+	for j := range o.from {
+		s := &o.from[j]
+		if s.seat == i {
+			continue
+		}
+		n := min(run(s.parts, held), o.shared-held)
+		if n <= 0 {
+			continue
+		}
+		tokens := q.upto[held+n] - q.upto[held]
+		ms := tokens * s.pipe
+		if s.district != w.w.District {
+			ms *= distant
+		}
+		cost := ms + max(0, max(s.st.moves, w.st.moves)-q.now).Seconds()*1e3 + tokens*q.read*movePart
+		if sure := min(run(s.sure, held), n); sure < n {
+			cost += risk * (q.read + t.bb) * (q.upto[held+n] - q.upto[held+sure])
+		}
+		if g := tokens*(t.bb+q.read) - cost; g > gain {
+			gain, best = g, option{cost: cost, read: tokens, moved: ms, from: s}
+		}
+	}
+	return best
+}
+
+// others is about how long others' prompts take that wait at a worker, in ms.
+func (t *table) others(x *stat, now time.Duration) float64 {
+	if !x.spoke {
+		return 0
+	}
+	return t.fade(now-x.headAt) * x.headWait * t.tokens * t.bb
+}
+
+// choice says how the placement takes effect on the worker picked.
+func (q *query) choice(o *opening, i int, x option) Choice {
+	t, w := q.t, q.g.seats[i]
+	c := Choice{Worker: *w.w, Weights: o.weights, Salt: o.text, Urgency: urgency(q.r)}
+	p := promise{st: w.st, read: x.read, keys: o.keys, kept: true}
+	if x.from != nil {
+		c.Fetch, p.from, p.moved = x.from.addr, x.from.st, x.moved
+	}
+	for j, k := range o.keys[:o.shared] {
+		p.uses = append(p.uses, prefix.Entry{Key: k, Tokens: int(q.upto[j+1] - q.upto[j]), Upto: int(q.upto[j+1])})
+	}
+	if at := q.store(w.w.District); at >= 0 && o.shared > 0 {
+		s := q.g.stores[at].svc
+		all := uint64(1)<<o.shared - 1
+		if q.upto[o.shared] >= leastSaved && o.stores[at]&all != all {
+			c.Save, p.store = s.Store.Addr, s.Name
+		}
+		if held := run(t.maybe[i], 0); c.Fetch == "" && held < o.shared && (!o.told || q.used(o)) && q.upto[o.shared]-q.upto[held] >= 2*leastSaved {
+			c.Fetch = s.Store.Addr // it may well have it: a miss costs next to nothing
+		}
+	}
+	t.plans.put(ticket{q.r.ID, w.w.ID}, p)
+	return c
+}
+
+// used tells whether somebody used the deciding part lately, though nobody is known to keep it.
+func (q *query) used(o *opening) bool { return o.at >= 0 && q.found[o.keys[o.at]].GetHotness() > 0 }
+
+// store is the one to use: of the worker's district, or the first that answers; -1: none.
+func (q *query) store(district string) int {
+	at := -1
+	for i, x := range q.g.stores {
+		if q.t.down[x.svc.Name] {
+			continue
+		}
+		if at < 0 || x.svc.Store.District == district && q.g.stores[at].svc.Store.District != district {
+			at = i
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/pick/load.go
@@ -0,0 +1,120 @@
+package pick
+
+import (
+	"math"
+	"time"
+)
+
+// stat is what this edge knows of one worker.
+type stat struct {
+	under    int           // attempts of this edge under way
+	busy     time.Duration // until then it reads prompts of this edge
+	head     float64       // what others had under way and waiting there, by its last word
+	headWait float64       // of them waiting
+	headAt   time.Duration
+	spoke    bool
+	slow     float64 // its first pieces against the others'; 1: as fast
+	slowAt   time.Duration
+	bad      float64 // share of bad endings, the last ones first
+	strikes  int
+	outUntil time.Duration // its attempts broke: avoided
+	outFor   time.Duration
+	full     time.Duration // until then: it had no place
+	loading  time.Duration // until then: it turned requests away for other weights
+	loadingV uint64        // the version that its row told then
+	moves    time.Duration // until then its link is taken, as far as this edge knows
+}
+
+func newStat() *stat { return &stat{slow: 1} }
+
+// fade is how much a word of age d still says.
+func (t *table) fade(d time.Duration) float64 {
+	return math.Exp(-float64(d) / float64(t.b.Heal(fadePart)))
+}
+
+// load is about how many requests a worker has, waiting ones included: its last word of what
+// others sent it, that fades into the mean of all, and this edge's own. Where workers tell no
+// load, the own ones stand for those of the other edges too.
+func (t *table) load(x *stat, edges int, now time.Duration) float64 {
+	if !t.told {
+		return float64(x.under * edges)
+	}
+	a := 0.0
+	if x.spoke {
+		a = t.fade(now - x.headAt)
+	}
+	return a*x.head + (1-a)*t.mean + float64(x.under)
+}
+
+// heard takes a worker's word of its load.
+func (t *table) heard(x *stat, l *Load, now time.Duration) {
+	x.head = max(0, float64(l.Running+l.Waiting-x.under))
+	x.headWait = max(0, min(float64(l.Waiting), x.head))
+	x.headAt, x.spoke = now, true
+	if !t.told {
+		t.told, t.mean = true, x.head
+	}
+	t.mean += meanPart * (x.head - t.mean)
+}
+
+// pace is what first pieces have shown: milliseconds from a prompt's sending to its first piece,
+// a + b for each token read. Older ones count less; a belief stands for some samples.
+type pace struct{ n, x, y, xx, xy float64 }
+
+func (p *pace) add(x, y, keep float64) {
+	p.n, p.x, p.y, p.xx, p.xy = p.n*keep+1, p.x*keep+x, p.y*keep+y, p.xx*keep+x*x, p.xy*keep+x*y
+}
+
+// line fits it, within what is believable.
+func (p *pace) line(a0, b0 float64) (a, b float64) {
+	a, b = a0, b0
+	if d := p.n*p.xx - p.x*p.x; d > 0 && p.n > 0 {
+		b = min(max((p.n*p.xy-p.x*p.y)/d, b0/believe), b0*believe)
+		a = min(max((p.y-b*p.x)/p.n, a0/believe), a0*believe)
+	}
+	return a, b
+}
+
+// learn takes a first piece's time.
+func (t *table) learn(x *stat, tokens float64, first, now time.Duration) {
+	ms := first.Seconds() * 1e3
+	if want := t.a + t.bb*tokens; want > 0 {
+		f := min(max(ms/want, 1/believe), believe)
+		old := t.slowness(x, now)
+		x.slow, x.slowAt = math.Exp(math.Log(old)*(1-slowPart)+math.Log(f)*slowPart), now
+	}
+	t.pace.add(tokens, min(ms, (t.a+t.bb*tokens)*believe), keepPart)
+	t.a, t.bb = t.pace.line(t.a0, t.b0)
+}
+
+// slowness is a worker's first pieces against the others'; what is old is forgotten.
+func (t *table) slowness(x *stat, now time.Duration) float64 {
+	k := math.Exp(-float64(now-x.slowAt) / float64(t.b.Heal(forgetPart)))
+	return math.Exp(math.Log(x.slow) * k)
+}
+
+// strike notes a bad ending: the worker is avoided for a while that doubles with repeats and
+// grows with its share of bad endings.
+func (t *table) strike(x *stat, now time.Duration) {
+	x.bad += badPart * (1 - x.bad)
+	d := float64(t.b.Heal(outPart)) * math.Exp2(float64(min(x.strikes, 8))) * (1 + 2*x.bad)
+	x.strikes++
+	x.outFor = time.Duration(min(d, float64(t.b.Heal(outMost))))
+	x.outUntil = max(x.outUntil, now+x.outFor)
+}
+
+// fine notes a good one: its strikes are taken back one by one, once it isn't avoided any more.
+func (t *table) fine(x *stat, now time.Duration) {
+	x.bad -= badPart * x.bad
+	if now >= x.outUntil && x.strikes > 0 {
+		x.strikes--
+	}
+}
+
+// back is how far a worker is from being trusted again after it was avoided, 1 to 0.
+func (x *stat) back(now time.Duration) float64 {
+	if x.outFor <= 0 || now >= x.outUntil+x.outFor {
+		return 0
+	}
+	return min(1, float64(x.outUntil+x.outFor-now)/float64(x.outFor)) * x.bad
+}
--- /dev/null
+++ b/internal/pick/salt.go
@@ -0,0 +1,31 @@
+package pick
+
+import (
+	"net/url"
+	"strconv"
+
+	"pebbleloom/internal/plan"
+)
+
+// salt is the text under which workers keep the parts of a prompt: version, model and wall. Two
+// of them are the same only where all three are.
+func salt(model string, weights uint64, t *plan.Tenant) string {
+	m := url.QueryEscape(model)
+	s := strconv.FormatUint(weights, 10) + "." + strconv.Itoa(len(m)) + "." + m
+	if t != nil && t.Isolated {
+		s += "." + url.QueryEscape(t.Name)
+	}
+	return s
+}
+
+// urgency is 0 to 9, 0 first: a tenant's priority goes before the route's.
+func urgency(r *Request) int {
+	u := 0
+	if r.Route != nil {
+		u = r.Route.Priority
+	}
+	if r.Tenant != nil && r.Tenant.Priority >= 0 {
+		u = r.Tenant.Priority
+	}
+	return min(max(u, 0), 9)
+}
--- a/internal/pick/shape.go
+++ b/internal/pick/shape.go
@@ -48,13 +48,13 @@
 
 // The endings.
 const (
-	Served   Ending = iota // a whole answer
-	Full                   // refused: it has no place; nothing ran
-	Loading                // refused: other weights, or an order is under way; nothing ran
-	Moved                  // another worker has that address; nothing ran
-	Unfit                  // the worker failed the request, or its connection broke
-	Left                   // the downstream went away: says nothing of the worker
-	Unsure                 // time ran out
+	Served  Ending = iota // a whole answer
+	Full                  // refused: it has no place; nothing ran
+	Loading               // refused: other weights, or an order is under way; nothing ran
+	Moved                 // another worker has that address; nothing ran
+	Unfit                 // the worker failed the request, or its connection broke
+	Left                  // the downstream went away: says nothing of the worker
+	Unsure                // time ran out
 )
 
 // Picker is one edge machine's view of load, errors and holders. All methods may be called from
--- /dev/null
+++ b/internal/pick/view.go
@@ -0,0 +1,154 @@
+package pick
+
+import (
+	"slices"
+	"time"
+
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/queue"
+)
+
+// seat is one worker of a service, with what this edge knows of it.
+type seat struct {
+	w    *fleet.Worker
+	st   *stat
+	hash uint64
+}
+
+// group is a service's workers and the stores that keep parts.
+type group struct {
+	svc     *plan.Service
+	seats   []seat
+	at      map[string]int // by the worker's ID
+	stores  []store
+	models  map[string]*serving
+	rolling []bool // set aside while they are brought to newer weights
+}
+
+type store struct {
+	svc *plan.Service
+	st  *stat
+}
+
+// serving says which version of a model each seat serves; 0: none.
+type serving struct {
+	by     []uint64
+	all    []uint64 // the versions, newest first
+	listed bool     // some worker tells its versions
+}
+
+// view is a snapshot laid out by service.
+type view struct {
+	snap   *fleet.Snapshot
+	groups map[string]*group
+}
+
+const maxModels = 64 // downstreams name models as they like
+
+// lay lays a snapshot out; what is known of workers goes on under their IDs.
+func (t *table) lay(s *fleet.Snapshot) *view {
+	if t.v != nil && t.v.snap == s {
+		return t.v
+	}
+	v := &view{snap: s, groups: map[string]*group{}}
+	stats := make(map[string]*stat, len(s.Workers))
+	stat := func(id string) *stat {
+		x := t.stats[id]
+		if x == nil {
+			x = newStat()
+		}
+		stats[id] = x
+		return x
+	}
+	var stores []store
+	if s.Plan != nil {
+		for i := range s.Plan.Services {
+			x := &s.Plan.Services[i]
+			if x.Store != nil {
+				stores = append(stores, store{x, stat(x.Name)})
+			} else {
+				v.groups[x.Name] = &group{svc: x, at: map[string]int{}, models: map[string]*serving{}}
+			}
+		}
+	}
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		if g := v.groups[w.Service]; g != nil {
+			g.at[w.ID] = len(g.seats)
+			g.seats = append(g.seats, seat{w, stat(w.ID), queue.Hash(w.ID)})
+		}
+	}
+	for _, g := range v.groups {
+		g.stores = stores
+		g.rolling = make([]bool, len(g.seats))
+		if p := s.Placements[g.svc.Name]; p != nil {
+			for i, x := range g.seats {
+				g.rolling[i] = slices.Contains(p.Rolling, x.w.ID)
+			}
+		}
+	}
+	t.stats, t.v = stats, v
+	return v
+}
+
+// model is the one that a request means: where it names none and the service has one, that.
+func (g *group) model(r *Request) string {
+	if e := g.svc.Engine; r.Model == "" && e != nil && len(e.Models) == 1 {
+		return e.Models[0]
+	}
+	return r.Model
+}
+
+// serve lists which version of a model each worker serves.
+func (g *group) serve(model string) *serving {
+	if x := g.models[model]; x != nil {
+		return x
+	}
+	x := &serving{by: make([]uint64, len(g.seats))}
+	for i, s := range g.seats {
+		n, ok := s.w.Weights[model]
+		x.by[i] = n
+		x.listed = x.listed || ok
+		if !slices.Contains(x.all, n) {
+			x.all = append(x.all, n)
+		}
+	}
+	slices.SortFunc(x.all, func(a, b uint64) int { return -cmpU(a, b) })
+	if len(g.models) < maxModels {
+		g.models[model] = x
+	}
+	return x
+}
+
+func cmpU(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// olderAllowed tells whether a request may still begin on weights older than the named ones. A
+// version that was named before this process began has its bound running already: then the older
+// one is picked only while nobody serves the newer.
+func (t *table) olderAllowed(s *fleet.Snapshot, model string, m *serving, now time.Duration) bool {
+	named := s.Named[model]
+	if named == 0 {
+		return true
+	}
+	at, ok := s.NamedAt[model]
+	if !ok {
+		return true
+	}
+	part := olderPart
+	if at-t.born < t.b.Heal(inheritPart) {
+		if slices.ContainsFunc(m.all, func(v uint64) bool { return v >= named }) {
+			return false
+		}
+		part /= 2
+	}
+	return now-at < t.b.Weights(part)
+}
