Control state in one group whose members are agreed data

Cause: on the platform nobody names the core machines, they are replaced at new addresses, and a lost disk must not come back as the member that it was. The fixed membership, with blank members and generations, needs four names.

Members stand in log entries and in the slot, hold on append, change one at a time once the owner has committed an entry of its own term; a member's name holds address and life, so a wiped disk is another member. The owner's duty replaces the silent and the wiped by caught-up spares. Follow is answered from what a member's thread last showed, so a stalled sync holds nobody up.

Ruled out: keeping generations for lives (two names for one thing), joint membership (one change at a time is enough here), denying votes outside one's own log's members (a half-added member could leave the rest without a majority).

--- a/internal/archive/change.go
+++ b/internal/archive/change.go
@@ -8,20 +8,34 @@
 
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/link"
+	"pebbleloom/internal/plan"
 	"pebbleloom/internal/setup"
 	"pebbleloom/internal/wire"
 )
 
 // merged is a setup that was merged and checked ahead, onto an epoch.
 type merged struct {
-	epoch uint64
-	body  []byte
-	err   error
+	epoch   uint64
+	body    []byte
+	version uint64 // what the document's epoch becomes; 0: the next one
+	err     error
+}
+
+// checked is the document that is merged and checked before it is proposed.
+func (p *part) checked() string {
+	if p.group != nil {
+		return plan.Key
+	}
+	return link.SetupKey
 }
 
 // merge lays a setup, whole or partial, over the one in force, and checks the result.
-func merge(old *wire.Doc, u *wire.Put, patch bool) *merged {
+func (p *part) merge(old *wire.Doc, u *wire.Put, patch bool) *merged {
 	m := &merged{epoch: old.GetEpoch()}
+	if p.group != nil {
+		p.lay(m, old, u, patch)
+		return m
+	}
 	if patch {
 		m.body, m.err = setup.Merge(old.GetBody(), u.Body)
 	} else {
@@ -38,7 +52,7 @@
 // turn to the next.
 func (p *part) ahead(ctx context.Context, a *wire.ChangeAsk) (m *merged, done func(), ok bool) {
 	u := a.Command.GetPut()
-	if u.GetKey() != link.SetupKey {
+	if u.GetKey() != p.checked() {
 		return nil, func() {}, true
 	}
 	select {
@@ -59,13 +73,16 @@
 		return nil, nil, false
 	}
 	if worth {
-		m = merge(old, u, a.Patch)
+		m = p.merge(old, u, a.Patch)
 	}
 	return m, done, true
 }
 
 // change proposes a command where this member owns the part, and waits for its outcome.
 func (p *part) change(ctx context.Context, a *wire.ChangeAsk) *wire.ChangeTell {
+	if tell := p.confirm(ctx, a); tell != nil {
+		return tell
+	}
 	m, done, ok := p.ahead(ctx, a)
 	if !ok {
 		return &wire.ChangeTell{Outcome: "overloaded"} // it never began
@@ -143,9 +160,9 @@
 	if !u.AnyEpoch && u.IfEpoch != old.GetEpoch() {
 		return &wire.ChangeTell{Outcome: "epoch-conflict", Epoch: old.GetEpoch()}
 	}
-	if u.Key == link.SetupKey {
+	if u.Key == p.checked() {
 		if m == nil || m.epoch != old.GetEpoch() { // nobody did ahead, or another change came between
-			m = merge(old, u, a.Patch)
+			m = p.merge(old, u, a.Patch)
 		}
 		if m.err != nil {
 			return &wire.ChangeTell{Outcome: errs.KindOf(m.err).Name, Epoch: old.GetEpoch(), Faults: []string{m.err.Error()}}
@@ -153,6 +170,7 @@
 		if u.AnyEpoch && len(p.core.Unsettled()) > 0 { // it was checked against what another change may replace
 			return &wire.ChangeTell{Outcome: "overloaded"}
 		}
+		u.Version = m.version
 		if u.Body = m.body; a.Patch && u.AnyEpoch { // it was merged onto this epoch, so it holds for this epoch alone
 			u.AnyEpoch, u.IfEpoch = false, old.GetEpoch()
 		}
--- /dev/null
+++ b/internal/archive/group_test.go
@@ -0,0 +1,188 @@
+package archive
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/wire"
+)
+
+func (g *ground) members() []string {
+	var x *glimpse
+	for _, n := range g.nodes {
+		if s := n.parts[0].seen.now(); s.owns && (x == nil || s.term > x.term) {
+			x = s
+		}
+	}
+	if x == nil {
+		return nil
+	}
+	return x.members
+}
+
+func (g *ground) owner() int {
+	for i := 1; i < 9; i++ {
+		if n := g.nodes[g.addr(i)]; n != nil && n.parts[0].seen.now().owns {
+			return i
+		}
+	}
+	return 0
+}
+
+// Three found the group, a fourth waits; a plan is taken at any of them, read back at any of
+// them, and told to whoever follows. The same again is done again, another body on an old base
+// is a conflict, and what is invalid is named.
+func TestAGroupTakesPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, ctx := newGround(t), context.Background()
+		for i := range 4 {
+			g.start(i+1, true)
+		}
+		defer g.down()
+		d := g.until("an owner", 5*time.Second, func() bool { return len(g.members()) == 3 })
+		t.Log("an owner after", d)
+		a, b, spare := g.nodes[g.addr(1)], g.nodes[g.addr(2)], g.nodes[g.addr(4)]
+		held := make(chan *wire.FollowTell)
+		ask := &wire.FollowAsk{Have: []*wire.Have{{Key: plan.Key}, {Key: fleet.WeightsKey}, {Key: fleet.PlacementKey}}, HoldNs: uint64(10 * time.Second), Proof: plan.Key}
+		go func() { x, _ := b.Follow(ctx, ask); held <- x }()
+		for i, n := range []*Node{a, b, spare} {
+			if v, err := n.PutPlan(ctx, uint64(i*2), body(uint64(i*2+2), "x"), i > 0); err != nil || v != uint64(i*2+2) {
+				t.Fatalf("plan %d: %d, %v", i, v, err)
+			}
+		}
+		if x := <-held; len(x.Docs) != 1 || x.Docs[0].Epoch != 2 || len(x.Members) != 3 || !x.Same && x.Docs[0].Epoch == 6 {
+			t.Errorf("what a follower was told: %v", x)
+		}
+		for _, n := range g.nodes {
+			if b, v, err := n.ReadPlan(ctx); err != nil || v != 6 || !strings.Contains(string(b), `"x+x+x"`) {
+				t.Errorf("read back: %s, %d, %v", b, v, err)
+			}
+			if v, err := n.PutPlan(ctx, 2, body(4, "x"), true); err != nil || v != 4 {
+				t.Errorf("the same again, later: %d, %v", v, err)
+			}
+		}
+		for _, c := range []struct {
+			base uint64
+			body string
+			kind *errs.Kind
+		}{{4, `{"version":9}`, errs.Conflict}, {9, `{"version":11}`, errs.Conflict}, {0, `{"version":11}`, errs.Conflict},
+			{6, `{"version":6}`, errs.BadInput}, {6, `{"version":9,"bad":true}`, errs.BadInput}, {6, `{`, errs.BadInput}} {
+			if _, err := spare.PutPlan(ctx, c.base, []byte(c.body), false); err == nil || errs.KindOf(err) != c.kind {
+				t.Errorf("%s on %d: %v", c.body, c.base, err)
+			}
+		}
+		for _, x := range []struct {
+			n *Node
+			v uint64
+		}{{a, 2}, {spare, 3}, {b, 2}, {b, 3}} {
+			if err := x.n.NameWeights(ctx, "m", x.v); err != nil {
+				t.Errorf("weights %d: %v", x.v, err)
+			}
+		}
+		if err := a.NameWeights(ctx, "o", 1); err != nil {
+			t.Error(err)
+		}
+		g.until("weights at the spare", 3*time.Second, func() bool {
+			w := fleet.Weights{}
+			x, _ := spare.Follow(ctx, &wire.FollowAsk{Have: []*wire.Have{{Key: fleet.WeightsKey}}})
+			return len(x.Docs) == 1 && json.Unmarshal(x.Docs[0].Body, &w) == nil && w.Named["m"] == 3 && w.Named["o"] == 1 && !x.Same
+		})
+		put := &wire.Put{Key: fleet.PlacementKey + "s", Body: []byte("{}"), AnyEpoch: true, Token: "p1"}
+		if _, err := spare.ctl.Change(ctx, &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Put{Put: put}}}); err != nil {
+			t.Error(err)
+		}
+		x, _ := a.Follow(ctx, &wire.FollowAsk{Have: []*wire.Have{{Key: plan.Key, Version: 6}, {Key: fleet.PlacementKey}}, HoldNs: 1e9, Proof: plan.Key})
+		if len(x.Docs) != 1 || x.Docs[0].Key != fleet.PlacementKey+"s" || !x.Same || x.Member != g.addr(1)+"/0" {
+			t.Errorf("a placement is told: %v", x)
+		}
+		at := time.Now()
+		x, _ = a.Follow(ctx, &wire.FollowAsk{Have: []*wire.Have{{Key: plan.Key, Version: 6}, {Key: fleet.PlacementKey}, {Key: fleet.PlacementKey + "s", Version: 1}},
+			HoldNs: 5e8, Proof: plan.Key})
+		if d := time.Since(at); d != 500*time.Millisecond || len(x.Docs) > 0 || !x.Same {
+			t.Errorf("no news: after %v %v", d, x)
+		}
+	})
+}
+
+// A member that stays away gives its place to the spare; one that comes back without its disk
+// is another member, and the one that it was is removed; a machine that replaces one for good is
+// taken in at its new address; and all may start again at once.
+func TestAGroupChangesItsMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, ctx := newGround(t), context.Background()
+		for i := range 4 {
+			g.start(i+1, true)
+		}
+		defer func() { g.down() }()
+		g.until("an owner", 5*time.Second, func() bool { return len(g.members()) == 3 })
+		put := func(v uint64) {
+			t.Helper()
+			g.until("a plan", 6*time.Second, func() bool {
+				for _, n := range g.nodes {
+					if _, err := n.PutPlan(ctx, v-1, body(v, "x"), false); err == nil {
+						return true
+					}
+				}
+				return false
+			})
+		}
+		has := func(addr, not string) func() bool {
+			return func() bool {
+				l := g.members()
+				return len(l) == 3 && slices.ContainsFunc(l, func(m string) bool { return strings.HasPrefix(m, addr+"/") }) && !slices.Contains(l, not)
+			}
+		}
+		put(1)
+		o := g.owner()
+		d := g.until("planned end", 0, func() bool { g.stop(o); return true })
+		d += g.until("another owner", 2*time.Second, func() bool { return g.owner() > 0 })
+		t.Log("another owner after a planned end", d)
+		put(2)
+		t.Log("the spare's place", g.until("the spare has its place", 5*time.Second, has(g.addr(4), g.addr(o)+"/0")))
+		g.start(o, false)
+		// A disk is lost.
+		w := g.owner()
+		old := g.nodes[g.addr(w)].parts[0].seen.now().self
+		g.stop(w)
+		g.disks[g.addr(w)] = nil
+		g.start(w, false)
+		g.until("a group without the lost disk", 8*time.Second, func() bool {
+			l := g.members()
+			return len(l) == 3 && !slices.Contains(l, old)
+		})
+		put(3)
+		// A machine is replaced for good, twice, so that there is no other spare.
+		for i := range 2 {
+			x := g.owner()
+			g.stop(x)
+			g.start(5+i, false)
+			g.until("three members", 8*time.Second, func() bool {
+				l := g.members()
+				return len(l) == 3 && !slices.ContainsFunc(l, func(m string) bool { return strings.HasPrefix(m, g.addr(x)+"/") })
+			})
+			put(uint64(4 + i))
+		}
+		for i := range 8 {
+			if g.nodes[g.addr(i+1)] != nil {
+				g.stop(i + 1)
+			}
+		}
+		for i := 1; i < 7; i++ {
+			g.start(i, false)
+		}
+		put(6)
+		for _, n := range g.nodes {
+			if _, v, err := n.ReadPlan(ctx); err != nil || v != 6 {
+				t.Errorf("after all have started again: %d, %v", v, err)
+			}
+		}
+	})
+}
--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -32,6 +32,8 @@
 	calls *daemon.Calls
 	core  []string
 	inc   string
+	ctl   *link.Control // of a group
+	mail  *mail
 }
 
 // Start runs a control node.
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -42,36 +42,46 @@
 	turnAt   int // the log is turned into a slot when it is longer than this
 	bad      error
 	ctx      context.Context
+	*group   // nil where the members are fixed
 }
 
 // openPart reads the shelf and makes the member; an empty disk begins blank under a new
 // incarnation.
 func openPart(ctx context.Context, cfg ledger.Config, d shelf.Disk, inc func() string, clk clock.Clock, log hclog.Logger, post func(*wire.Letter)) (*part, error) {
-	sh, l, err := shelf.Open(d)
+	p := newPart(ctx, cfg.Part, clk, log, post)
+	l, err := p.load(d, func() *wire.Slot { return ledger.First(inc()) }) // whatever was here before counts no more, under any name
 	if err != nil {
-		return nil, errs.Wrap(err, "open part")
+		return nil, err
 	}
-	p := &part{n: cfg.Part, st: newState(), sh: sh, clk: clk, log: log.With("part", cfg.Part), post: post, ctx: ctx,
+	p.core = ledger.New(cfg, l.Slot, l.Records)
+	return p, nil
+}
+
+func newPart(ctx context.Context, n uint32, clk clock.Clock, log hclog.Logger, post func(*wire.Letter)) *part {
+	return &part{n: n, st: newState(), clk: clk, log: log.With("part", n), post: post, ctx: ctx,
 		in: queue.NewRing[func()](512), pending: map[uint64]pend{}, reads: map[uint64]chan bool{},
 		news: map[chan struct{}]bool{}, turnAt: 1 << 20, keep: keepIds, heavy: make(chan struct{}, 1)}
+}
+
+// load reads the shelf, state included; an empty disk gets a first slot.
+func (p *part) load(d shelf.Disk, first func() *wire.Slot) (l shelf.Loaded, err error) {
+	if p.sh, l, err = shelf.Open(d); err != nil {
+		return l, errs.Wrap(err, "open part")
+	}
 	if l.Slot == nil {
-		l.Slot = ledger.First(inc()) // whatever was here before counts no more, under any name
-		if err := sh.Turn(l.Slot, nil); err != nil {
-			return nil, errs.Wrap(err, "first slot")
+		l.Slot = first()
+		if err := p.sh.Turn(l.Slot, nil); err != nil {
+			return l, errs.Wrap(err, "first slot")
 		}
-		p.log.Info("empty disk: blank until caught up from both others", "incarnation", l.Slot.Hard.Incarnation)
+		p.log.Info("empty disk: it begins anew", "incarnation", l.Slot.Hard.Incarnation, "members", l.Slot.Members)
 	}
 	if l.Torn > 0 {
 		p.log.Warn("torn tail cut off", "bytes", l.Torn)
 	}
 	if l.Slot.Epoch != 1 {
-		return nil, errs.New(errs.DiskBad, "slot of epoch %d: this program reads epoch 1: start the newer program", l.Slot.Epoch)
-	}
-	if err := p.st.load(l.Slot.State, clk.Now()); err != nil {
-		return nil, errs.As(err, errs.DiskBad, "read slot state")
+		return l, errs.New(errs.DiskBad, "slot of epoch %d: this program reads epoch 1: start the newer program", l.Slot.Epoch)
 	}
-	p.core = ledger.New(cfg, l.Slot, l.Records)
-	return p, nil
+	return l, errs.As(p.st.load(l.Slot.State, p.clk.Now()), errs.DiskBad, "read slot state")
 }
 
 func (p *part) run(tick time.Duration) {
@@ -85,6 +95,7 @@
 			if p.bad == nil {
 				p.core.Tick()
 			}
+			p.watch()
 		case f := <-p.in.Out():
 			f()
 			for _, g := range p.in.Drain(63) {
@@ -116,6 +127,7 @@
 		p.fail(err)
 		return
 	}
+	p.show(o) // before anybody hears that it is on this disk
 	for _, l := range o.Letters {
 		p.post(l)
 	}
@@ -137,6 +149,7 @@
 			p.fail(err)
 		}
 	}
+	p.show(ledger.Out{Commits: o.Commits})
 }
 
 func (p *part) answer(id uint64, ok bool) {
@@ -153,6 +166,7 @@
 		p.answer(id, false)
 	}
 	p.wake()
+	p.show(ledger.Out{})
 }
 
 func (p *part) wake() {
--- /dev/null
+++ b/internal/archive/plans.go
@@ -0,0 +1,140 @@
+package archive
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+// How long an operator's question is worked on, as a ratio of the bound on acknowledgements,
+// and how many more bytes of a plan make that as long again.
+const (
+	waitPart  = 0.22
+	waitBytes = 256 << 10
+)
+
+// wait is how long a question with a body is worked on: then the operator asks elsewhere.
+func (n *Node) wait(size int) time.Duration {
+	return settings.Of(n.life.Place.Site.AckMs, waitPart*(1+float64(size)/waitBytes))
+}
+
+// PutPlan lays a whole plan, or named items of one (part), over the version base. It returns
+// once that is acknowledged: on the disks of a majority, and in force. The same again is done again.
+//
+// Example: version, err := n.PutPlan(ctx, 5, body, false)
+func (n *Node) PutPlan(ctx context.Context, base uint64, body []byte, part bool) (uint64, error) {
+	ctx, end := context.WithTimeout(ctx, n.wait(len(body)))
+	defer end()
+	h := sha256.New()
+	fmt.Fprintf(h, "%d %v ", base, part)
+	h.Write(body)
+	t, err := n.change(ctx, &wire.ChangeAsk{Patch: part, Command: &wire.Command{Kind: &wire.Command_Put{Put: &wire.Put{
+		Key: plan.Key, Body: body, IfEpoch: base, Token: hex.EncodeToString(h.Sum(nil)[:16])}}}})
+	return t.GetEpoch(), err
+}
+
+// ReadPlan reads the plan in force, and its version: never older than what was acknowledged
+// before. No plan yet: no body, version 0.
+//
+// Example: body, version, err := n.ReadPlan(ctx)
+func (n *Node) ReadPlan(ctx context.Context) ([]byte, uint64, error) {
+	ctx, end := context.WithTimeout(ctx, n.wait(0))
+	defer end()
+	d, err := n.readDoc(ctx, plan.Key)
+	return d.GetBody(), d.GetEpoch(), err
+}
+
+// NameWeights names a version of a model's weights. An older one than is named is superseded
+// already, and so is done.
+//
+// Example: err := n.NameWeights(ctx, "daka510000", 2)
+func (n *Node) NameWeights(ctx context.Context, model string, version uint64) error {
+	if model == "" || version == 0 {
+		return errs.New(errs.BadInput, "model %q, version %d: give a model and a version from 1 on", model, version)
+	}
+	ctx, end := context.WithTimeout(ctx, n.wait(0))
+	defer end()
+	for {
+		d, err := n.readDoc(ctx, fleet.WeightsKey)
+		if err != nil {
+			return err
+		}
+		w := fleet.Weights{}
+		if len(d.GetBody()) > 0 {
+			if err := json.Unmarshal(d.Body, &w); err != nil {
+				return errs.Wrap(err, "read the weights that are named")
+			}
+		}
+		if w.Named[model] >= version {
+			return nil
+		}
+		if w.Named == nil {
+			w.Named = map[string]uint64{}
+		}
+		w.Named[model] = version
+		body, err := json.Marshal(w)
+		if err != nil {
+			return errs.Wrap(err, "write the weights that are named")
+		}
+		_, err = n.change(ctx, &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Put{Put: &wire.Put{
+			Key: fleet.WeightsKey, Body: body, IfEpoch: d.GetEpoch()}}}})
+		if err == nil || errs.KindOf(err) != errs.Conflict || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// change makes a change here where this member owns the group, or else wherever the owner is.
+func (n *Node) change(ctx context.Context, a *wire.ChangeAsk) (*wire.ChangeTell, error) {
+	p := n.parts[0]
+	g := p.seen.now()
+	if g.owns {
+		t := p.change(ctx, a)
+		switch t.Outcome {
+		case "not-owner", "overloaded", "cant-say":
+			n.ctl.Hint(t.Owner)
+		default:
+			return t, link.Verdict(t)
+		}
+	} else {
+		n.ctl.Hint(g.owner)
+	}
+	t, err := n.ctl.Change(ctx, a)
+	if errs.KindOf(err) == errs.MayHaveRun && err != nil {
+		err = errs.As(err, errs.CantSay, "the same again is safe")
+	}
+	return t, err
+}
+
+// readDoc reads one document; nil: there is none.
+func (n *Node) readDoc(ctx context.Context, key string) (*wire.Doc, error) {
+	p, a := n.parts[0], &wire.ReadAsk{Key: key}
+	var t *wire.ReadTell
+	if g := p.seen.now(); g.owns {
+		t = p.read(ctx, a)
+	} else {
+		n.ctl.Hint(g.owner)
+	}
+	if t.GetOutcome() != "done" {
+		var err error
+		if t, err = n.ctl.Read(ctx, a); err != nil {
+			return nil, err
+		}
+	}
+	for _, d := range t.Docs {
+		if d.Key == key {
+			return d, nil
+		}
+	}
+	return nil, nil
+}
--- a/internal/archive/state.go
+++ b/internal/archive/state.go
@@ -111,11 +111,14 @@
 	if !p.AnyEpoch && p.IfEpoch != d.Epoch {
 		return &wire.ChangeTell{Outcome: "epoch-conflict", Epoch: d.Epoch}
 	}
+	if p.Version > 0 && p.Version <= d.Epoch {
+		return &wire.ChangeTell{Outcome: "epoch-conflict", Epoch: d.Epoch}
+	}
 	if s.bytes-len(d.Body)+len(p.Body) > maxState {
 		return &wire.ChangeTell{Outcome: "too-big", Epoch: d.Epoch, Faults: []string{"the part holds as many bytes as it may"}}
 	}
 	s.bytes += len(p.Body) - len(d.Body)
-	d = &wire.Doc{Key: p.Key, Body: p.Body, Epoch: d.Epoch + 1}
+	d = &wire.Doc{Key: p.Key, Body: p.Body, Epoch: max(p.Version, d.Epoch+1)}
 	s.docs[p.Key] = d
 	if p.Token != "" {
 		s.tokens = append(s.tokens, &wire.Token{Token: p.Token, Key: p.Key, Epoch: d.Epoch, Sum: p.Sum})
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -13,7 +13,8 @@
 type Config struct {
 	Part       uint32
 	Self       string
-	Members    []string // all three, Self among them
+	Members    []string // all three, Self among them; of a group none: its log tells
+	Group      bool     // membership is agreed data (group.go)
 	BeatTicks  int      // an owner speaks this often
 	ElectTicks int      // silence that makes a colleague stand, at least; at most twice as long
 	MaxBytes   int      // of entries in one letter
@@ -74,6 +75,8 @@
 	reads   []waitRead
 	readID  uint64
 	stuck   string
+	members membership // the newest in the log; of fixed members always the same
+	slow    int        // beats since learners were fed
 	out     Out
 }
 
@@ -84,6 +87,7 @@
 func New(cfg Config, slot *wire.Slot, rs []*wire.Record) *Core {
 	c := &Core{cfg: cfg, slot: slot, hard: slot.Hard, commit: slot.Index, applied: slot.Index,
 		col: map[string]*colleague{}, told: map[string]*wire.Letter{}, gens: map[string]uint64{}}
+	c.regroup()
 	for _, r := range rs {
 		switch k := r.Kind.(type) {
 		case *wire.Record_Hard:
@@ -135,12 +139,14 @@
 func (c *Core) keep(e *wire.Entry) {
 	if e.Index == c.last()+1 {
 		c.log = append(c.log, e)
+		c.heed(e)
 	}
 }
 
 func (c *Core) cut(i uint64) {
 	if i > c.slot.Index && i <= c.last() {
 		c.log = c.log[: i-c.slot.Index-1 : i-c.slot.Index-1]
+		c.regroup()
 	}
 }
 
@@ -158,14 +164,25 @@
 }
 
 func (c *Core) others(f func(string)) {
-	for _, m := range c.cfg.Members {
+	for _, m := range c.members.names {
 		if m != c.cfg.Self {
 			f(m)
 		}
 	}
 }
 
-func (c *Core) majority(n int) bool { return 2*n > len(c.cfg.Members) }
+// most tells whether a majority of the members passes, this one counted where it is a member.
+func (c *Core) most(pass func(m string) bool) bool {
+	n := 0
+	for _, m := range c.members.names {
+		if m == c.cfg.Self || pass(m) {
+			n++
+		}
+	}
+	return 2*n > len(c.members.names)
+}
+
+func (c *Core) elected() bool { return c.most(func(m string) bool { return c.yes[m] }) }
 
 // Tick moves the member's time on by one.
 //
@@ -179,24 +196,21 @@
 		return
 	}
 	if c.role == owner {
-		n := 1
 		for _, p := range c.col {
 			p.heard++
-			if p.heard < 2*c.cfg.ElectTicks {
-				n++
-			}
 		}
-		if !c.majority(n) {
+		if !c.most(func(m string) bool { return c.col[m].heard < 2*c.cfg.ElectTicks }) {
 			c.follow(c.hard.Term, "")
 			return
 		}
 		if c.beat >= c.cfg.BeatTicks {
 			c.beat = 0
 			c.others(func(m string) { c.feed(m, true) })
+			c.feedLearners()
 		}
 		return
 	}
-	if c.silent++; c.silent >= c.limit {
+	if c.silent++; c.silent >= c.limit && c.Sits(c.cfg.Self) {
 		c.stand(sounding)
 	}
 }
@@ -231,19 +245,30 @@
 	c.others(func(m string) {
 		c.send(&wire.Letter{To: m, Kind: k, Term: term, Index: c.last(), LogTerm: c.lastTerm()})
 	})
+	switch {
+	case !c.elected(): // more votes are needed than its own
+	case as == sounding:
+		c.stand(candidate)
+	default:
+		c.win()
+	}
 }
 
 func (c *Core) win() {
 	c.role, c.owner, c.beat = owner, c.cfg.Self, 0
-	c.others(func(m string) { c.col[m] = &colleague{next: c.last() + 1} })
-	c.add(nil) // an entry of its own term, so that earlier ones commit
+	clear(c.col)
+	c.others(func(m string) { c.col[m] = c.colleague(m) })
+	c.add(nil, c.members.tell(c.cfg.Group)) // an entry of its own term, so that earlier ones commit
 }
 
-func (c *Core) add(body []byte) uint64 {
-	e := &wire.Entry{Index: c.last() + 1, Term: c.hard.Term, Body: body}
+func (c *Core) add(body []byte, members []string) uint64 {
+	e := &wire.Entry{Index: c.last() + 1, Term: c.hard.Term, Body: body, Members: members}
 	c.keep(e)
 	c.out.Records = append(c.out.Records, &wire.Record{Kind: &wire.Record_Entry{Entry: e}})
 	c.others(func(m string) { c.feed(m, false) })
+	if len(c.members.names) == 1 {
+		c.advance() // nobody else is asked
+	}
 	return e.Index
 }
 
@@ -263,6 +288,9 @@
 	var es []*wire.Entry
 	n := 0
 	for _, e := range c.from(p.next) {
+		if e.Index > c.ceiling(m) {
+			break
+		}
 		if n += len(e.Body) + 16; n > c.cfg.MaxBytes && len(es) > 0 {
 			break
 		}
@@ -279,7 +307,7 @@
 	if c.role != owner {
 		return 0, 0, false
 	}
-	return c.add(body), c.hard.Term, true
+	return c.add(body, nil), c.hard.Term, true
 }
 
 // Read begins a read that sees all that was acknowledged before it; its id comes back in
@@ -319,13 +347,7 @@
 func (c *Core) settleReads() {
 	var stay []waitRead
 	for _, r := range c.reads {
-		n := 1
-		for _, p := range c.col {
-			if p.probe >= r.probe {
-				n++
-			}
-		}
-		if c.majority(n) && c.applied >= r.index {
+		if c.applied >= r.index && c.most(func(m string) bool { return c.col[m].probe >= r.probe }) {
 			c.out.Reads = append(c.out.Reads, r.id)
 		} else {
 			stay = append(stay, r)
@@ -341,7 +363,9 @@
 func (c *Core) Compact(state []byte) (*wire.Slot, []*wire.Record) {
 	t, _ := c.termAt(c.applied)
 	stay := append([]*wire.Entry(nil), c.from(c.applied+1)...)
-	c.slot = &wire.Slot{Epoch: 1, Index: c.applied, Term: t, Hard: c.hard, State: state}
+	at := c.memberships(c.applied)
+	c.slot = &wire.Slot{Epoch: 1, Index: c.applied, Term: t, Hard: c.hard, State: state,
+		Members: at.tell(c.cfg.Group), MembersIndex: at.index, MembersTerm: at.term}
 	c.log = stay
 	return c.slot, entryRecords(stay)
 }
--- a/internal/ledger/letters.go
+++ b/internal/ledger/letters.go
@@ -10,11 +10,14 @@
 //
 // Example: c.Take(l); drive(c.Flush())
 func (c *Core) Take(l *wire.Letter) {
-	if l.To != c.cfg.Self || l.Part != c.cfg.Part || l.From == c.cfg.Self || !c.Sits(l.From) {
+	if l.To != c.cfg.Self || l.Part != c.cfg.Part || l.From == c.cfg.Self || !c.cfg.Group && !c.Sits(l.From) {
 		return
 	}
 	switch l.Kind {
 	case wire.LetterKind_ASK_STATE:
+		if c.cfg.Group {
+			return // a group's lost disk comes back as another member
+		}
 		c.tellState(l)
 		return
 	case wire.LetterKind_TELL_STATE:
@@ -44,7 +47,7 @@
 	switch l.Kind {
 	case wire.LetterKind_TELL_SOUND:
 		if c.role == sounding && l.Ok && l.Probe == c.hard.Term+1 {
-			if c.yes[l.From] = true; c.majority(len(c.yes)) {
+			if c.yes[l.From] = true; c.elected() {
 				c.stand(candidate)
 			}
 		}
@@ -52,7 +55,7 @@
 		c.tellVote(l)
 	case wire.LetterKind_TELL_VOTE:
 		if c.role == candidate && l.Ok && l.Term == c.hard.Term {
-			if c.yes[l.From] = true; c.majority(len(c.yes)) {
+			if c.yes[l.From] = true; c.elected() {
 				c.win()
 			}
 		}
@@ -61,7 +64,7 @@
 	case wire.LetterKind_TELL_APPEND:
 		c.hearAppend(l)
 	case wire.LetterKind_HAND_OVER:
-		if l.Term == c.hard.Term && l.From == c.owner && c.role == follower {
+		if l.Term == c.hard.Term && l.From == c.owner && c.role == follower && c.Sits(c.cfg.Self) {
 			c.stand(candidate)
 		}
 	}
@@ -138,6 +141,7 @@
 	s = proto.Clone(s).(*wire.Slot)
 	s.Hard = c.hard
 	c.slot, c.log, c.commit, c.applied = s, stay, s.Index, s.Index
+	c.regroup()
 	// What this step has persisted so far is in the slot's hard state and the log that stays.
 	c.out.Install, c.out.Records, c.out.Commits = s, entryRecords(stay), nil
 }
@@ -147,6 +151,9 @@
 		return
 	}
 	p := c.col[l.From]
+	if p == nil {
+		return // removed, or a learner that isn't known any more: it asks again
+	}
 	p.heard = 0
 	if p.inc != l.Incarnation { // another disk: what the old one had acknowledged counts no more
 		p.inc, p.match, p.probe, p.busy, p.next = l.Incarnation, 0, 0, false, c.last()+1
@@ -163,7 +170,7 @@
 	p.match = max(p.match, l.Index)
 	p.next = max(p.next, p.match+1)
 	c.advance()
-	if p.next <= c.last() {
+	if p.next <= c.ceiling(l.From) {
 		c.feed(l.From, false)
 	}
 }
@@ -174,15 +181,12 @@
 		if t, _ := c.termAt(i); t != c.hard.Term {
 			return
 		}
-		n := 1
-		for _, p := range c.col {
-			if p.match >= i {
-				n++
-			}
-		}
-		if c.majority(n) {
+		if c.most(func(m string) bool { return c.col[m].match >= i }) {
 			c.commit = i
 			c.others(func(m string) { c.feed(m, true) })
+			if !c.Sits(c.cfg.Self) && c.members.index <= c.commit {
+				c.follow(c.hard.Term, "") // its own removal is done
+			}
 			return
 		}
 	}
--- a/internal/ledger/stand.go
+++ b/internal/ledger/stand.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "pebbleloom/internal/wire"
+import (
+	"slices"
+
+	"pebbleloom/internal/wire"
+)
 
 // HandOver asks a colleague that holds the whole log to stand at once; false when this
 // member doesn't own the part or nobody has caught up. The colleague still has to be
@@ -11,7 +15,7 @@
 	if c.role != owner {
 		return false
 	}
-	for _, m := range c.cfg.Members {
+	for _, m := range c.members.names {
 		if p := c.col[m]; p != nil && p.match == c.last() && p.heard < c.cfg.ElectTicks {
 			c.send(&wire.Letter{To: m, Kind: wire.LetterKind_HAND_OVER, Index: c.last(), Commit: c.commit})
 			return true
@@ -30,13 +34,14 @@
 	Applied uint64
 	Last    uint64
 	Log     int
+	Silent  int // ticks since an owner spoke
 }
 
 // Stands tells how the member stands now.
 //
 // Example: if c.Stands().Owns { … }
 func (c *Core) Stands() Standing {
-	return Standing{c.owner, c.role == owner, c.hard.Term, c.hard.Standing == wire.Standing_BLANK, c.stuck, c.applied, c.last(), len(c.log)}
+	return Standing{c.owner, c.role == owner, c.hard.Term, c.hard.Standing == wire.Standing_BLANK, c.stuck, c.applied, c.last(), len(c.log), c.silent}
 }
 
 // Unsettled gives the entries in the log that aren't applied yet: any of them may turn
@@ -49,10 +54,5 @@
 //
 // Example: c.Sits("core-2")
 func (c *Core) Sits(name string) bool {
-	for _, m := range c.cfg.Members {
-		if m == name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.members.names, name)
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -46,13 +46,14 @@
 	view  func() roster.View
 	calls *daemon.Calls
 	b     settings.Bounds
+	group *seats // nil where the core machines are named
 }
 
 // New makes the way to the parts kept by the named core machines.
 //
 // Example: c := link.New(place.Core, member.View, calls, place.Bounds)
 func New(core []string, view func() roster.View, calls *daemon.Calls, b settings.Bounds) *Control {
-	return &Control{core, view, calls, b}
+	return &Control{core: core, view: view, calls: calls, b: b}
 }
 
 // each tries a part's members in turn, the named owner first, until done says so or the
@@ -60,6 +61,9 @@
 func (c *Control) each(ctx context.Context, part uint32, try func(context.Context, wire.Archive) (done bool, owner string)) bool {
 	// The whole time bounds when a try may begin; a try that has begun has its own, so that the
 	// end of the whole doesn't leave an answer unheard.
+	if c.group != nil {
+		return c.eachSeat(ctx, try)
+	}
 	asker := ctx
 	ctx, end := context.WithTimeout(ctx, c.b.Heal(0.5))
 	defer end()
@@ -123,13 +127,20 @@
 	if got.Outcome == "epoch-conflict" && lost && guarded {
 		return nil, errs.New(errs.MayHaveRun, "an answer was lost, and epoch %d is in force now: read it back", got.Epoch)
 	}
-	switch got.Outcome {
+	return got, Verdict(got)
+}
+
+// Verdict is the error that the answer to a change amounts to; nil where it was made.
+//
+// Example: err := link.Verdict(tell)
+func Verdict(t *wire.ChangeTell) error {
+	switch t.Outcome {
 	case "done", "valid":
-		return got, nil
+		return nil
 	case "epoch-conflict":
-		return got, errs.New(errs.Conflict, "epoch or fence in force: %d/%d %s", got.Epoch, got.Fence, got.Owner)
+		return errs.New(errs.Conflict, "epoch or fence in force: %d/%d %s", t.Epoch, t.Fence, t.Owner)
 	}
-	return got, errs.New(errs.Named(got.Outcome), "%s", strings.Join(got.Faults, "; "))
+	return errs.New(errs.Named(t.Outcome), "%s", strings.Join(t.Faults, "; "))
 }
 
 // Read reads what was acknowledged, or says that it can't tell.
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -12,6 +12,9 @@
 	"pebbleloom/internal/wire"
 )
 
+// beatPart is the time between two beats, as a ratio of the leave bound.
+const beatPart = 0.1
+
 // Member runs a Core: it beats, hears, and shows the view.
 type Member struct {
 	desk *queue.Desk[Core]
@@ -62,6 +65,9 @@
 	call func(string) wire.Roster, hook func(View)) *Member {
 	self := &wire.Node{Name: role + "/" + p.Name, Incarnation: uint64(clk.Now()), Role: role, District: p.District,
 		Addr: p.Told(), Operator: p.Operator}
+	if p.Site != nil { // a site that beats more slowly judges as much later
+		p.Bounds.LeaveMs = max(p.Bounds.LeaveMs, int(float64(p.Site.BeatMs)/beatPart))
+	}
 	m := &Member{desk: queue.NewDesk(New(p.Bounds, self, p.Seeds), 256), clk: clk, b: p.Bounds, log: log, call: call, hook: hook}
 	m.desk.Ask(func(c *Core) { m.show(c) })
 	go m.run(ctx)
@@ -102,7 +108,7 @@
 }
 
 func (m *Member) run(ctx context.Context) {
-	tick := clock.Every(m.b.Leave(0.1))
+	tick := clock.Every(m.b.Leave(beatPart))
 	defer tick.Stop()
 	for {
 		select {
