The request's way: one door that carries any request to a worker and its answer back

Cause: the platform path asks for requests of any shape, with promises that need proof. Ruled out: net/http's own repeats (a body that can't be got again, no names that it repeats by), and taking a reset for proof: only a connection of which the kernel took no byte counts as not sent.

--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,260 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"mime"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/pick"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/wire"
+)
+
+// fate is what became of an attempt.
+type fate int
+
+const (
+	unsent fate = iota // proven: nothing of it left this machine
+	notRun             // the worker has not run it, and says so
+	broken             // it may have run, and there is no whole answer
+	good               // an answer that may be handed on
+	whole              // it was handed on, whole
+	gone               // the downstream went away
+)
+
+// attempt is one worker's part in a request.
+type attempt struct {
+	q      *request
+	c      pick.Choice
+	ctx    context.Context
+	cancel context.CancelFunc
+	line   *line
+	reused bool // the line served before
+	resp   *http.Response
+	began  time.Duration
+	first  time.Duration // until its first piece
+	fate   fate
+	ending pick.Ending
+	final  bool // no other worker would say otherwise
+	load   *pick.Load
+}
+
+// look asks the index for the prompt's parts.
+func (d *door) look(q *request) map[prefix.Key]*wire.Found {
+	if len(q.ask.Parts) == 0 {
+		return nil
+	}
+	return d.Pick.Look(q.ctx, d.Snapshot(), &q.ask)
+}
+
+// body is a request's body as net/http can't repeat it.
+type body struct{ bytes.Reader }
+
+// Close does nothing: the bytes stay for another attempt.
+func (*body) Close() error { return nil }
+
+// send carries the request to a worker and judges the head of what it answers.
+func (q *request) send(c pick.Choice) *attempt {
+	a := &attempt{q: q, c: c, began: q.d.l.Clock.Now()}
+	rt := q.ask.Route
+	within := max(rt.Target/2, q.d.l.Place.Bounds.Leave(0.05))
+	ctx := context.WithValue(q.ctx, dialingKey{}, dialing{most: q.conns, within: within})
+	a.ctx, a.cancel = context.WithCancel(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		a.line, a.reused = i.Conn.(*line), i.Reused
+		a.line.take(a)
+	}}))
+	q.d.Pick.Sent(&q.ask, c)
+	for range 4 { // a kept line may have ended before it was used; then nothing has happened
+		a.exchange()
+		if a.fate != unsent || !a.reused || q.ctx.Err() != nil {
+			break
+		}
+	}
+	if a.fate == unsent {
+		return a
+	}
+	if q.sent++; q.sent > 1 {
+		q.d.extras.Add(1)
+		if q.begun {
+			q.d.resumed.Add(1)
+		}
+	}
+	if a.fate == good {
+		a.judge()
+	}
+	return a
+}
+
+// exchange sends the request and waits for the head of an answer.
+func (a *attempt) exchange() {
+	a.line, a.reused = nil, false
+	resp, err := a.q.d.lines.t.RoundTrip(a.message())
+	switch {
+	case err == nil:
+		a.resp, a.fate = resp, good
+	case a.line == nil || a.line.stop(a):
+		a.fate, a.ending = unsent, pick.Unfit
+		if errs.KindOf(err) == errs.Overloaded { // this machine's share, not the worker's fault
+			a.ending = pick.Full
+		}
+	default:
+		a.fate, a.ending = broken, pick.Unfit
+	}
+}
+
+// message is the request as it goes to the worker: the same in method, path, query and body.
+func (a *attempt) message() *http.Request {
+	q := a.q
+	u := &url.URL{Scheme: "http", Host: a.c.Worker.Addr}
+	if strings.HasPrefix(q.r.RequestURI, "/") && !strings.HasPrefix(q.r.RequestURI, "//") {
+		u.Opaque = q.r.RequestURI
+	} else {
+		u.Path, u.RawPath, u.RawQuery, u.ForceQuery = q.r.URL.Path, q.r.URL.RawPath, q.r.URL.RawQuery, q.r.URL.ForceQuery
+	}
+	m := &http.Request{Method: q.r.Method, URL: u, Host: q.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	m.Header = q.towards(a.c, max(q.left(), time.Millisecond))
+	if q.chunked {
+		m.ContentLength, m.TransferEncoding = -1, []string{"chunked"}
+	} else {
+		m.ContentLength = int64(len(q.body))
+	}
+	if b := new(body); q.chunked || len(q.body) > 0 || !bodied(q.r.Method) {
+		// Without a body net/http would send some methods again by itself.
+		b.Reset(q.body)
+		m.Body = b
+	}
+	return m.WithContext(a.ctx)
+}
+
+// bodied tells which methods say that there is no body with a length of 0; net/http never sends
+// them twice.
+func bodied(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return false
+	}
+	return true
+}
+
+// judge looks at the head of an answer: whose it is, and what it says of the request.
+func (a *attempt) judge() {
+	q, h := a.q, &a.q.d.Headers
+	head, status := a.resp.Header, a.resp.StatusCode
+	if l, ok := h.ReadLoad(head.Get(h.Load)); ok {
+		a.load = &l
+	}
+	if status < 200 || head.Get(h.ID) != q.ask.ID || head.Get("Content-Encoding") != "" || !a.framed() {
+		a.unfit() // another request's answer, or none of the worker's
+		return
+	}
+	said := len(head.Values(h.NotRun)) > 0
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		a.refused(pick.Moved)
+		if v := head.Get(h.Weights); a.c.Weights != 0 && v != "" && v != strconv.FormatUint(a.c.Weights, 10) {
+			a.ending = pick.Loading
+		}
+	case said && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+		a.refused(pick.Full)
+	case said && status == http.StatusBadRequest:
+		a.final = true
+		a.refused(pick.Unfit)
+	case said || promise(status):
+		a.unfit() // it promises what it may not, or denies what it says it didn't run: no proof
+	case status < 300 && head.Get(h.Seal) == "":
+		a.unfit()
+	case q.begun && (status != http.StatusOK || !a.eventful() || a.resp.ContentLength >= 0):
+		a.unfit() // nothing that a stream could go on with
+	case status >= 500 && a.resp.ContentLength <= short:
+		a.keep(true)
+	default:
+		a.ending = pick.Served
+	}
+}
+
+// promise tells which statuses say that a request has not run and never will.
+func promise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// framed tells whether the end of the answer can be seen.
+func (a *attempt) framed() bool {
+	s := a.resp.StatusCode
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0 || a.q.r.Method == http.MethodHead ||
+		s == http.StatusNoContent || s == http.StatusNotModified
+}
+
+// eventful tells whether the answer is a series of events.
+func (a *attempt) eventful() bool {
+	t, _, err := mime.ParseMediaType(a.resp.Header.Get("Content-Type"))
+	return err == nil && t == "text/event-stream"
+}
+
+// unfit ends an attempt with no answer of use: it may have run.
+func (a *attempt) unfit() {
+	a.fate, a.ending = broken, pick.Unfit
+	a.line.stop(a)
+}
+
+// refused takes a worker at its word that it has not run the request.
+func (a *attempt) refused(e pick.Ending) {
+	a.keep(false)
+	a.fate, a.ending = notRun, e
+}
+
+// short is how long an answer may be that is kept.
+const short = 64 << 10
+
+// keep reads a worker's own short answer, for the case that nothing better comes.
+func (a *attempt) keep(ran bool) {
+	all, err := io.ReadAll(io.LimitReader(a.resp.Body, short+1))
+	if err != nil || len(all) > short {
+		a.unfit()
+		return
+	}
+	a.rest()
+	a.fate, a.ending = broken, pick.Unfit
+	a.final = a.final || a.resp.StatusCode == http.StatusGatewayTimeout
+	if a.resp.StatusCode == http.StatusMisdirectedRequest || a.q.kept != nil && a.q.kept.ran && !ran {
+		return // not the downstream's business, or worth less than what is kept
+	}
+	a.q.kept = &kept{a.resp.StatusCode, a.resp.Header, all, ran}
+}
+
+// rest keeps the line for another attempt.
+func (a *attempt) rest() {
+	_ = a.resp.Body.Close()
+	a.line.rest(a, keeps(a.resp.Header, a.q.d.l.Place.Bounds.Leave(1)))
+	a.line = nil
+}
+
+// done tells the picker how it ended, and lets go of the worker.
+func (a *attempt) done() {
+	q := a.q
+	switch {
+	case a.fate == gone || q.r.Context().Err() != nil && a.fate != whole:
+		a.ending = pick.Left
+	case q.ctx.Err() != nil && a.fate != whole && a.fate != notRun:
+		a.ending = pick.Unsure
+	}
+	if a.fate != unsent && a.fate != notRun {
+		q.ran = true
+	}
+	if a.line != nil {
+		a.line.stop(a)
+	}
+	a.cancel()
+	q.d.Pick.Done(&q.ask, a.c, a.ending, a.load, a.first)
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,207 @@
+// Package forward is a request's way: one front door that takes requests of any shape from
+// downstreams and carries each to a worker and its answer back. What a downstream is told about
+// whether its request ran is always true: a promise that it didn't run needs proof.
+package forward
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/pick"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/settings"
+)
+
+// Config is what the door is given beside its place.
+type Config struct {
+	Headers   Headers
+	ReadyPath string // where the platform asks whether this machine is ready
+	Snapshot  func() *fleet.Snapshot
+	Pick      pick.Picker
+}
+
+// door takes requests and carries them.
+type door struct {
+	Config
+	l       *daemon.Life
+	site    *settings.Site
+	lines   *lines
+	budgets budgets
+	room    int64        // bytes that requests under way may hold
+	held    atomic.Int64 // of it
+	running atomic.Int64 // requests under way
+	extras  atomic.Int64 // attempts beyond the first of a request
+	resumed atomic.Int64 // streams that another worker went on with
+	leaving atomic.Bool
+	served  atomic.Bool // was ready before
+	buffers sync.Pool
+}
+
+// Ratios of bounds.
+const (
+	keyPart    = 0.95 // of the key bound: proofs older than this vouch for no key
+	windowPart = 0.3  // of the grace: after the signal requests are still taken
+	drainPart  = 0.55 // of the grace: then what runs may end
+	holdPart   = 3    // a third of the memory is for requests
+	overhead   = 32 << 10
+	firstPlan  = 0.25 // of the setup bound: how long listening waits for the first plan's limits
+)
+
+// Start opens the door and the page that tells whether it is ready.
+//
+// Example: err := forward.Start(life, forward.Config{Headers: platform.Headers(), ReadyPath: path, Snapshot: agent.Snapshot, Pick: picker})
+func Start(l *daemon.Life, c Config) error {
+	d := newDoor(l, c)
+	front, err := l.Listen(l.Place.Public)
+	if err != nil {
+		return errs.As(err, errs.BadInput, "listen at "+l.Place.Public)
+	}
+	page, err := l.Listen(d.site.Ready)
+	if err != nil {
+		front.Close()
+		return errs.As(err, errs.BadInput, "listen at "+d.site.Ready)
+	}
+	l.Go(func() { d.serve(front, page) })
+	return nil
+}
+
+func newDoor(l *daemon.Life, c Config) *door {
+	b := l.Place.Bounds
+	d := &door{Config: c, l: l, site: l.Place.Site, lines: newLines(l), room: int64(l.Place.Site.MemoryMB) << 20 / holdPart}
+	d.budgets = budgets{share: float64(b.TryShare) / 100, whole: float64(b.TryAllow), by: map[string]*tries{}}
+	d.buffers.New = func() any { p := make([]byte, 8<<10); return &p }
+	l.Meter.Gauge("pebbleloom_requests", "requests under way", func() float64 { return float64(d.running.Load()) })
+	l.Meter.Count("pebbleloom_extra_attempts_total", "attempts beyond the first of a request", func() float64 { return float64(d.extras.Load()) })
+	l.Meter.Count("pebbleloom_resumed_total", "streams that another worker went on with", func() float64 { return float64(d.resumed.Load()) })
+	return d
+}
+
+// serve keeps the door open until the program stops, and then sees out what runs.
+func (d *door) serve(front, page net.Listener) {
+	ready := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: d.l.Place.Bounds.Heal(0.25), ErrorLog: quiet()}
+	go d.run(ready, page)
+	defer ready.Close()
+	lim := d.limits()
+	s := &http.Server{Handler: d, ErrorLog: quiet(), MaxHeaderBytes: lim.HeaderBytes, ReadHeaderTimeout: lim.HeaderTime, IdleTimeout: lim.IdleTime}
+	go d.run(s, front)
+	select {
+	case <-d.l.Draining:
+	case <-d.l.Ctx.Done():
+	}
+	d.drain(s)
+}
+
+func (d *door) run(s *http.Server, ln net.Listener) {
+	if err := s.Serve(ln); err != http.ErrServerClosed {
+		d.l.Log.Error("server ended", "addr", ln.Addr().String(), "error", err)
+	}
+}
+
+func quiet() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// limits are the first plan's, if it comes soon; until then connections wait at the listener.
+func (d *door) limits() plan.Limits {
+	b := d.l.Place.Bounds
+	step := b.Setup(firstPlan / 25)
+	for range 25 {
+		if p := d.plan(); p != nil {
+			l := p.Limits
+			if l.HeaderBytes > 0 && l.HeaderTime > 0 && l.IdleTime > 0 {
+				return l
+			}
+			break
+		}
+		select {
+		case <-d.l.Draining:
+		case <-d.l.Ctx.Done():
+		default:
+			clock.Pause(d.l.Ctx, step)
+			continue
+		}
+		break
+	}
+	return plan.Limits{HeaderBytes: 16 << 10, HeaderTime: b.Heal(0.25), IdleTime: b.Heal(1.25)}
+}
+
+func (d *door) plan() *plan.Plan {
+	if s := d.Snapshot(); s != nil {
+		return s.Plan
+	}
+	return nil
+}
+
+// drain leaves in order: not ready from now on, but taking requests until the platform has seen
+// it, then none, and what runs may end.
+func (d *door) drain(s *http.Server) {
+	d.leaving.Store(true)
+	clock.Pause(context.Background(), settings.Of(d.site.GraceMs, windowPart))
+	ctx, stop := context.WithTimeout(context.Background(), settings.Of(d.site.GraceMs, drainPart))
+	defer stop()
+	if err := s.Shutdown(ctx); err != nil {
+		d.l.Log.Warn("cut at the end of the grace", "requests", d.running.Load())
+		s.Close()
+	}
+	d.lines.t.CloseIdleConnections()
+}
+
+// vouched tells whether nothing newer than this plan had been acknowledged shortly before a
+// request was read.
+func vouched(s *fleet.Snapshot, at, bound time.Duration) bool {
+	return s.ProofAt > 0 && at-s.ProofAt < bound
+}
+
+// keyBound is how old the proof may be by which a key is taken for good.
+func (d *door) keyBound() time.Duration { return settings.Of(d.l.Place.Bounds.KeyMs, keyPart) }
+
+// ready answers whether this machine can serve.
+func (d *door) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != d.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !d.able() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (d *door) able() bool {
+	s := d.Snapshot()
+	if s == nil || s.Plan == nil || d.leaving.Load() {
+		return false
+	}
+	if d.site.Revokes && !vouched(s, d.l.Clock.Now(), d.keyBound()) {
+		return false
+	}
+	if !d.served.Load() && routed(s) { // once: workers that go are no reason to send downstreams away
+		d.served.Store(true)
+	}
+	return d.served.Load()
+}
+
+// routed tells whether a worker of a routed service is known.
+func routed(s *fleet.Snapshot) bool {
+	has := map[string]bool{}
+	for i := range s.Workers {
+		has[s.Workers[i].Service] = true
+	}
+	for i := range s.Plan.Routes {
+		for _, x := range s.Plan.Routes[i].Split {
+			if x.Weight > 0 && has[x.Service] {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/forward/line.go
@@ -0,0 +1,214 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+)
+
+// lines are the connections from this machine to workers.
+type lines struct {
+	l    *daemon.Life
+	t    *http.Transport
+	mu   sync.Mutex
+	open map[string]int // by worker's address
+}
+
+// dialing is what a new connection is held to; it goes with the context of the attempt.
+type dialing struct {
+	most   int           // connections to one worker
+	within time.Duration // until the connection stands
+}
+
+type dialingKey struct{}
+
+func newLines(l *daemon.Life) *lines {
+	s := &lines{l: l, open: map[string]int{}}
+	s.t = &http.Transport{DialContext: s.dial, DisableCompression: true, MaxIdleConnsPerHost: 1 << 10,
+		MaxResponseHeaderBytes: 64 << 10, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10}
+	return s
+}
+
+// dial opens a connection, within this machine's share of what the worker takes.
+func (s *lines) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	d, _ := ctx.Value(dialingKey{}).(dialing)
+	s.mu.Lock()
+	full := d.most > 0 && s.open[addr] >= d.most
+	if !full {
+		s.open[addr]++
+	}
+	s.mu.Unlock()
+	if full {
+		return nil, errs.New(errs.Overloaded, "%s: %d connections stand, no more are this machine's share", addr, d.most)
+	}
+	if d.within > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, d.within)
+		defer stop()
+	}
+	c, err := s.l.Dial(ctx, network, addr)
+	if err != nil {
+		s.shut(addr)
+		return nil, err
+	}
+	s.tend(c)
+	return &line{Conn: c, shut: func() { s.shut(addr) }}, nil
+}
+
+func (s *lines) shut(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[addr]--; s.open[addr] <= 0 {
+		delete(s.open, addr)
+	}
+}
+
+// tend sees to it that a machine that has gone silent is noticed: by what isn't taken in, and by
+// probes while there is nothing to send.
+func (s *lines) tend(c net.Conn) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	// Where these can't be set, the request's own time is the bound.
+	_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: s.l.Place.Bounds.Leave(2.0 / 3), Interval: s.l.Place.Bounds.Leave(1.0 / 3), Count: 2})
+	if raw, err := t.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.l.Place.Bounds.Leave(2.0/3)/time.Millisecond))
+		})
+	}
+}
+
+// line is one connection to a worker, held by one attempt at a time. It knows whether anything of
+// an attempt ever left this machine.
+type line struct {
+	net.Conn
+	shut func()
+
+	mu      sync.Mutex
+	stopped bool
+	writing int  // writes under way
+	sent    bool // the holder's bytes were taken by the kernel
+	holder  any  // nil: none
+	expiry  *time.Timer
+	once    sync.Once
+}
+
+// Write hands bytes to the kernel, unless the line was stopped before.
+func (c *line) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.stopped {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.writing++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.writing--
+	c.sent = c.sent || n > 0
+	c.mu.Unlock()
+	return n, err
+}
+
+// Read takes what the worker sends. What comes while nobody holds the line belongs to no request.
+func (c *line) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		stray := c.holder == nil
+		c.mu.Unlock()
+		if stray {
+			c.Close()
+			return 0, io.EOF
+		}
+	}
+	return n, err
+}
+
+// Close ends the line.
+func (c *line) Close() error {
+	c.mu.Lock()
+	c.stopped = true
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+	c.mu.Unlock()
+	c.once.Do(c.shut)
+	return c.Conn.Close()
+}
+
+// take makes the line an attempt's.
+func (c *line) take(by any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder, c.sent = by, false
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+}
+
+// rest keeps the line for the next attempt, but no longer than the worker is sure to. The next may
+// hold it already.
+func (c *line) rest(by any, keep time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holder != by {
+		return
+	}
+	c.holder = nil
+	if c.expiry == nil {
+		c.expiry = time.AfterFunc(keep, c.expire)
+	} else {
+		c.expiry.Reset(keep)
+	}
+}
+
+func (c *line) expire() {
+	c.mu.Lock()
+	idle := c.holder == nil
+	c.mu.Unlock()
+	if idle { // taken this very moment: its holder can't send a byte, and takes another
+		c.Close()
+	}
+}
+
+// stop ends the line for good and tells whether the attempt that held it is proven not to have
+// left this machine: no byte was taken by the kernel, and none will be. A line that another holds
+// by now goes on.
+func (c *line) stop(by any) (untouched bool) {
+	c.mu.Lock()
+	if c.holder != by {
+		c.mu.Unlock()
+		return false
+	}
+	c.stopped = true
+	untouched = !c.sent && c.writing == 0
+	c.mu.Unlock()
+	c.Close()
+	return untouched
+}
+
+// keeps reads how long a worker keeps an idle connection; or is what holds where it says nothing.
+func keeps(h http.Header, or time.Duration) time.Duration {
+	for _, line := range h["Keep-Alive"] {
+		for word := range strings.SplitSeq(line, ",") {
+			k, v, _ := strings.Cut(strings.TrimSpace(word), "=")
+			if n, err := strconv.Atoi(strings.TrimSpace(v)); err == nil && strings.EqualFold(strings.TrimSpace(k), "timeout") && n >= 0 {
+				return time.Duration(n) * time.Second * 4 / 5
+			}
+		}
+	}
+	return or
+}
--- /dev/null
+++ b/internal/forward/site_test.go
@@ -0,0 +1,331 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/pick"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+// names are those of the tests: the product must not mind which ones they are.
+func names() Headers {
+	return Headers{ID: "Go-Id", Left: "Go-Left", Tenant: "Go-Tenant", Expected: "Go-Life", Version: "Go-Version",
+		Urgency: "Go-Urgency", Salt: "Go-Salt", Fetch: "Go-Fetch", Save: "Go-Save", Model: "Go-Model", Usage: "Go-Usage",
+		Parts: "Go-Parts", LastEvent: "Last-Event-Id", NotRun: "Go-Not-Run", Seal: "Go-Seal", Load: "Go-Load",
+		Weights: "Go-Weights", Scheme: "Bearer",
+		ReadLeft: func(v string) (time.Duration, bool) {
+			n, err := strconv.Atoi(v)
+			return time.Duration(n) * time.Millisecond, err == nil
+		},
+		WriteLeft: func(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) },
+		ReadUsage: func(v string) (in, out int) { _, _ = fmt.Sscanf(v, "%d/%d", &in, &out); return },
+		ReadParts: func(v string) (l []pick.Part) {
+			for _, s := range strings.Fields(v) {
+				l = append(l, pick.Part{ID: s, Tokens: len(s)})
+			}
+			return l
+		},
+		ReadLoad: func(v string) (l pick.Load, ok bool) {
+			n, _ := fmt.Sscanf(v, "%d/%d/%d", &l.Running, &l.Waiting, &l.Slots)
+			return l, n == 3
+		}}
+}
+
+// wires are a site's links without a network: pipes, in a bubble of time.
+type wires struct {
+	mu  sync.Mutex
+	at  map[string]*socket
+	all int // connections made, by anyone
+	to  map[string]int
+}
+
+type socket struct {
+	w    *wires
+	addr string
+	in   chan net.Conn
+	end  chan struct{}
+	once sync.Once
+}
+
+func (s *socket) Accept() (net.Conn, error) {
+	select {
+	case c := <-s.in:
+		return c, nil
+	case <-s.end:
+		return nil, net.ErrClosed
+	}
+}
+
+func (s *socket) Close() error {
+	s.once.Do(func() {
+		s.w.mu.Lock()
+		delete(s.w.at, s.addr)
+		s.w.mu.Unlock()
+		close(s.end)
+	})
+	return nil
+}
+
+func (s *socket) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (w *wires) Listen(addr string) (net.Listener, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &socket{w: w, addr: addr, in: make(chan net.Conn), end: make(chan struct{})}
+	w.at[addr] = s
+	return s, nil
+}
+
+func (w *wires) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	w.mu.Lock()
+	s := w.at[addr]
+	w.to[addr]++
+	w.mu.Unlock()
+	if s == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := net.Pipe()
+	select {
+	case s.in <- far:
+		return near, nil
+	case <-s.end:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// script plays a worker's part in one request; false: the connection ends.
+type script func(c net.Conn, r *http.Request, body string) bool
+
+// worker is one life of a worker that keeps a journal of what it ran.
+type worker struct {
+	fleet.Worker
+	mu   sync.Mutex
+	ran  []*http.Request
+	got  []string // bodies
+	play script
+	conn chan struct{} // closed ends of connections, where a test asks
+}
+
+func (w *worker) runs() int { w.mu.Lock(); defer w.mu.Unlock(); return len(w.ran) }
+
+func (w *worker) serve(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			br := bufio.NewReader(c)
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				all, err := io.ReadAll(r.Body)
+				if err != nil {
+					return
+				}
+				w.mu.Lock()
+				w.ran, w.got = append(w.ran, r), append(w.got, string(all))
+				play := w.play
+				w.mu.Unlock()
+				if !play(c, r, string(all)) {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// picker takes the first worker of the service that wasn't tried, and keeps a journal.
+type picker struct {
+	mu      sync.Mutex
+	endings []pick.Ending
+	loads   []pick.Load
+	open    int
+	dress   func(*pick.Choice)
+}
+
+func (p *picker) Look(context.Context, *fleet.Snapshot, *pick.Request) map[prefix.Key]*wire.Found {
+	return nil
+}
+
+func (p *picker) Pick(s *fleet.Snapshot, r *pick.Request, _ map[prefix.Key]*wire.Found, tried map[string]bool) (pick.Choice, bool) {
+	for _, w := range s.Workers {
+		if w.Service == r.Service && !w.Draining && !tried[w.ID] {
+			c := pick.Choice{Worker: w, Urgency: -1}
+			if p.dress != nil {
+				p.dress(&c)
+			}
+			return c, true
+		}
+	}
+	return pick.Choice{}, false
+}
+
+func (p *picker) Sent(*pick.Request, pick.Choice) { p.mu.Lock(); defer p.mu.Unlock(); p.open++ }
+
+func (p *picker) Done(_ *pick.Request, _ pick.Choice, e pick.Ending, l *pick.Load, _ time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.endings = append(p.endings, e)
+	if l != nil {
+		p.loads = append(p.loads, *l)
+	}
+}
+
+// site is one edge machine with its workers and downstreams.
+type site struct {
+	t    *testing.T
+	w    *wires
+	l    *daemon.Life
+	p    *picker
+	snap atomic.Pointer[fleet.Snapshot]
+	ws   []*worker
+}
+
+const front, readyAt, host = "10.0.0.1:80", "10.0.0.1:81", "any.example"
+
+func routes() *plan.Plan {
+	one := func(name string, k plan.Kind, resumable bool) plan.Route {
+		return plan.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: k, Resumable: resumable, Attempts: 3, Public: true,
+			Timeout: 8 * time.Second, Target: 400 * time.Millisecond, Split: []plan.Share{{Service: "s", Weight: 1}}}
+	}
+	private := one("private", plan.Once, false)
+	private.Public = false
+	return (&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s", MaxConns: 100}},
+		Routes:  []plan.Route{one("repeat", plan.Repeatable, false), one("once", plan.Once, false), one("stream", plan.Stream, false), one("resume", plan.Stream, true), private},
+		Tenants: []plan.Tenant{{Name: "ten", Keys: []string{"good"}, Priority: -1}},
+		Limits:  plan.Limits{HeaderBytes: 16 << 10, BodyBytes: 100 << 10, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second}}).Ready()
+}
+
+// open starts a site in a bubble and lets f act in it.
+func open(t *testing.T, scripts []script, f func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{t: t, w: &wires{at: map[string]*socket{}, to: map[string]int{}}, p: &picker{}}
+		b := settings.Default()
+		b.TryShare, b.TryAllow = 100, 100
+		place := settings.Place{Name: "e1", District: "d", Listen: "10.0.0.1:7000", Public: front, Bounds: b, Extra: []string{"log=off"},
+			Site: &settings.Site{Ready: readyAt, MemoryMB: 256, GraceMs: 8000, TransitMs: 120, Revokes: true}}
+		clk := clock.Ticking()
+		s.l = daemon.NewIn(daemon.World{Clock: clk, Listen: s.w.Listen, Dial: s.w.Dial}, "edge", place)
+		snap := &fleet.Snapshot{Plan: routes(), ProofAt: clk.Now(), Edges: 1}
+		for i, x := range scripts {
+			w := &worker{play: x}
+			w.Worker = fleet.Worker{ID: "w" + strconv.Itoa(i), Service: "s", Addr: "10.0.1." + strconv.Itoa(i) + ":8080", Slots: 8}
+			snap.Workers = append(snap.Workers, w.Worker)
+			s.ws = append(s.ws, w)
+			if x != nil { // nil: nobody listens there
+				ln, _ := s.w.Listen(w.Addr)
+				go w.serve(ln)
+				defer ln.Close()
+			}
+		}
+		s.snap.Store(snap)
+		if err := Start(s.l, Config{Headers: names(), ReadyPath: "/up", Snapshot: s.snap.Load, Pick: s.p}); err != nil {
+			t.Fatal(err)
+		}
+		f(s)
+		s.l.Stop(time.Second)
+		if s.p.open != 0 {
+			t.Errorf("%d attempts were never reported as done", s.p.open)
+		}
+	})
+}
+
+// set changes the snapshot.
+func (s *site) set(f func(*fleet.Snapshot)) {
+	n := *s.snap.Load()
+	f(&n)
+	s.snap.Store(&n)
+}
+
+// reply is what a downstream has seen.
+type reply struct {
+	status int
+	head   http.Header
+	body   string
+	err    error // the body broke off, or there was no answer
+}
+
+// caller is one downstream's connection.
+type caller struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func (s *site) caller() *caller {
+	c, err := s.w.Dial(context.Background(), "tcp", front)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return &caller{c, bufio.NewReader(c)}
+}
+
+// ask sends one request and reads its answer.
+func (c *caller) ask(text string) reply {
+	go func() { _, _ = io.WriteString(c, text) }()
+	return c.answer(text)
+}
+
+func (c *caller) answer(text string) reply {
+	method, _, _ := strings.Cut(text, " ")
+	a, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return reply{err: err}
+	}
+	all, err := io.ReadAll(a.Body)
+	return reply{a.StatusCode, a.Header, string(all), err}
+}
+
+// call is one request on a connection of its own.
+func (s *site) call(text string) reply {
+	c := s.caller()
+	defer c.Close()
+	return c.ask(text)
+}
+
+// post is a plain request.
+func post(route, id, body string, more ...string) string {
+	return "POST /" + route + "/x HTTP/1.1\r\nHost: " + host + "\r\nGo-Id: " + id + "\r\nGo-Left: 4000\r\n" +
+		strings.Join(append(more, ""), "\r\n") + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// says answers with these bytes, in which ID stands for the attempt's, and keeps the connection.
+func says(text string) script {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Go-Id")))
+		return err == nil
+	}
+}
+
+// cuts answers with these bytes and ends the connection.
+func cuts(text string) script {
+	return func(c net.Conn, r *http.Request, b string) bool { says(text)(c, r, b); return false }
+}
+
+const okay = "HTTP/1.1 200 OK\r\nGo-Id: ID\r\nGo-Seal: seal\r\nContent-Length: 4\r\n\r\nfine"
