--- a/internal/archive/council.go
+++ b/internal/archive/council.go
@@ -11,13 +11,13 @@
 // how long after it spoke it counts as alive.
 const (
 	silentTicks = int(1.0 / 6 / groupTick)
-	aliveTicks  = 2 * beatTicks * 2
+	aliveTicks  = 4 * beatTicks
 	readyTicks  = 2 * electTicks
 )
 
 // regroup is the owner's duty: the members that the group is to have next, one more or one
 // less than now; nil: as they are. It never leaves the group without a majority that is alive.
-func regroup(self string, now []string, sees []ledger.Seen, want int, districts map[string]string) []string {
+func regroup(self string, now []string, sees []ledger.Seen, want int, district func(addr string) string) []string {
 	by := map[string]ledger.Seen{}
 	var ready []ledger.Seen
 	for _, x := range sees {
@@ -54,8 +54,8 @@
 	}
 	if len(now) < want {
 		near := func(x ledger.Seen) bool { // another member stands in its district
-			d := districts[link.Addr(x.Name)]
-			return slices.ContainsFunc(now, func(m string) bool { return d != "" && districts[link.Addr(m)] == d })
+			d := district(link.Addr(x.Name))
+			return slices.ContainsFunc(now, func(m string) bool { return d != "" && district(link.Addr(m)) == d })
 		}
 		best := ready[0]
 		for _, x := range ready[1:] {
--- a/internal/archive/group.go
+++ b/internal/archive/group.go
@@ -31,6 +31,8 @@
 	mendPart   = 1.0 / 12 // between two tries to open a disk that was bad
 	beatTicks  = 3
 	electTicks = 9
+
+	learnPatience = 2 * electTicks // that one waits to be fed before it asks again
 )
 
 // group is what a part has beside, where its membership is agreed data.
@@ -39,8 +41,8 @@
 	cfg       ledger.Config
 	disk      shelf.Disk
 	first     func() *wire.Slot
-	want      int               // members
-	districts map[string]string // of those that asked to be taken in, by address
+	want      int // members
+	district  func(addr string) string
 	seen      glimpses
 	ticks     int
 	mendTicks int
@@ -49,7 +51,7 @@
 // openGroup makes the one part of a group. A disk that can't be opened leaves the part out
 // until it can.
 func openGroup(p *part, g *group) *part {
-	p.group, g.cfg.Group, g.districts = g, true, map[string]string{}
+	p.group, g.cfg.Group = g, true
 	p.core = ledger.New(g.cfg, ledger.Learner(""), nil)
 	p.bad = p.reopen()
 	p.show(ledger.Out{Install: &wire.Slot{}})
@@ -113,7 +115,7 @@
 	}
 	if p.ticks%beatTicks == 0 && p.core.Settled() {
 		ms, _, _ := p.core.Members()
-		if next := regroup(p.core.Stands().Owner, ms, p.core.Sees(), p.want, p.districts); next != nil {
+		if next := regroup(p.core.Stands().Owner, ms, p.core.Sees(), p.want, p.district); next != nil {
 			if _, _, ok := p.core.Regroup(next); ok {
 				p.log.Info("members change", "from", ms, "to", next)
 			}
@@ -160,7 +162,7 @@
 	tick := l.Place.Bounds.Heal(groupTick)
 	p := newPart(l.Ctx, 0, l.Clock, l.Log, n.mail.post)
 	p.keep = l.Place.Bounds.Once(1)
-	openGroup(p, &group{codec: codec, disk: disk(l, "part-0"), want: 2*s.Tolerate + 1, mendTicks: int(mendPart / groupTick),
+	openGroup(p, &group{codec: codec, disk: disk(l, "part-0"), district: n.district, want: 2*s.Tolerate + 1, mendTicks: int(mendPart / groupTick),
 		cfg: ledger.Config{BeatTicks: beatTicks, ElectTicks: electTicks, MaxBytes: 256 << 10,
 			Rand: rand.New(rand.NewPCG(l.Seed(), queue.Hash(l.Place.Name)))},
 		first: func() *wire.Slot { return begin(s.First, own, l.Place.Seeds, l.Seed) }})
@@ -189,6 +191,16 @@
 	return nil
 }
 
+// district is where a core machine stands, as the roster tells it.
+func (n *Node) district(addr string) string {
+	for _, x := range n.ros.View().Role("archive") {
+		if x.Addr == addr {
+			return x.District
+		}
+	}
+	return ""
+}
+
 // begin is the first slot of an empty disk. At the first start of the whole system the seeds
 // found the group, each under a life that all know; any other empty disk has lost what it had,
 // or is new, and is taken in by those that hold the log.
@@ -226,30 +238,30 @@
 // join has this node taken in, and keeps it known while it isn't a member.
 func (n *Node) join() {
 	b, turn := n.life.Place.Bounds, 0
-	for n.life.Ctx.Err() == nil {
-		var s ledger.Standing
-		ms, sits := []string(nil), true
-		p := n.parts[0]
+	for p := n.parts[0]; n.life.Ctx.Err() == nil; clock.Pause(n.life.Ctx, b.Heal(joinPart)) {
+		alone := false
 		ctx, end := context.WithTimeout(n.life.Ctx, b.Heal(1.0/24))
-		p.ask(ctx, func() {
-			if p.bad == nil {
-				s, sits = p.core.Stands(), p.core.Sits(p.seen.now().self)
-				ms, _, _ = p.core.Members()
-			}
-		})
+		p.ask(ctx, func() { alone = p.alone() })
 		end()
-		patience := 4 * electTicks
-		if !sits {
-			patience = 2 * electTicks
-		}
-		if fed := s.Owns || s.Owner != "" && s.Silent < patience; !fed && (!sits || s.Silent >= patience) {
-			n.ctl.Hint(s.Owner)
-			turn += n.askIn(p.seen.now().self, ms, turn)
+		if g := p.seen.now(); alone {
+			n.ctl.Hint(g.owner)
+			turn += n.askIn(g.self, g.members, turn)
 		}
-		clock.Pause(n.life.Ctx, b.Heal(joinPart))
 	}
 }
 
+// alone tells whether no owner feeds this one: it asks to be taken in. A member may just be
+// without an owner, or was removed while it was away.
+func (p *part) alone() bool {
+	s, patience := p.core.Stands(), learnPatience
+	if p.core.Sits(p.core.Self()) {
+		patience *= 2
+	} else if s.Owner == "" {
+		patience = 0
+	}
+	return p.bad == nil && !s.Owns && s.Silent >= patience
+}
+
 // askIn asks a few of those that may know, whom they name right after them; it tells how many
 // were of no help.
 func (n *Node) askIn(self string, members []string, turn int) (vain int) {
@@ -299,10 +311,6 @@
 	if p.bad != nil || !s.Owns {
 		return "not-owner", s.Owner
 	}
-	if len(p.districts) >= 256 {
-		clear(p.districts)
-	}
-	p.districts[link.Addr(a.Name)] = a.District
 	if !p.core.Learn(a.Name) {
 		return "overloaded", s.Owner
 	}
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -127,7 +127,7 @@
 		p.fail(err)
 		return
 	}
-	p.show(o) // before anybody hears that it is on this disk
+	p.show(ledger.Out{Install: o.Install, Records: o.Records}) // before anybody hears that it is on this disk
 	for _, l := range o.Letters {
 		p.post(l)
 	}
--- a/internal/archive/plans.go
+++ b/internal/archive/plans.go
@@ -64,6 +64,10 @@
 	}
 	ctx, end := context.WithTimeout(ctx, n.wait(0))
 	defer end()
+	// What is applied here was agreed on: it stays named.
+	if w := (fleet.Weights{}); json.Unmarshal(n.parts[0].seen.now().docs[fleet.WeightsKey].GetBody(), &w) == nil && w.Named[model] >= version {
+		return nil
+	}
 	for {
 		d, err := n.readDoc(ctx, fleet.WeightsKey)
 		if err != nil {
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -49,6 +49,7 @@
 	probe       uint64 // highest probe it has echoed
 	heard       int    // ticks since it spoke
 	busy        bool
+	slotAt      int // the tick in which it was sent a slot; 0: it wasn't
 }
 
 type waitRead struct{ id, probe, index uint64 }
@@ -66,6 +67,7 @@
 	silent  int // ticks since an owner spoke
 	limit   int
 	beat    int
+	ticks   int // of this core, all in all
 	yes     map[string]bool
 	col     map[string]*colleague
 	told    map[string]*wire.Letter // states heard while blank
@@ -189,6 +191,7 @@
 // Example: c.Tick(); drive(c.Flush())
 func (c *Core) Tick() {
 	c.beat++
+	c.ticks++
 	if c.hard.Standing == wire.Standing_BLANK {
 		if c.beat%(2*c.cfg.BeatTicks) == 1 {
 			c.askState()
@@ -281,6 +284,10 @@
 	prev := p.next - 1
 	t, ok := c.termAt(prev)
 	if !ok {
+		if c.cfg.Group && p.slotAt > 0 && c.ticks-p.slotAt < c.cfg.ElectTicks/2 {
+			return // it is under way, and large
+		}
+		p.slotAt = c.ticks
 		c.send(&wire.Letter{To: m, Kind: wire.LetterKind_ASK_SLOT, Slot: c.slot, Commit: c.commit, Probe: c.probe})
 		p.busy = true
 		return
