--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,9 +33,42 @@
 	end      context.CancelFunc
 	wg       sync.WaitGroup
 	servers  []*http.Server
+	told     []func(settings.Place)
+	leaving  []func(context.Context)
 	mu       sync.Mutex
 }
 
+// Told notes who wants to hear of settings that have changed while the program runs.
+//
+// Example: l.Told(func(p settings.Place) { ros.SetSeeds(p.Seeds) })
+func (l *Life) Told(f func(settings.Place)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = append(l.told, f)
+}
+
+// Leaving notes what has to be brought to an end before the program stops: it runs once Draining
+// is closed, while everything else still works, and its context ends with the grace time.
+//
+// Example: l.Leaving(func(ctx context.Context) { finish(ctx) })
+func (l *Life) Leaving(f func(context.Context)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = append(l.leaving, f)
+}
+
+// Tell hands settings that have changed to all who want to hear of them.
+//
+// Example: l.Tell(place)
+func (l *Life) Tell(p settings.Place) {
+	l.mu.Lock()
+	fs := l.told
+	l.mu.Unlock()
+	for _, f := range fs {
+		f(p)
+	}
+}
+
 // Main reads the place, starts the program and waits for its end. Faults in the settings
 // are listed at once, and the exit code is 2.
 //
@@ -82,8 +115,13 @@
 	ctx, c := context.WithTimeout(context.Background(), grace)
 	defer c()
 	l.mu.Lock()
-	ss := l.servers
+	ss, fs := l.servers, l.leaving
 	l.mu.Unlock()
+	var all sync.WaitGroup
+	for _, f := range fs {
+		all.Go(func() { f(ctx) })
+	}
+	all.Wait()
 	// The first server listed is the one towards downstreams: it ends first.
 	for _, s := range ss {
 		if err := s.Shutdown(ctx); err != nil {
--- a/internal/daemon/world.go
+++ b/internal/daemon/world.go
@@ -8,8 +8,11 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/shelf"
@@ -35,13 +38,35 @@
 	if f := p.Word("wall", ""); f != "" { // a failure test makes the wall clock jump
 		wall = func() time.Time { return time.Now().Add(jump(f)) }
 	}
-	return World{Clock: clock.Boot(), Wall: wall, Dial: p.Dialer().DialContext, Disk: shelf.Folder, Seed: rand.Uint64,
+	dial := p.Dialer().DialContext
+	if p.Site != nil {
+		dial = patient(p).DialContext
+	}
+	return World{Clock: clock.Boot(), Wall: wall, Dial: dial, Disk: shelf.Folder, Seed: rand.Uint64,
 		Listen: func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) },
 		Journal: func(file string) (io.Writer, error) {
 			return os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		}}
 }
 
+// patient dials from any address of the machine. A colleague that went dark says nothing: what
+// was sent and isn't acknowledged for a ratio of the leave bound ends the connection.
+func patient(p settings.Place) *net.Dialer {
+	silent := p.Bounds.Leave(silence)
+	return &net.Dialer{Timeout: p.Bounds.Leave(1.0 / 3), KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if e := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silent.Milliseconds()))
+		}); e != nil {
+			return e
+		}
+		return err
+	}}
+}
+
+// silence is how long sent bytes may stay unacknowledged, as a ratio of the leave bound.
+const silence = 0.4
+
 // jump reads by how many milliseconds a machine's wall clock is off; no file, not at all.
 func jump(file string) time.Duration {
 	raw, err := os.ReadFile(file)
