--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -158,15 +158,15 @@
 	said := len(head.Values(h.NotRun)) > 0
 	switch {
 	case status == http.StatusMisdirectedRequest:
-		a.refused(pick.Moved)
+		a.denied(pick.Moved)
 		if v := head.Get(h.Weights); a.c.Weights != 0 && v != "" && v != strconv.FormatUint(a.c.Weights, 10) {
 			a.ending = pick.Loading
 		}
 	case said && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
-		a.refused(pick.Full)
+		a.denied(pick.Full)
 	case said && status == http.StatusBadRequest:
 		a.final = true
-		a.refused(pick.Unfit)
+		a.denied(pick.Unfit)
 	case said || promise(status):
 		a.unfit() // it promises what it may not, or denies what it says it didn't run: no proof
 	case status < 300 && head.Get(h.Seal) == "":
@@ -208,8 +208,8 @@
 	a.line.stop(a)
 }
 
-// refused takes a worker at its word that it has not run the request.
-func (a *attempt) refused(e pick.Ending) {
+// denied takes a worker at its word that it has not run the request.
+func (a *attempt) denied(e pick.Ending) {
 	a.keep(false)
 	a.fate, a.ending = notRun, e
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -60,8 +60,11 @@
 // Start opens the door and the page that tells whether it is ready.
 //
 // Example: err := forward.Start(life, forward.Config{Headers: platform.Headers(), ReadyPath: path, Snapshot: agent.Snapshot, Pick: picker})
-func Start(l *daemon.Life, c Config) error {
-	d := newDoor(l, c)
+func Start(l *daemon.Life, c Config) error { return newDoor(l, c).open() }
+
+// open listens, and serves until the program stops.
+func (d *door) open() error {
+	l := d.l
 	front, err := l.Listen(l.Place.Public)
 	if err != nil {
 		return errs.As(err, errs.BadInput, "listen at "+l.Place.Public)
--- /dev/null
+++ b/internal/forward/leave_test.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/fleet"
+)
+
+// A machine that the platform stops says so at once, serves what comes until the platform has seen
+// it, ends each connection with its answer, and cuts nothing that runs.
+func TestLeavingInOrder(t *testing.T) {
+	var release chan struct{}
+	long := func(c net.Conn, r *http.Request, _ string) bool {
+		says(strings.Replace(head, "SEAL", "s", 1)+chunk(event(1)))(c, r, "")
+		<-release
+		_, err := io.WriteString(c, chunk(event(2))+"0\r\n\r\n")
+		return err == nil
+	}
+	play := func(c net.Conn, r *http.Request, b string) bool {
+		if strings.HasPrefix(r.RequestURI, "/stream/") {
+			return long(c, r, b)
+		}
+		return says(okay)(c, r, b)
+	}
+	open(t, []script{play}, func(s *site) {
+		release = make(chan struct{})
+		if n := s.page("/up"); n != 200 {
+			t.Errorf("ready page: %d", n)
+		}
+		kept, runs := s.caller(), s.caller()
+		if a := kept.ask(post("once", "a0", "b")); a.status != 200 || a.closes {
+			t.Errorf("%+v", a)
+		}
+		go func() { _, _ = io.WriteString(runs, strings.Replace(post("stream", "a9", "b"), "4000", "8000", 1)) }()
+		synctest.Wait()
+		stopped := make(chan time.Duration, 1)
+		began := s.l.Clock.Now()
+		go func() { s.stop(); stopped <- s.l.Clock.Now() - began }()
+		synctest.Wait()
+		if n := s.page("/up"); n != 503 {
+			t.Errorf("ready page after the signal: %d", n)
+		}
+		for range 3 {
+			if a := s.call(post("once", "a1", "b")); a.status != 200 || !a.closes || a.err != nil {
+				t.Errorf("%+v", a)
+			}
+			time.Sleep(700 * time.Millisecond) // of the bubble
+		}
+		if a := kept.ask(post("once", "a2", "b")); a.status != 200 || !a.closes {
+			t.Errorf("%+v", a)
+		}
+		time.Sleep(time.Second)
+		if c, err := s.w.Dial(t.Context(), "tcp", front); err == nil {
+			c.Close()
+			t.Error("it still takes connections")
+		}
+		time.Sleep(2 * time.Second)
+		close(release)
+		if a := runs.answer("POST"); a.status != 200 || a.err != nil || a.body != event(1)+event(2) {
+			t.Errorf("what ran was cut: %+v", a)
+		}
+		grace := 8 * time.Second
+		if d := <-stopped; d < 4*time.Second || d > grace*9/10 {
+			t.Errorf("stopped after %v of %v", d, grace)
+		}
+		kept.Close()
+		runs.Close()
+	})
+}
+
+// What runs longer than the grace is cut before the platform kills the process, and visibly so.
+func TestLeavingEndsWithinTheGrace(t *testing.T) {
+	silent := func(c net.Conn, _ *http.Request, _ string) bool { _, _ = c.Read(make([]byte, 1)); return false }
+	open(t, []script{silent}, func(s *site) {
+		for i := range s.snap.Load().Plan.Routes {
+			s.snap.Load().Plan.Routes[i].Timeout = time.Minute
+		}
+		c := s.caller()
+		go func() { _, _ = io.WriteString(c, strings.Replace(post("once", "a1", "b"), "4000", "99999", 1)) }()
+		synctest.Wait()
+		began := s.l.Clock.Now()
+		s.stop()
+		if d := s.l.Clock.Now() - began; d < 5*time.Second || d > 8*time.Second*9/10 {
+			t.Errorf("stopped after %v", d)
+		}
+		if a := c.answer("POST"); a.err == nil {
+			t.Errorf("%+v", a)
+		}
+		c.Close()
+	})
+}
+
+// Ready means: a plan, a fresh proof where keys are taken away, and once a worker to send to.
+func TestReadiness(t *testing.T) {
+	open(t, []script{says(okay)}, func(s *site) {
+		ws := s.snap.Load().Workers
+		for _, x := range []struct {
+			name string
+			set  func(n *fleet.Snapshot)
+			want int
+		}{
+			{"no worker yet", func(n *fleet.Snapshot) { n.Workers = nil }, 503},
+			{"a worker that no route leads to", func(n *fleet.Snapshot) { n.Workers = []fleet.Worker{{ID: "x", Service: "other"}} }, 503},
+			{"a worker", func(n *fleet.Snapshot) { n.Workers = ws }, 200},
+			{"workers gone", func(n *fleet.Snapshot) { n.Workers = nil }, 200},
+			{"proof old", func(n *fleet.Snapshot) { n.ProofAt = s.l.Clock.Now() - 5*time.Second }, 503},
+			{"proof fresh", func(n *fleet.Snapshot) { n.ProofAt = s.l.Clock.Now() - 4*time.Second }, 200},
+			{"no proof", func(n *fleet.Snapshot) { n.ProofAt = 0 }, 503},
+			{"no plan", func(n *fleet.Snapshot) { n.ProofAt, n.Plan = s.l.Clock.Now(), nil }, 503},
+		} {
+			s.set(x.set)
+			if n := s.page("/up"); n != x.want {
+				t.Errorf("%s: %d", x.name, n)
+			}
+		}
+		if n := s.page("/other"); n != 404 {
+			t.Errorf("another path: %d", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/forward/line_test.go
@@ -0,0 +1,240 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/pick"
+)
+
+// A connection that a worker keeps is used again; one that it ends while idle loses no request,
+// whatever its kind.
+func TestKeptConnections(t *testing.T) {
+	open(t, []script{says(okay)}, func(s *site) {
+		for range 3 {
+			if a := s.call(post("once", "a1", "b")); a.status != 200 {
+				t.Fatal(a)
+			}
+		}
+		if n := s.w.to[s.ws[0].Addr]; n != 1 {
+			t.Errorf("%d connections for 3 requests", n)
+		}
+	})
+	open(t, []script{cuts(okay)}, func(s *site) {
+		for i := range 5 {
+			if a := s.call(post("once", "a1", "b")); a.status != 200 {
+				t.Fatal(i, a)
+			}
+			synctest.Wait()
+		}
+		if s.ws[0].runs() != 5 {
+			t.Errorf("ran %d times", s.ws[0].runs())
+		}
+	})
+}
+
+// An idle connection is ended before the worker ends it: by what it says, or by a few seconds.
+func TestIdleConnectionsEndInTime(t *testing.T) {
+	for keep, want := range map[string]time.Duration{"timeout=1": 800 * time.Millisecond, "max=5, timeout=20": 16 * time.Second, "": 3 * time.Second, "timeout=x": 3 * time.Second} {
+		var ended chan struct{}
+		text := okay
+		if keep != "" {
+			text = strings.Replace(okay, "Content-Length", "Keep-Alive: "+keep+"\r\nContent-Length", 1)
+		}
+		play := func(c net.Conn, r *http.Request, b string) bool {
+			says(text)(c, r, b)
+			_, _ = c.Read(make([]byte, 1))
+			close(ended)
+			return false
+		}
+		open(t, []script{play}, func(s *site) {
+			ended = make(chan struct{})
+			if a := s.call(post("once", "a1", "b")); a.status != 200 {
+				t.Fatal(a)
+			}
+			began := s.l.Clock.Now()
+			<-ended
+			if d := s.l.Clock.Now() - began; d != want {
+				t.Errorf("%q: ended after %v: want %v", keep, d, want)
+			}
+		})
+	}
+}
+
+// Bytes behind a whole answer belong to no request: the next doesn't get them.
+func TestStrayBytes(t *testing.T) {
+	late := strings.Replace(okay, "ID", "old", 1)
+	for name, stray := range map[string]string{"garbage": "\x00garbage", "another's answer": late, "its own answer again": okay, "a newline": "\r\n"} {
+		for _, when := range []string{"at once", "a while later"} {
+			t.Run(name+" "+when, func(t *testing.T) {
+				n := 0
+				play := func(c net.Conn, r *http.Request, b string) bool {
+					if n++; n > 1 {
+						return says(okay)(c, r, b)
+					}
+					if when == "at once" {
+						return says(okay+stray)(c, r, b)
+					}
+					says(okay)(c, r, b)
+					go func() { time.Sleep(50 * time.Millisecond); says(stray)(c, r, b) }() // of the bubble
+					return true
+				}
+				open(t, []script{play}, func(s *site) {
+					if a := s.call(post("once", "a1", "b")); a.status != 200 || a.body != "fine" || a.err != nil {
+						t.Fatal(a)
+					}
+					time.Sleep(100 * time.Millisecond)
+					for _, id := range []string{"a2", "a1"} {
+						if a := s.call(post("once", id, "b")); a.status != 200 || a.body != "fine" || a.head.Get("Go-Id") != id {
+							t.Errorf("%s: %+v", id, a)
+						}
+					}
+					if n := s.ws[0].runs(); n != 3 {
+						t.Errorf("ran %d times", n)
+					}
+				})
+			})
+		}
+	}
+}
+
+// The connection with a surplus answer is not used again.
+func TestSurplusAnswerEndsItsConnection(t *testing.T) {
+	n := 0
+	play := func(c net.Conn, r *http.Request, b string) bool {
+		if n++; n == 1 {
+			return says(strings.Replace(okay, "ID", "old", 1)+okay)(c, r, b)
+		}
+		return says(okay)(c, r, b)
+	}
+	open(t, []script{play}, func(s *site) {
+		if a := s.call(post("once", "a1", "b")); a.status != 502 {
+			t.Error(a)
+		}
+		if a := s.call(post("once", "a2", "b")); a.status != 200 || a.head.Get("Go-Id") != "a2" {
+			t.Error(a)
+		}
+		if n := s.w.to[s.ws[0].Addr]; n != 2 {
+			t.Errorf("%d connections", n)
+		}
+	})
+}
+
+// No more connections to one worker than this machine's share; beyond it another worker, or a promise.
+func TestShareOfConnections(t *testing.T) {
+	silent := func(c net.Conn, _ *http.Request, _ string) bool { _, _ = c.Read(make([]byte, 1)); return false }
+	open(t, []script{silent}, func(s *site) {
+		s.set(func(n *fleet.Snapshot) { n.Edges = 50 }) // of 100: 2 each
+		var cs []*caller
+		for i := range 2 {
+			c := s.caller()
+			cs = append(cs, c)
+			_, _ = io.WriteString(c, post("once", strconv.Itoa(i), "b"))
+			synctest.Wait()
+		}
+		if a := s.call(post("once", "a3", "b")); a.status != 503 || a.head.Get("Retry-After") == "" {
+			t.Errorf("%+v", a)
+		}
+		if s.ws[0].runs() != 2 || s.p.endings[0] != pick.Full {
+			t.Errorf("ran %d, %v", s.ws[0].runs(), s.p.endings)
+		}
+		for _, c := range cs {
+			c.Close()
+		}
+	})
+}
+
+// A worker that doesn't come up is given up within a ratio of the route's target, and the request
+// goes to another.
+func TestDialThatHangs(t *testing.T) {
+	open(t, []script{nil, says(okay)}, func(s *site) {
+		if _, err := s.w.Listen(s.ws[0].Addr); err != nil { // nobody accepts
+			t.Fatal(err)
+		}
+		began := s.l.Clock.Now()
+		a := s.call(post("once", "a1", "b"))
+		if d := s.l.Clock.Now() - began; a.status != 200 || d != 200*time.Millisecond {
+			t.Errorf("%d after %v", a.status, d)
+		}
+	})
+}
+
+// fake is a connection whose writes do as told.
+type fake struct {
+	net.Conn
+	n    int
+	err  error
+	wait chan struct{}
+}
+
+func (f *fake) Write(p []byte) (int, error) {
+	if f.wait != nil {
+		<-f.wait
+	}
+	return min(f.n, len(p)), f.err
+}
+func (f *fake) Close() error { return nil }
+
+// A line is proof that nothing was sent only if the kernel took no byte and none can follow.
+func TestProofThatNothingWasSent(t *testing.T) {
+	bad := errors.New("bad")
+	for _, x := range []struct {
+		name string
+		f    fake
+		do   func(l *line)
+		want bool
+	}{
+		{"not written", fake{}, func(*line) {}, true},
+		{"none taken", fake{n: 0, err: bad}, func(l *line) { _, _ = l.Write([]byte("x")) }, true},
+		{"some taken", fake{n: 1, err: bad}, func(l *line) { _, _ = l.Write([]byte("xy")) }, false},
+		{"all taken", fake{n: 9}, func(l *line) { _, _ = l.Write([]byte("xy")) }, false},
+	} {
+		l := &line{Conn: &x.f, shut: func() {}}
+		l.take(1)
+		x.do(l)
+		if got := l.stop(1); got != x.want {
+			t.Errorf("%s: %v", x.name, got)
+		}
+		if n, err := l.Write([]byte("x")); n != 0 || err == nil {
+			t.Errorf("%s: bytes went after the stop", x.name)
+		}
+	}
+	// A write under way may yet be taken.
+	f := &fake{n: 1, wait: make(chan struct{})}
+	l := &line{Conn: f, shut: func() {}}
+	l.take(1)
+	done := make(chan struct{})
+	go func() { defer close(done); _, _ = l.Write([]byte("x")) }()
+	for under := false; !under; {
+		l.mu.Lock()
+		under = l.writing == 1
+		l.mu.Unlock()
+	}
+	if l.stop(1) {
+		t.Error("a write under way was no doubt")
+	}
+	close(f.wait)
+	<-done
+}
+
+// Who no longer holds a line neither ends nor rests it.
+func TestLineOfAnother(t *testing.T) {
+	l := &line{Conn: &fake{n: 9}, shut: func() {}}
+	l.take(1)
+	l.take(2)
+	l.rest(1, time.Nanosecond)
+	if l.stop(1) || l.holder != 2 || l.expiry != nil {
+		t.Error("the line was the first one's still")
+	}
+	if n, err := l.Write([]byte("x")); n == 0 || err != nil {
+		t.Error("the second can't write")
+	}
+}
--- a/internal/forward/site_test.go
+++ b/internal/forward/site_test.go
@@ -202,7 +202,9 @@
 	t    *testing.T
 	w    *wires
 	l    *daemon.Life
+	d    *door
 	p    *picker
+	once sync.Once
 	snap atomic.Pointer[fleet.Snapshot]
 	ws   []*worker
 }
@@ -246,14 +248,20 @@
 			}
 		}
 		s.snap.Store(snap)
-		if err := Start(s.l, Config{Headers: names(), ReadyPath: "/up", Snapshot: s.snap.Load, Pick: s.p}); err != nil {
+		s.d = newDoor(s.l, Config{Headers: names(), ReadyPath: "/up", Snapshot: s.snap.Load, Pick: s.p})
+		if err := s.d.open(); err != nil {
 			t.Fatal(err)
 		}
+		defer func() {
+			s.stop()
+			synctest.Wait()
+			s.p.mu.Lock()
+			defer s.p.mu.Unlock()
+			if s.p.open != 0 {
+				t.Errorf("%d attempts were never reported as done", s.p.open)
+			}
+		}()
 		f(s)
-		s.l.Stop(time.Second)
-		if s.p.open != 0 {
-			t.Errorf("%d attempts were never reported as done", s.p.open)
-		}
 	})
 }
 
@@ -270,6 +278,7 @@
 	head   http.Header
 	body   string
 	err    error // the body broke off, or there was no answer
+	closes bool  // the connection ends with it
 }
 
 // caller is one downstream's connection.
@@ -295,11 +304,14 @@
 func (c *caller) answer(text string) reply {
 	method, _, _ := strings.Cut(text, " ")
 	a, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err == nil && a.StatusCode == http.StatusContinue {
+		a, err = http.ReadResponse(c.br, &http.Request{Method: method})
+	}
 	if err != nil {
 		return reply{err: err}
 	}
 	all, err := io.ReadAll(a.Body)
-	return reply{a.StatusCode, a.Header, string(all), err}
+	return reply{a.StatusCode, a.Header, string(all), err, a.Close}
 }
 
 // call is one request on a connection of its own.
@@ -329,3 +341,16 @@
 }
 
 const okay = "HTTP/1.1 200 OK\r\nGo-Id: ID\r\nGo-Seal: seal\r\nContent-Length: 4\r\n\r\nfine"
+
+// stop ends the machine in order, once.
+func (s *site) stop() { s.once.Do(func() { s.l.Stop(time.Second) }) }
+
+// page asks whether the machine is ready.
+func (s *site) page(path string) int {
+	c, err := s.w.Dial(context.Background(), "tcp", readyAt)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer c.Close()
+	return (&caller{c, bufio.NewReader(c)}).ask("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").status
+}
