Duties: what bounds a roll-out named again, and the lease given back after orders

Cause: taken away on trial, neither the wait for orders under way before the lease is given back nor the older naming's bound made any test fail. Both have one now.

--- a/internal/duty/machine_test.go
+++ b/internal/duty/machine_test.go
@@ -100,6 +100,9 @@
 	}
 	n := &wire.Lease{Duty: g.Duty, Holder: g.Holder, Fence: l.Fence, TtlNs: g.TtlNs}
 	if g.GiveUp {
+		if s.flying[g.Holder] > 0 {
+			s.t.Errorf("%s gives the lease back while its order is under way", g.Holder)
+		}
 		n.Holder = ""
 	} else if l.Holder != g.Holder {
 		n.Fence++
@@ -213,6 +216,8 @@
 }
 
 func (m *machine) Order(ctx context.Context, addr string, o backend.Order) (out backend.Outcome, err error) {
+	m.flying(o.Holder, 1)
+	defer m.flying(o.Holder, -1)
 	err = m.call(ctx, "order", func() error {
 		h := m.hand(addr)
 		if h == nil {
@@ -224,6 +229,13 @@
 	return out, err
 }
 
+// flying counts a holder's orders that aren't answered yet.
+func (m *machine) flying(holder string, n int) {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	m.s.flying[holder] += n
+}
+
 // order is how a worker takes an order; the rules of the site are checked here.
 func (s *stand) order(h *hand, o backend.Order) backend.Outcome {
 	now, id := s.clk.Now(), h.w.ID
--- a/internal/duty/stand_test.go
+++ b/internal/duty/stand_test.go
@@ -58,6 +58,7 @@
 	reads  int
 	most   int
 	calls  map[string]int
+	flying map[string]int // by holder
 }
 
 type sent struct {
@@ -94,7 +95,7 @@
 func newStand(t *testing.T, n int) *stand {
 	s := &stand{t: t, clk: clock.Ticking(), b: bounds(), docs: map[string]*wire.Doc{}, hands: map[string]*hand{}, named: map[string]uint64{"daka": 1},
 		since: map[string]time.Duration{}, aside: map[string]time.Duration{}, lives: map[string]*daemon.Life{}, dead: map[string]time.Duration{},
-		last: map[string]sent{}, rnd: rand.New(rand.NewPCG(1, 2)), calls: map[string]int{}}
+		last: map[string]sent{}, rnd: rand.New(rand.NewPCG(1, 2)), calls: map[string]int{}, flying: map[string]int{}}
 	for i := range n {
 		s.add(fmt.Sprintf("w%02d", i), 1)
 	}
--- a/internal/duty/term.go
+++ b/internal/duty/term.go
@@ -50,13 +50,12 @@
 	roll   *Roll
 	places map[string]*place // by service
 	want   map[string][]byte // documents to write
-	since  map[string]time.Duration
-	named  map[string]uint64
+	names  *names
 }
 
 func newTerm(d *Duty, fence uint64) *term {
 	t := &term{life: d.life, calls: d.calls, snap: d.snap, hot: d.hot, ten: d.ten, fence: fence, wake: make(chan struct{}, 1),
-		places: map[string]*place{}, want: map[string][]byte{}, since: map[string]time.Duration{}, named: map[string]uint64{}}
+		places: map[string]*place{}, want: map[string][]byte{}, names: newNames()}
 	t.ctx, t.end = context.WithCancel(d.life.Ctx)
 	t.desk = queue.NewDesk(t, 256)
 	t.papers = newPapers(d.ctl, t.held, d.ten.lease.Holder, d.life.Place.Bounds)
@@ -245,15 +244,9 @@
 		return
 	}
 	now := t.life.Clock.Now()
-	for m, v := range s.Named {
-		if t.named[m] < v { // what was named first bounds the whole, until all have it
-			if at, ok := s.NamedAt[m]; ok && !t.lacks(m) {
-				t.since[m] = at
-			}
-			t.named[m] = v
-		}
-	}
-	f := Facts{Now: now, Workers: t.table.Doc().Workers, Named: t.named, Since: t.since, Engines: map[string]bool{}, From: t.ten.from()}
+	ws := t.table.Doc().Workers
+	t.names.take(s, ws)
+	f := Facts{Now: now, Workers: ws, Named: t.names.named, Since: t.names.since, Engines: map[string]bool{}, From: t.ten.from()}
 	for _, x := range s.Plan.Services {
 		if x.Engine != nil {
 			f.Engines[x.Name] = true
@@ -272,17 +265,6 @@
 	}
 }
 
-// lacks tells whether a worker hasn't got what was named of a model before: then that bounds the
-// roll-out still, whatever was named since. The desk's.
-func (t *term) lacks(model string) bool {
-	for _, r := range t.table.all {
-		if v, ok := r.w.Weights[model]; ok && v < t.named[model] && !r.w.Draining {
-			return true
-		}
-	}
-	return false
-}
-
 // setAside has a service's placement tell who is out of service, and notes who is once it does.
 func (t *term) setAside(service string, rolling []string, ws []fleet.Worker, now time.Duration) {
 	p := t.places[service]
