A new owner judges leases once it has applied what earlier owners granted

Grants now wait for an entry of the owner's own term to be applied.

Ruled out: asking for an empty rest of the log alone, which busy groups never have.

--- a/internal/archive/change.go
+++ b/internal/archive/change.go
@@ -134,6 +134,10 @@
 // Nil means: propose it.
 func (p *part) prepare(cmd *wire.Command, a *wire.ChangeAsk, m *merged) *wire.ChangeTell {
 	if g := cmd.GetGrant(); g != nil {
+		// A new owner knows who holds a duty once it has applied what the terms before it granted.
+		if !p.core.Current() {
+			return &wire.ChangeTell{Outcome: "overloaded"}
+		}
 		// While a grant may be under way nobody else gets the duty.
 		if h := p.st.leases[g.Duty]; h != nil && h.Holder != g.Holder && len(p.core.Unsettled()) > 0 {
 			return &wire.ChangeTell{Outcome: "overloaded"}
--- a/internal/ledger/stand.go
+++ b/internal/ledger/stand.go
@@ -44,6 +44,15 @@
 	return Standing{c.owner, c.role == owner, c.hard.Term, c.hard.Standing == wire.Standing_BLANK, c.stuck, c.applied, c.last(), len(c.log), c.silent}
 }
 
+// Current tells whether this member owns the part and has applied all that earlier owners have
+// committed: an entry of its own term is applied.
+//
+// Example: if c.Current() { judge(state) }
+func (c *Core) Current() bool {
+	t, _ := c.termAt(c.applied)
+	return c.role == owner && t == c.hard.Term
+}
+
 // Unsettled gives the entries in the log that aren't applied yet: any of them may turn
 // out to have been acknowledged.
 //
