--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,7 +74,7 @@
 		front.Close()
 		return errs.As(err, errs.BadInput, "listen at "+d.site.Ready)
 	}
-	l.Go(func() { d.serve(front, page) })
+	d.serve(front, page)
 	return nil
 }
 
@@ -92,16 +92,16 @@
 // serve keeps the door open until the program stops, and then sees out what runs.
 func (d *door) serve(front, page net.Listener) {
 	ready := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: d.l.Place.Bounds.Heal(0.25), ErrorLog: quiet()}
-	go d.run(ready, page)
-	defer ready.Close()
-	lim := d.limits()
-	s := &http.Server{Handler: d, ErrorLog: quiet(), MaxHeaderBytes: lim.HeaderBytes, ReadHeaderTimeout: lim.HeaderTime, IdleTimeout: lim.IdleTime}
-	go d.run(s, front)
-	select {
-	case <-d.l.Draining:
-	case <-d.l.Ctx.Done():
-	}
-	d.drain(s)
+	d.l.Go(func() { d.run(ready, page) })
+	d.l.Until(func() { ready.Close() })
+	opened := make(chan *http.Server, 1)
+	d.l.Go(func() {
+		lim := d.limits()
+		s := &http.Server{Handler: d, ErrorLog: quiet(), MaxHeaderBytes: lim.HeaderBytes, ReadHeaderTimeout: lim.HeaderTime, IdleTimeout: lim.IdleTime}
+		opened <- s
+		d.run(s, front)
+	})
+	d.l.Leaving(func(ctx context.Context) { d.drain(ctx, <-opened) })
 }
 
 func (d *door) run(s *http.Server, ln net.Listener) {
@@ -144,11 +144,11 @@
 }
 
 // drain leaves in order: not ready from now on, but taking requests until the platform has seen
-// it, then none, and what runs may end.
-func (d *door) drain(s *http.Server) {
+// it, then none, and what runs may end while the grace lasts.
+func (d *door) drain(ctx context.Context, s *http.Server) {
 	d.leaving.Store(true)
-	clock.Pause(context.Background(), settings.Of(d.site.GraceMs, windowPart))
-	ctx, stop := context.WithTimeout(context.Background(), settings.Of(d.site.GraceMs, drainPart))
+	clock.Pause(ctx, settings.Of(d.site.GraceMs, windowPart))
+	ctx, stop := context.WithTimeout(ctx, settings.Of(d.site.GraceMs, drainPart))
 	defer stop()
 	if err := s.Shutdown(ctx); err != nil {
 		d.l.Log.Warn("cut at the end of the grace", "requests", d.running.Load())
--- a/internal/forward/line.go
+++ b/internal/forward/line.go
@@ -8,11 +8,8 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/errs"
 )
@@ -74,19 +71,12 @@
 	}
 }
 
-// tend sees to it that a machine that has gone silent is noticed: by what isn't taken in, and by
-// probes while there is nothing to send.
+// tend sees to it that a machine that has gone dark is noticed while there is nothing to send, too;
+// what was sent and isn't acknowledged ends a connection of this world by itself.
 func (s *lines) tend(c net.Conn) {
-	t, ok := c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	// Where these can't be set, the request's own time is the bound.
-	_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: s.l.Place.Bounds.Leave(2.0 / 3), Interval: s.l.Place.Bounds.Leave(1.0 / 3), Count: 2})
-	if raw, err := t.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.l.Place.Bounds.Leave(2.0/3)/time.Millisecond))
-		})
+	if t, ok := c.(*net.TCPConn); ok {
+		b := s.l.Place.Bounds // where it can't be set, the request's own time is the bound
+		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: b.Leave(2.0 / 3), Interval: b.Leave(1.0 / 3), Count: 2})
 	}
 }
 
--- a/internal/forward/line_test.go
+++ b/internal/forward/line_test.go
@@ -41,6 +41,31 @@
 	})
 }
 
+// Nothing is repeated behind the request's back when a kept connection breaks, whatever the
+// method: net/http would.
+func TestNoSilentRepeats(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "DELETE", "POST"} {
+		for _, key := range []string{"", "Idempotency-Key: k\r\n", "X-Idempotency-Key: k\r\n"} {
+			n := 0
+			play := func(c net.Conn, r *http.Request, b string) bool {
+				if n++; n == 2 {
+					return false
+				}
+				return says("HTTP/1.1 204 OK\r\nGo-Id: ID\r\nGo-Seal: s\r\n\r\n")(c, r, b)
+			}
+			open(t, []script{play}, func(s *site) {
+				text := method + " /once/x HTTP/1.1\r\nHost: any.example\r\nGo-Id: a1\r\n" + key + "\r\n"
+				if a := s.call(text); a.status != 204 {
+					t.Fatalf("%s: %+v", method, a)
+				}
+				if a := s.call(text); a.status != 502 || s.ws[0].runs() != 2 {
+					t.Errorf("%s %q: %d, ran %d times", method, key, a.status, s.ws[0].runs()-1)
+				}
+			})
+		}
+	}
+}
+
 // An idle connection is ended before the worker ends it: by what it says, or by a few seconds.
 func TestIdleConnectionsEndInTime(t *testing.T) {
 	for keep, want := range map[string]time.Duration{"timeout=1": 800 * time.Millisecond, "max=5, timeout=20": 16 * time.Second, "": 3 * time.Second, "timeout=x": 3 * time.Second} {
@@ -181,7 +206,21 @@
 	}
 	return min(f.n, len(p)), f.err
 }
-func (f *fake) Close() error { return nil }
+func (f *fake) Close() error               { return nil }
+func (f *fake) Read(p []byte) (int, error) { return copy(p, "stray"), nil }
+
+// What comes while nobody holds a line is never an answer.
+func TestBytesForNobody(t *testing.T) {
+	l := &line{Conn: &fake{}, shut: func() {}}
+	l.take(1)
+	if n, err := l.Read(make([]byte, 9)); n != 5 || err != nil {
+		t.Error(n, err)
+	}
+	l.rest(1, time.Hour)
+	if n, err := l.Read(make([]byte, 9)); n != 0 || err != io.EOF || !l.stopped {
+		t.Error(n, err)
+	}
+}
 
 // A line is proof that nothing was sent only if the kernel took no byte and none can follow.
 func TestProofThatNothingWasSent(t *testing.T) {
--- a/internal/forward/request_test.go
+++ b/internal/forward/request_test.go
@@ -282,6 +282,25 @@
 	}
 }
 
+// The route's own bound holds, however long the downstream would wait; and the worker is told what
+// is left.
+func TestRouteBoundsTheTime(t *testing.T) {
+	silent := func(c net.Conn, _ *http.Request, _ string) bool { _, _ = c.Read(make([]byte, 1)); return false }
+	for told, want := range map[string]time.Duration{"99999": 8 * time.Second, "": 8 * time.Second, "1500": 1500 * time.Millisecond} {
+		open(t, []script{silent}, func(s *site) {
+			began := s.l.Clock.Now()
+			a := s.call(strings.Replace(post("once", "a1", "body"), "Go-Left: 4000", "Go-Left: "+told, 1))
+			if d := s.l.Clock.Now() - began; a.status != 504 || d < want || d > want+100*time.Millisecond {
+				t.Errorf("%q: %d after %v", told, a.status, d)
+			}
+			synctest.Wait()
+			if left := s.ws[0].ran[0].Header.Get("Go-Left"); left != fmt.Sprint(want.Milliseconds()) {
+				t.Errorf("%q: the worker was told %s", told, left)
+			}
+		})
+	}
+}
+
 // A downstream that doesn't read is given up with its time, and visibly so.
 func TestDownstreamThatDoesNotRead(t *testing.T) {
 	big := strings.Repeat("abcdefghij", 50000)
@@ -290,6 +309,10 @@
 		_, _ = io.WriteString(c, post("once", "a1", "b"))
 		synctest.Wait()
 		time.Sleep(5 * time.Second) // of the bubble
+		synctest.Wait()
+		if n := s.d.running.Load(); n != 0 {
+			t.Errorf("%d requests hang on a downstream that doesn't read", n)
+		}
 		if a := c.answer("POST"); a.err == nil {
 			t.Error("an answer that was given up looks whole")
 		}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// What stands behind the last whole event at a stream's proper end goes on as well.
+func TestEndWithoutABlankLine(t *testing.T) {
+	open(t, []script{says(strings.Replace(head, "SEAL", "s", 1) + chunk(event(1)) + chunk("id: 2\ndata: x") + "0\r\n\r\n")}, func(s *site) {
+		if a := s.call(post("resume", "a1", "b")); a.err != nil || a.body != event(1)+"id: 2\ndata: x" {
+			t.Errorf("%v %q", a.err, a.body)
+		}
+	})
+}
+
 // A worker that doesn't go on from where the first stopped is not believed.
 func TestResumedOnlyByWhatFollows(t *testing.T) {
 	two := len(event(1) + event(2))
