--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -68,6 +68,7 @@
 	limit   int
 	beat    int
 	ticks   int // of this core, all in all
+	heardAt int // the tick in which an owner spoke last
 	yes     map[string]bool
 	col     map[string]*colleague
 	told    map[string]*wire.Letter // states heard while blank
@@ -233,6 +234,9 @@
 		c.rest()
 	}
 	c.role, c.owner = follower, who
+	if who != "" {
+		c.heardAt = c.ticks
+	}
 }
 
 // stand asks the colleagues for their votes: first whether it would win (sounding, which
--- a/internal/ledger/stand.go
+++ b/internal/ledger/stand.go
@@ -41,7 +41,7 @@
 //
 // Example: if c.Stands().Owns { … }
 func (c *Core) Stands() Standing {
-	return Standing{c.owner, c.role == owner, c.hard.Term, c.hard.Standing == wire.Standing_BLANK, c.stuck, c.applied, c.last(), len(c.log), c.silent}
+	return Standing{c.owner, c.role == owner, c.hard.Term, c.hard.Standing == wire.Standing_BLANK, c.stuck, c.applied, c.last(), len(c.log), c.ticks - c.heardAt}
 }
 
 // Current tells whether this member owns the part and has applied all that earlier owners have
