Index of a site: tests of events, gaps, boots, pieces, stores and paces

Cause: the new path had no tests of its own. One found that a first answer taken as a whole list dropped what was presumed; a worker that never answered is now asked from its beginning.

--- a/internal/catalogue/events.go
+++ b/internal/catalogue/events.go
@@ -40,10 +40,15 @@
 	return h.tokens > 0 && h.tokens+block <= e.tokens && float64(h.tokens) < enough*float64(e.tokens)
 }
 
-// Next tells what to ask a worker or store of a site for next.
+// Next tells what to ask a worker or store of a site for next. One that never answered is asked
+// from its beginning: mostly that is all.
 //
 // Example: q := c.Next(w.ID, w.Service); e, err := calls.Events(ctx, w.Addr, q.After, wait)
-func (c *Core) Next(name, service string) Question { return c.Want(name, service) }
+func (c *Core) Next(name, service string) Question {
+	q := c.Want(name, service)
+	q.Whole = q.Whole && c.worker(name).inc != ""
+	return q
+}
 
 // Changes takes a worker's answer: changes since q.After, or all that it keeps where q.Whole.
 // After a gap what is known stays, and all is asked for at leisure; another boot has dropped
--- /dev/null
+++ b/internal/catalogue/events_test.go
@@ -0,0 +1,393 @@
+package catalogue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/backend"
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+func plus(part string, tokens int) backend.Change {
+	return backend.Change{Salt: "s", Part: part, Model: "m", Tokens: tokens}
+}
+
+func who(c *Core, part string, now time.Duration) string {
+	s := ""
+	for _, h := range c.Seek([]prefix.Key{KeyOf("s", part)}, now)[0].Holders {
+		s += fmt.Sprintf("%s:%d ", h.Worker, h.State)
+	}
+	return s
+}
+
+func changed(c *Core, e backend.Events, now time.Duration) { c.Changes(c.Next("w", "llm"), e, now) }
+
+func use(c *Core, part string, tokens uint32, n uint64, now time.Duration, holders ...string) {
+	k := KeyOf("s", part)
+	c.Count(&wire.CountAsk{Teller: "e", Incarnation: 1, Number: n, Accesses: []*wire.Access{
+		{Key: k[:], Count: 1, Tokens: tokens, Service: "llm", Presumed: holders}}}, now)
+}
+
+// Text and part can't be shifted into each other.
+func TestKeysOfTextsAndPartsDiffer(t *testing.T) {
+	if KeyOf("a", "bc") == KeyOf("ab", "c") || KeyOf("a", "b") == KeyOf("a", "c") || KeyOf("1", "x") == KeyOf("2", "x") || UpKey("x") == KeyOf("", "x") {
+		t.Fatal("two keys are one")
+	}
+	long := string(make([]byte, 4*longest))
+	if KeyOf(long, "a") == KeyOf(long, "b") || KeyOf(long, "a") != KeyOf(long, "a") {
+		t.Fatal("a long text's key")
+	}
+}
+
+func TestChangesSinceTheBeginningAreAll(t *testing.T) {
+	c := New(settings.Default(), all)
+	changed(c, backend.Events{Boot: 1, Next: 3, List: []backend.Change{plus("a", 100), plus("b", 50), plus("a", 0)}}, 1)
+	if who(c, "a", 2) != "" || who(c, "b", 2) != "w:2 " || !c.Warm() {
+		t.Fatalf("a %q, b %q, warm %v", who(c, "a", 2), who(c, "b", 2), c.Warm())
+	}
+	if q := c.Next("w", "llm"); q.After != 3 || q.Whole {
+		t.Fatalf("asks next for %+v", q)
+	}
+}
+
+func TestAnotherBootHasDroppedAll(t *testing.T) {
+	c := New(settings.Default(), all)
+	changed(c, backend.Events{Boot: 1, Next: 3, List: []backend.Change{plus("a", 100)}}, 1)
+	changed(c, backend.Events{Boot: 2, Next: 9, List: []backend.Change{plus("b", 100)}}, 2)
+	if who(c, "a", 3)+who(c, "b", 3) != "" {
+		t.Fatal("goes by numbers of another boot")
+	}
+	if q := c.Next("w", "llm"); q.After != 0 || q.Whole || c.Warm() {
+		t.Fatalf("asks next for %+v, warm %v", q, c.Warm())
+	}
+	changed(c, backend.Events{Boot: 2, Next: 9, List: []backend.Change{plus("c", 100), plus("b", 100)}}, 4)
+	if who(c, "c", 5) != "w:2 " || who(c, "a", 5) != "" || !c.Warm() {
+		t.Fatalf("c %q a %q", who(c, "c", 5), who(c, "a", 5))
+	}
+}
+
+func TestAfterAGapAllIsAskedFor(t *testing.T) {
+	c := New(settings.Default(), all)
+	changed(c, backend.Events{Boot: 1, Next: 1, List: []backend.Change{plus("a", 100)}}, 1)
+	changed(c, backend.Events{Boot: 1, Next: 90, Lost: true, List: []backend.Change{plus("b", 100)}}, 2)
+	q := c.Next("w", "llm")
+	if !q.Whole || who(c, "a", 3) != "w:2 " || who(c, "b", 3) != "w:2 " || !c.Warm() {
+		t.Fatalf("%+v: a %q b %q", q, who(c, "a", 3), who(c, "b", 3))
+	}
+	// Until the list is asked for, changes are taken as they come.
+	q.Whole = false
+	c.Changes(q, backend.Events{Boot: 1, Next: 91, List: []backend.Change{plus("b", 0)}}, 4)
+	if q = c.Next("w", "llm"); !q.Whole || q.After != 91 || who(c, "b", 4) != "" {
+		t.Fatalf("%+v: b %q", q, who(c, "b", 4))
+	}
+	c.Changes(q, backend.Events{Boot: 1, Next: 95, List: []backend.Change{plus("c", 100)}}, 5)
+	if q = c.Next("w", "llm"); q.Whole || who(c, "a", 6) != "" || who(c, "c", 6) != "w:2 " {
+		t.Fatalf("%+v: a %q c %q", q, who(c, "a", 6), who(c, "c", 6))
+	}
+}
+
+func TestTooLittleOfAPartIsNotHolding(t *testing.T) {
+	c := New(settings.Default(), all)
+	use(c, "a", 1000, 1, 1)
+	for _, x := range []struct {
+		kept int
+		want string
+	}{{1000, "w:2 "}, {992, "w:2 "}, {900, "w:2 "}, {880, ""}, {16, ""}} {
+		changed(c, backend.Events{Boot: 1, Next: 1, List: []backend.Change{plus("a", x.kept)}}, 2)
+		if got := who(c, "a", 2); got != x.want {
+			t.Errorf("%d of 1000 kept: %q, want %q", x.kept, got, x.want)
+		}
+	}
+	use(c, "b", 20, 2, 1) // whole blocks of 16 are all that is kept of it
+	changed(c, backend.Events{Boot: 1, Next: 1, List: []backend.Change{plus("b", 16)}}, 2)
+	if who(c, "b", 2) != "w:2 " {
+		t.Error("a short part kept but for its last block isn't held")
+	}
+	use(c, "a", 1000, 3, 3, "w") // what is read there again will be kept whole
+	if got := who(c, "a", 3); got != "w:1 " {
+		t.Errorf("sent to one that keeps a piece: %q", got)
+	}
+}
+
+// An answer that comes twice, or after a later one, changes nothing.
+func TestLateAndDoubledAnswers(t *testing.T) {
+	c := New(settings.Default(), all)
+	q := c.Next("w", "llm")
+	e := backend.Events{Boot: 1, Next: 1, List: []backend.Change{plus("a", 100)}}
+	c.Changes(q, e, 1)
+	changed(c, backend.Events{Boot: 1, Next: 2, List: []backend.Change{plus("a", 0)}}, 2)
+	c.Changes(q, e, 3)
+	if who(c, "a", 3) != "" || c.Next("w", "llm").After != 2 {
+		t.Fatal("an answer counted twice")
+	}
+	q = c.Next("w", "llm")
+	c.Leave("w")
+	c.Changes(q, e, 4)
+	if who(c, "a", 4) != "" {
+		t.Fatal("an answer from before the worker left counted")
+	}
+	changed(c, backend.Events{Full: true}, 5)
+	if q := c.Next("w", "llm"); q.After != 0 || c.Warm() {
+		t.Fatal("a worker that turned the call away told something")
+	}
+}
+
+// Three changes of one part come in one to three answers, split in every manner, one of which may be
+// marked as a gap: the last change is what counts.
+func TestEverySplitOfChanges(t *testing.T) {
+	l := []backend.Change{plus("a", 100), plus("a", 0), plus("a", 200)}
+	for cuts := range 4 {
+		for lost := range 4 {
+			c := New(settings.Default(), all)
+			from := 0
+			for i := 1; i <= len(l); i++ {
+				if i == len(l) || cuts>>(i-1)&1 == 1 {
+					changed(c, backend.Events{Boot: 7, Next: uint64(i), Lost: lost == i, List: l[from:i]}, time.Duration(i))
+					from = i
+				}
+			}
+			if got := who(c, "a", 4); got != "w:2 " {
+				t.Errorf("cuts %b, gap at %d: %q", cuts, lost, got)
+			}
+		}
+	}
+}
+
+func TestPresumedBeforeTheFirstAnswer(t *testing.T) {
+	b := settings.Default()
+	c := New(b, all)
+	use(c, "a", 100, 1, 1, "w", "store")
+	if got := who(c, "a", 2); got != "store:1 w:1 " {
+		t.Fatalf("presumed: %q", got)
+	}
+	changed(c, backend.Events{Boot: 1, Next: 0}, 3)
+	if got := who(c, "a", 4); got != "store:1 w:1 " {
+		t.Fatalf("the first answer dropped what was presumed: %q", got)
+	}
+	if got := who(c, "a", b.Heal(0.6)); got != "" {
+		t.Fatalf("never confirmed: %q", got)
+	}
+}
+
+func TestStoreThatAnswers(t *testing.T) {
+	b := settings.Default()
+	c := New(b, all)
+	up := func(now time.Duration) bool { return len(c.Seek([]prefix.Key{UpKey("d")}, now)[0].Holders) > 0 }
+	if c.Up("d", 1); !up(2) {
+		t.Error("a store that answered is down")
+	}
+	if c.Down("d"); up(3) {
+		t.Error("a store that didn't answer is up")
+	}
+	if c.Up("d", 4); up(b.Heal(0.6)) {
+		t.Error("a store that nobody asked for long is up")
+	}
+}
+
+func TestSweepLeavesWhatCounts(t *testing.T) {
+	b := settings.Default()
+	c := New(b, all)
+	use(c, "hot", 10, 1, 0)
+	changed(c, backend.Events{Boot: 1, Next: 1, List: []backend.Change{plus("kept", 10)}}, 1)
+	use(c, "lapsed", 10, 2, 0, "x")
+	c.Sweep(map[string]bool{"w": true}, 2)
+	if len(c.all) != 3 {
+		t.Fatalf("%d entries, want 3", len(c.all))
+	}
+	late := b.Heal(20)
+	changed(c, backend.Events{Boot: 1, Next: 1}, late)
+	c.Sweep(map[string]bool{"w": true}, late)
+	if len(c.all) != 1 || len(c.workers) != 1 {
+		t.Fatalf("%d entries and %d workers, want one of each", len(c.all), len(c.workers))
+	}
+}
+
+func catalogues(districts ...string) (l []*wire.Node) {
+	for i, d := range districts {
+		l = append(l, &wire.Node{Name: fmt.Sprintf("catalogue/core-%d", i), Role: "catalogue", District: d, Addr: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+	return l
+}
+
+func TestHalfOfTheIndexNodesServe(t *testing.T) {
+	four := catalogues("a", "a", "b", "b")
+	l := Serving(append(four, &wire.Node{Name: "edge/1", Role: "edge"}))
+	if len(l) != 2 || l[0].District == l[1].District {
+		t.Fatalf("serving: %v", l)
+	}
+	back := slices.Clone(four)
+	slices.Reverse(back)
+	if m := Serving(back); m[0].Name != l[0].Name || m[1].Name != l[1].Name {
+		t.Fatal("another order of nodes, others serve")
+	}
+	l[0].State = 2
+	m := Serving(four)
+	if len(m) != 2 || m[0] != l[1] && m[1] != l[1] || m[0] == l[0] || m[1] == l[0] {
+		t.Fatal("when one is gone the other stays and a third steps in")
+	}
+	if n := len(Serving(catalogues("a", "a", "a", "a", "b", "b", "b", "b"))); n != 4 {
+		t.Fatalf("%d of 8 serve", n)
+	}
+	if n := len(Serving(catalogues("a"))); n != 1 {
+		t.Fatalf("%d of 1 serve", n)
+	}
+}
+
+// platform stands in for the workers' side of the calls.
+type platform struct {
+	backend.Calls
+	mu     sync.Mutex
+	events map[string]int
+	lists  map[string]int
+	lost   bool
+	dead   map[string]bool
+	waits  []time.Duration
+	under  map[string]int
+	most   int
+	full   bool
+}
+
+func (p *platform) enter(addr string, m map[string]int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m[addr]++
+	p.under[addr]++
+	p.most = max(p.most, p.under[addr])
+	if p.dead[addr] {
+		return errors.New("dead")
+	}
+	return nil
+}
+
+func (p *platform) leave(addr string) { p.mu.Lock(); p.under[addr]--; p.mu.Unlock() }
+
+func (p *platform) Events(_ context.Context, addr string, since uint64, wait time.Duration) (backend.Events, error) {
+	defer p.leave(addr)
+	if err := p.enter(addr, p.events); err != nil {
+		return backend.Events{}, err
+	}
+	p.waits = append(p.waits, wait)
+	return backend.Events{Boot: 1, Next: 5, Lost: p.lost && since == 0, Full: p.full, List: []backend.Change{plus("a", 10)}}, nil
+}
+
+func (p *platform) Kept(_ context.Context, addr string) (backend.Events, error) {
+	defer p.leave(addr)
+	if err := p.enter(addr, p.lists); err != nil {
+		return backend.Events{}, err
+	}
+	return backend.Events{Boot: 1, Next: 6, List: []backend.Change{plus("a", 10), plus("b", 10)}}, nil
+}
+
+func running(t *testing.T, p *platform, s *fleet.Snapshot, f func(n *Node)) {
+	t.Helper()
+	p.events, p.lists, p.under = map[string]int{}, map[string]int{}, map[string]int{}
+	if p.dead == nil {
+		p.dead = map[string]bool{}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		w := daemon.World{Clock: clock.Ticking(), Wall: time.Now, Seed: func() uint64 { return 1 }}
+		l := daemon.NewIn(w, "index", settings.Place{Name: "core-0", Bounds: settings.Default(), Extra: []string{"log=off"}})
+		n, err := StartSite(l, p, func() *fleet.Snapshot { return s })
+		if err != nil {
+			t.Fatal(err)
+		}
+		f(n)
+		l.Stop(time.Second)
+		synctest.Wait()
+	})
+}
+
+func pass(d time.Duration) {
+	<-time.NewTimer(d).C
+	synctest.Wait()
+}
+
+func snapshot(nodes []*wire.Node) *fleet.Snapshot {
+	return &fleet.Snapshot{Nodes: nodes, Workers: []fleet.Worker{{ID: "w1", Service: "llm", Addr: "1:1"}, {ID: "w2", Service: "llm", Addr: "1:2"}, {ID: "p", Service: "app", Addr: "1:9"}},
+		Plan: &plan.Plan{Services: []plan.Service{{Name: "llm", Engine: &plan.Engine{Polls: 12}}, {Name: "app"}, {Name: "d", Store: &plan.Store{Addr: "2:1"}}}}}
+}
+
+// Each call has its price: one a worker and pace, none to plain workers, none by a node that only
+// stands by.
+func TestWorkersAreAskedAtASlowPace(t *testing.T) {
+	b := settings.Default()
+	p := &platform{}
+	running(t, p, snapshot(catalogues("a")), func(n *Node) {
+		pass(10 * b.Heal(pacePart))
+		for _, a := range []string{"1:1", "1:2", "2:1"} {
+			if p.events[a] < 9 || p.events[a] > 11 {
+				t.Errorf("%s was asked %d times in ten paces", a, p.events[a])
+			}
+		}
+		if p.events["1:9"] != 0 || len(p.lists) != 0 || p.most != 1 {
+			t.Errorf("plain worker %d, whole lists %v, at once %d", p.events["1:9"], p.lists, p.most)
+		}
+		k, up := KeyOf("s", "a"), UpKey("d")
+		a, err := n.Seek(context.Background(), &wire.LookAsk{Keys: [][]byte{k[:], up[:]}})
+		if err != nil || len(a.Found) != 2 || !a.Warm || len(a.Found[0].Holders) != 3 || len(a.Found[1].Holders) != 1 {
+			t.Errorf("%v, %v", a, err)
+		}
+	})
+	p = &platform{}
+	nodes := catalogues("a", "b", "c")
+	serves := func() bool {
+		return slices.ContainsFunc(Serving(nodes), func(x *wire.Node) bool { return x.Name == "catalogue/core-0" })
+	}
+	for i := 0; serves(); i++ {
+		nodes[1].Name, nodes[2].Name = fmt.Sprintf("catalogue/b-%d", i), fmt.Sprintf("catalogue/c-%d", i)
+	}
+	running(t, p, snapshot(nodes), func(*Node) { pass(b.Heal(1)) })
+	if len(p.events) != 0 {
+		t.Errorf("a node that stands by asked %v", p.events)
+	}
+}
+
+func TestWholeListsArePaced(t *testing.T) {
+	b := settings.Default()
+	p := &platform{lost: true}
+	running(t, p, snapshot(catalogues("a")), func(n *Node) {
+		pass(b.Heal(0.9))
+		if p.lists["1:1"] != 1 || p.lists["1:2"] != 1 || p.lists["2:1"] != 1 {
+			t.Errorf("whole lists: %v", p.lists)
+		}
+	})
+}
+
+func TestStoreThatIsDown(t *testing.T) {
+	b := settings.Default()
+	p := &platform{dead: map[string]bool{"2:1": true}}
+	running(t, p, snapshot(catalogues("a")), func(n *Node) {
+		up := UpKey("d")
+		stands := func() bool {
+			a, _ := n.Seek(context.Background(), &wire.LookAsk{Keys: [][]byte{up[:]}})
+			return len(a.Found[0].Holders) > 0
+		}
+		if pass(b.Heal(0.4)); stands() {
+			t.Error("a dead store is up")
+		}
+		p.mu.Lock()
+		p.dead["2:1"] = false
+		p.mu.Unlock()
+		if pass(b.Heal(0.4)); !stands() {
+			t.Error("a store that came back is down")
+		}
+		p.mu.Lock()
+		p.dead["2:1"] = true
+		p.mu.Unlock()
+		if pass(b.Heal(0.2)); stands() {
+			t.Error("a store that died is up")
+		}
+	})
+}
--- a/internal/catalogue/site.go
+++ b/internal/catalogue/site.go
@@ -167,7 +167,7 @@
 		return
 	}
 	q := c.Next(x.name, x.service)
-	q.Whole = q.Whole && s.mayList(c, x.name, now)
+	q.Whole = q.Whole && s.mayList(x.name, now)
 	if q.Whole {
 		s.listAt, s.lists[x.name] = now, now
 	}
@@ -175,12 +175,11 @@
 	go s.ask(x, q)
 }
 
-// mayList tells whether a whole list may be asked for now. A worker that never answered is first
-// asked from its beginning: mostly that is all.
-func (s *site) mayList(c *Core, name string, now time.Duration) bool {
+// mayList tells whether a whole list may be asked for now.
+func (s *site) mayList(name string, now time.Duration) bool {
 	b := s.n.life.Place.Bounds
 	at, listed := s.lists[name]
-	return c.worker(name).inc != "" && (s.listAt == 0 || now-s.listAt >= b.Heal(keptPart)) && (!listed || now-at >= b.Heal(againPart))
+	return (s.listAt == 0 || now-s.listAt >= b.Heal(keptPart)) && (!listed || now-at >= b.Heal(againPart))
 }
 
 func (s *site) ask(x target, q Question) {
