--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,248 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+// core is a group of fake archives that all tell the same.
+type core struct {
+	wire.Archive
+	mu      sync.Mutex
+	members []string
+	index   uint64
+	version uint64
+	news    chan struct{}
+	asked   map[string]int
+	under   map[string]int    // questions that are held now
+	mood    map[string]string // "hangs", "errs", "empty", "behind"
+}
+
+func newCore(members ...string) *core {
+	return &core{members: members, index: 1, version: 1, asked: map[string]int{}, under: map[string]int{}, mood: map[string]string{}}
+}
+
+func (c *core) change(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+	close(c.news)
+	c.news = make(chan struct{})
+}
+
+type seat struct {
+	*core
+	addr string
+}
+
+func (s seat) Follow(ctx context.Context, a *wire.FollowAsk) (*wire.FollowTell, error) {
+	s.mu.Lock()
+	s.asked[s.addr]++
+	s.under[s.addr]++
+	mood, news, version := s.mood[s.addr], s.news, s.version
+	s.mu.Unlock()
+	defer func() { s.mu.Lock(); s.under[s.addr]--; s.mu.Unlock() }()
+	end := time.NewTimer(time.Duration(a.HoldNs))
+	defer end.Stop()
+	switch mood {
+	case "hangs":
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case "errs":
+		return nil, errs.New(errs.CantSay, "no")
+	case "empty":
+		return &wire.FollowTell{}, nil
+	}
+	if version <= had(a) || mood == "behind" {
+		select {
+		case <-news:
+		case <-end.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := &wire.FollowTell{Same: true, Members: s.members, MembersTerm: 1, MembersIndex: s.index}
+	for _, m := range s.members {
+		if address(m) == s.addr {
+			t.Member = m
+		}
+	}
+	if s.version > had(a) && s.mood[s.addr] != "behind" {
+		t.Docs = append(t.Docs, planDoc(s.version))
+	}
+	return t, nil
+}
+
+func run(t *testing.T, c *core, f func(a *Agent)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c.news = make(chan struct{}) // of this bubble
+		w := daemon.World{Clock: clock.Ticking(), Wall: time.Now, Seed: func() uint64 { return 1 }}
+		l := daemon.NewIn(w, "agent", settings.Place{Name: "edge-1", Bounds: settings.Default(),
+			Seeds: []string{"1:1", "1:2", "9:9"}, Extra: []string{"log=off"}})
+		a := newAgent(l, &numbers{}, func(addr string) wire.Archive { return seat{c, addr} })
+		a.desk.Ask(a.tend)
+		l.Every(l.Place.Bounds.Setup(holdPart), func() { a.desk.Ask(a.tend) })
+		f(a)
+		l.Stop(time.Second)
+		synctest.Wait()
+	})
+}
+
+// until waits for a moment in the bubble's time, in which nothing but the agent moves.
+func until(d time.Duration) {
+	e := time.NewTimer(d)
+	<-e.C
+	synctest.Wait()
+}
+
+func version(a *Agent) uint64 {
+	if p := a.Now().Plan; p != nil {
+		return p.Version
+	}
+	return 0
+}
+
+func TestNewsComesAtOnceThoughOneHangs(t *testing.T) {
+	c := newCore(abc...)
+	c.mood["1:1"] = "hangs"
+	run(t, c, func(a *Agent) {
+		if a.Now() == nil || a.Now().Plan != nil {
+			t.Fatal("a plan before any was told")
+		}
+		synctest.Wait()
+		if version(a) != 1 {
+			t.Fatalf("plan %d", version(a))
+		}
+		until(10*time.Second + 100*time.Millisecond)
+		changed, before := a.Changed(), a.Now()
+		c.change(func() { c.version = 2 })
+		synctest.Wait()
+		select {
+		case <-changed:
+		default:
+			t.Fatal("nobody is told of the change")
+		}
+		if version(a) != 2 || before.Plan.Version != 1 {
+			t.Fatalf("plan %d, and the old snapshot says %d", version(a), before.Plan.Version)
+		}
+		if age := a.life.Clock.Now() - a.Now().ProofAt; a.Now().ProofAt == 0 || age > a.life.Place.Bounds.Setup(1.1) {
+			t.Fatalf("the proof is %v old", age)
+		}
+	})
+}
+
+// On a calm site each member is asked about once a hold, the seeds that aren't members not at all,
+// and a proof is never older than two holds.
+func TestCalmSiteIsAskedSeldom(t *testing.T) {
+	c := newCore(abc...)
+	c.mood["9:9"] = "empty"
+	run(t, c, func(a *Agent) {
+		until(5 * time.Second)
+		before, strange := c.asked["1:3"], c.asked["9:9"]
+		for range 100 {
+			until(100 * time.Millisecond)
+			if age := a.life.Clock.Now() - a.Now().ProofAt; age > a.life.Place.Bounds.Setup(2*holdPart) {
+				t.Fatalf("the proof is %v old", age)
+			}
+		}
+		if n := c.asked["1:3"] - before; n < 9 || n > 11 {
+			t.Errorf("%d questions in ten seconds", n)
+		}
+		if n := c.asked["9:9"] - strange; n != 0 {
+			t.Errorf("%d questions to one that is no member", n)
+		}
+	})
+}
+
+func TestLostPolls(t *testing.T) {
+	c := newCore(abc...)
+	for _, s := range []string{"1:1", "1:2", "1:3", "9:9"} {
+		c.mood[s] = "errs"
+	}
+	run(t, c, func(a *Agent) {
+		until(10 * time.Second)
+		for addr, n := range c.asked {
+			if n < 10 || n > 40 {
+				t.Errorf("%s was asked %d times in ten seconds", addr, n)
+			}
+		}
+		c.change(func() { c.mood["1:2"], c.mood["1:3"] = "", "" })
+		until(time.Second)
+		if version(a) != 1 {
+			t.Fatal("no plan a second after two answer again")
+		}
+		until(time.Second)
+		if a.Now().ProofAt == 0 {
+			t.Fatal("no proof two seconds after two answer again")
+		}
+		// A majority falls silent: the proof stands still, and the plan stays.
+		c.change(func() { c.mood["1:3"] = "hangs" })
+		until(2 * time.Second)
+		at := a.Now().ProofAt
+		until(10 * time.Second)
+		if a.Now().ProofAt != at || version(a) != 1 {
+			t.Fatalf("one of three moved the proof from %v to %v", at, a.Now().ProofAt)
+		}
+	})
+}
+
+// A member is replaced by one at another address; then all that were seeds are gone.
+func TestMembersAreFollowedAsTheyChange(t *testing.T) {
+	c := newCore(abc...)
+	run(t, c, func(a *Agent) {
+		until(3 * time.Second)
+		c.change(func() { c.members, c.index = append(slices.Clone(abc), "1:4/d"), 2 })
+		until(3 * time.Second)
+		c.change(func() { c.members, c.index, c.mood["1:1"] = []string{abc[1], abc[2], "1:4/d"}, 3, "hangs" })
+		until(3 * time.Second)
+		n := c.asked["1:1"]
+		c.change(func() { c.version = 9 })
+		until(3 * time.Second)
+		if c.asked["1:1"] != n || c.under["1:1"] != 0 || c.under["1:4"] != 1 {
+			t.Errorf("asked of the one removed: %d then %d; under way: %v", n, c.asked["1:1"], c.under)
+		}
+		if age := a.life.Clock.Now() - a.Now().ProofAt; version(a) != 9 || age > a.life.Place.Bounds.Setup(1) {
+			t.Errorf("plan %d, proof %v old", version(a), age)
+		}
+		// All members are replaced while none of them can be heard: the seeds tell who they are.
+		c.change(func() {
+			c.members, c.index = []string{"2:1/x", "2:2/y", "9:9/z"}, 9
+			c.mood["1:2"], c.mood["1:3"], c.mood["1:4"] = "hangs", "hangs", "hangs"
+		})
+		until(10 * time.Second)
+		if age := a.life.Clock.Now() - a.Now().ProofAt; age > a.life.Place.Bounds.Setup(1) {
+			t.Errorf("the new members aren't found: proof %v old", age)
+		}
+	})
+}
+
+// One that is behind, and one that knows nothing, are asked no more often than once a pause.
+func TestAnswersOfNoUseAreNotAskedForAgainAtOnce(t *testing.T) {
+	c := newCore(abc...)
+	c.mood["1:1"], c.mood["1:2"], c.mood["9:9"] = "behind", "empty", "empty"
+	run(t, c, func(a *Agent) {
+		until(10 * time.Second)
+		if n := c.asked["1:2"]; n > 40 {
+			t.Errorf("asked %d times in ten seconds", n)
+		}
+		if had := c.asked["1:1"]; had > 12 {
+			t.Errorf("the one behind was asked %d times", had)
+		}
+		if a.Now().Plan == nil || a.Now().Plan.Version != 1 {
+			t.Errorf("plan %v", a.Now().Plan)
+		}
+	})
+}
--- /dev/null
+++ b/internal/agent/table_test.go
@@ -0,0 +1,209 @@
+package agent
+
+import (
+	"encoding/json"
+	"strconv"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/roster"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+// numbers is a form of plans that holds nothing but their number.
+type numbers struct{ reads int }
+
+func (c *numbers) Read(body []byte) (*plan.Plan, error) {
+	c.reads++
+	v, err := strconv.ParseUint(string(body), 10, 64)
+	if err != nil {
+		return nil, errs.As(err, errs.BadInput, "not a number")
+	}
+	return &plan.Plan{Version: v}, nil
+}
+
+func (*numbers) Merge(_, sent []byte, _ bool) ([]byte, uint64, error) { return sent, 0, nil }
+
+func planDoc(v uint64) *wire.Doc {
+	return &wire.Doc{Key: plan.Key, Epoch: v, Body: []byte(strconv.FormatUint(v, 10))}
+}
+
+func doc(t *testing.T, key string, v uint64, body any) *wire.Doc {
+	t.Helper()
+	b, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &wire.Doc{Key: key, Epoch: v, Body: b}
+}
+
+func tells(member string, same bool, docs ...*wire.Doc) *wire.FollowTell {
+	return &wire.FollowTell{Member: member, Same: same, Members: abc, MembersTerm: 1, MembersIndex: 1, Docs: docs}
+}
+
+const start = time.Hour
+
+func fresh() *table { return newTable(settings.Default(), &numbers{}, start) }
+
+// In every order in which members tell plans, the one in use never goes back, nothing is read
+// twice, and a plan that was told is vouched for by its teller.
+func TestPlanNeverGoesBack(t *testing.T) {
+	type heard struct {
+		tell *wire.FollowTell
+		had  uint64
+		at   time.Duration
+	}
+	l := []heard{
+		{tells(abc[0], true, planDoc(2)), 0, start + 1},
+		{tells(abc[1], true, planDoc(5)), 2, start + 2},
+		{tells(abc[2], true, planDoc(3)), 2, start + 3},
+		{tells(abc[0], true), 3, start + 4},
+		{tells(abc[1], true, planDoc(5)), 3, start + 5},
+		{tells(abc[2], false, planDoc(5)), 3, start + 6},
+	}
+	everyOrder(l, func(l []heard) {
+		x := fresh()
+		top := uint64(0)
+		proof := time.Duration(0)
+		for _, h := range l {
+			news, err := x.hear(h.tell, h.had, h.at, start+10)
+			told := uint64(0)
+			for _, d := range h.tell.Docs {
+				told = d.Epoch
+			}
+			if err != nil || news != (told > top) {
+				t.Fatalf("%v: news %v, %v", l, news, err)
+			}
+			top = max(top, told)
+			if top > 0 && x.snap.Plan.Version != top || x.have[plan.Key] != top || x.snap.ProofAt < proof {
+				t.Fatalf("%v: plan %v in use, %d told, proof %v after %v", l, x.snap.Plan, top, x.snap.ProofAt, proof)
+			}
+			proof = x.snap.ProofAt
+		}
+		if proof != start+4 {
+			t.Fatalf("%v: proof at %v in the end", l, proof)
+		}
+	})
+}
+
+func TestPlanThatCannotBeReadGetsNoProof(t *testing.T) {
+	x := fresh()
+	x.hear(tells(abc[0], true, planDoc(2)), 0, start+1, start+1)
+	x.hear(tells(abc[1], true), 2, start+2, start+2)
+	bad := &wire.Doc{Key: plan.Key, Epoch: 3, Body: []byte("?")}
+	if news, err := x.hear(tells(abc[0], true, bad), 2, start+3, start+3); !news || err == nil {
+		t.Fatalf("news %v, error %v", news, err)
+	}
+	x.hear(tells(abc[1], true, bad), 2, start+4, start+4)
+	x.hear(tells(abc[2], true), 3, start+5, start+5)
+	if x.snap.Plan.Version != 2 || x.snap.ProofAt != start+1 || x.have[plan.Key] != 3 {
+		t.Fatalf("plan %d, proof %v, asks with %d", x.snap.Plan.Version, x.snap.ProofAt, x.have[plan.Key])
+	}
+	if r := x.codec.(*numbers).reads; r != 2 {
+		t.Fatalf("%d reads", r)
+	}
+}
+
+func TestDocumentsFindTheirPlace(t *testing.T) {
+	x := fresh()
+	before := x.snap
+	ws := fleet.Table{Workers: []fleet.Worker{{ID: "w1", Service: "s"}}}
+	place := doc(t, fleet.PlacementKey+"s", 4, map[string]any{})
+	if _, err := x.hear(tells(abc[0], true, doc(t, fleet.WorkersKey, 3, ws), place, doc(t, "strange", 9, 1), doc(t, fleet.PlacementKey, 9, 1)), 0, start, start); err != nil {
+		t.Fatal(err)
+	}
+	if x.snap.Workers[0].ID != "w1" || x.snap.Placements["s"] == nil || len(x.snap.Placements) != 1 || before.Placements != nil {
+		t.Fatalf("%+v, before %+v", x.snap, before)
+	}
+	got := map[string]uint64{}
+	a := x.ask(time.Second)
+	for _, h := range a.Have {
+		got[h.Key] = h.Version
+	}
+	if len(a.Have) != 5 || got[fleet.WorkersKey] != 3 || got[fleet.PlacementKey+"s"] != 4 || got[fleet.PlacementKey] != 0 || a.Proof != plan.Key || a.HoldNs != 1e9 {
+		t.Fatalf("asks %v", a)
+	}
+	shown := x.snap
+	x.hear(tells(abc[0], true, doc(t, fleet.PlacementKey+"t", 1, map[string]any{}), doc(t, fleet.WorkersKey, 2, fleet.Table{})), 0, start, start)
+	if len(x.snap.Placements) != 2 || len(shown.Placements) != 1 || len(x.snap.Workers) != 1 {
+		t.Fatal("what was shown has changed, or workers went back")
+	}
+}
+
+func TestWhenWeightsWereNamed(t *testing.T) {
+	x := fresh()
+	b := x.b
+	name := func(v uint64, now time.Duration, named map[string]uint64) {
+		x.hear(tells(abc[0], true, doc(t, fleet.WeightsKey, v, fleet.Weights{Named: named})), 1, now, now)
+	}
+	name(1, start, map[string]uint64{"m": 1})
+	if at := x.snap.NamedAt["m"]; at != start-b.Weights(0.5) {
+		t.Fatalf("a naming found at the start counts from %v", at)
+	}
+	now := start + time.Minute
+	x.hear(tells(abc[1], true, planDoc(1)), 0, now, now)
+	x.hear(tells(abc[0], true), 1, now, now)
+	name(2, now+1, map[string]uint64{"m": 2, "n": 7})
+	name(3, now+2, map[string]uint64{"m": 2, "n": 8})
+	if a := x.snap.NamedAt; a["m"] != now+1 || a["n"] != now+2 {
+		t.Fatalf("in touch: named at %v", a)
+	}
+	name(4, now+b.Setup(2), map[string]uint64{"m": 3})
+	if a := x.snap.NamedAt; a["m"] != now || len(a) != 1 {
+		t.Fatalf("out of touch since %v: named at %v", now, a)
+	}
+	name(5, now+b.Weights(3), map[string]uint64{"m": 4})
+	if a := x.snap.NamedAt; a["m"] != now+b.Weights(2.5) {
+		t.Fatalf("out of touch for long: named at %v", a)
+	}
+}
+
+func nodes(edges int, gone int) (v roster.View) {
+	v.Nodes = append(v.Nodes, &wire.Node{Name: "archive/c", Role: "archive"})
+	for i := range edges {
+		n := &wire.Node{Name: "runner/" + strconv.Itoa(i), Role: "runner"}
+		if i < gone {
+			n.State = roster.Gone
+		}
+		v.Nodes = append(v.Nodes, n)
+	}
+	return v
+}
+
+func TestEdgesAreCountedWithThoseLatelyGone(t *testing.T) {
+	x := fresh()
+	x.see(roster.View{Nodes: []*wire.Node{{Name: "runner/0", Role: "runner"}}}, start+x.b.Leave(1))
+	if x.snap.Edges != unheard {
+		t.Fatalf("alone: %d edges", x.snap.Edges)
+	}
+	x = fresh()
+	if x.see(nodes(3, 0), start); x.snap.Edges != unheard {
+		t.Fatalf("just begun: %d edges", x.snap.Edges)
+	}
+	now := start + x.b.Leave(1)
+	v := nodes(3, 0)
+	if !x.see(v, now) || x.snap.Edges != 3 || x.see(v, now) {
+		t.Fatalf("%d edges", x.snap.Edges)
+	}
+	prove := func() { x.snap.ProofAt = now }
+	prove()
+	x.see(nodes(3, 2), now)
+	if x.snap.Edges != 3 {
+		t.Fatalf("just gone: %d edges", x.snap.Edges)
+	}
+	now += x.b.Heal(edgeMemory) + 1
+	if x.see(nodes(3, 2), now); x.snap.Edges != 3 {
+		t.Fatalf("out of touch with the core: %d edges", x.snap.Edges)
+	}
+	prove()
+	if x.see(nodes(3, 2), now); x.snap.Edges != 1 {
+		t.Fatalf("long gone: %d edges", x.snap.Edges)
+	}
+	if x.see(nodes(3, 3), now+x.b.Heal(2*edgeMemory)); x.snap.Edges != 1 {
+		t.Fatalf("none left: %d edges", x.snap.Edges)
+	}
+}
