Seek: tests of batching, misses, late nodes and numbered tellings

Cause: the edge's link to the index had no tests. Each order of a lost telling, a node that leaves and comes back and one without memory is told once.

--- /dev/null
+++ b/internal/seek/seek_test.go
@@ -0,0 +1,295 @@
+package seek
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+// index stands in for the index nodes: each a real core of its own behind a mood.
+type index struct {
+	mu    sync.Mutex
+	mood  map[string]string // by address: "", hangs, errors, cold
+	asked []string
+	keys  int
+	told  map[string][]*wire.CountAsk
+	held  map[prefix.Key]string
+	again bool
+	gate  chan struct{}
+}
+
+func (x *index) set(addr, mood string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.mood[addr] = mood
+}
+
+type node struct {
+	x    *index
+	addr string
+}
+
+func (n node) Seek(ctx context.Context, a *wire.LookAsk) (*wire.LookTell, error) {
+	n.x.mu.Lock()
+	n.x.asked = append(n.x.asked, n.addr)
+	n.x.keys += len(a.Keys)
+	mood, gate := n.x.mood[n.addr], n.x.gate
+	n.x.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	switch mood {
+	case "hangs":
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case "errors":
+		return nil, errors.New("down")
+	}
+	t := &wire.LookTell{Warm: mood != "cold"}
+	for _, k := range a.Keys {
+		f := &wire.Found{}
+		if h := n.x.held[prefix.Key(k)]; h != "" && mood != "cold" {
+			f.Holders = append(f.Holders, &wire.Holding{Worker: h, State: catalogue.Confirmed})
+		}
+		t.Found = append(t.Found, f)
+	}
+	return t, nil
+}
+
+func (n node) Count(ctx context.Context, a *wire.CountAsk) (*wire.CountTell, error) {
+	n.x.mu.Lock()
+	defer n.x.mu.Unlock()
+	if n.x.mood[n.addr] == "errors" {
+		return nil, errors.New("down")
+	}
+	n.x.told[n.addr] = append(n.x.told[n.addr], a)
+	again := n.x.again
+	n.x.again = false
+	return &wire.CountTell{Number: a.Number, Again: again}, nil
+}
+
+func (n node) Hottest(context.Context, *wire.HotAsk) (*wire.HotTell, error) { return nil, nil }
+
+func nodes() (l []*wire.Node) {
+	for i, d := range []string{"a", "b", "c", "d"} {
+		l = append(l, &wire.Node{Name: "catalogue/core-" + d, Role: "catalogue", District: d, Addr: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+	return l
+}
+
+func run(t *testing.T, x *index, f func(s *Seeker, serving []*wire.Node)) {
+	t.Helper()
+	if x.mood == nil {
+		x.mood = map[string]string{}
+	}
+	x.told = map[string][]*wire.CountAsk{}
+	synctest.Test(t, func(t *testing.T) {
+		ns := nodes()
+		serving := catalogue.Serving(ns)
+		w := daemon.World{Clock: clock.Ticking(), Wall: time.Now, Seed: func() uint64 { return 1 }}
+		l := daemon.NewIn(w, "edge", settings.Place{Name: "edge-1", District: serving[1].District, Bounds: settings.Default(), Extra: []string{"log=off"}})
+		s := start(l, func() []*wire.Node { return ns }, func(addr string) wire.Catalogue { return node{x, addr} })
+		f(s, serving)
+		l.Stop(time.Second)
+		synctest.Wait()
+	})
+}
+
+func pass(d time.Duration) {
+	<-time.NewTimer(d).C
+	synctest.Wait()
+}
+
+func key(i int) prefix.Key { return catalogue.KeyOf("s", fmt.Sprint(i)) }
+
+func keys(n int) (l []prefix.Key) {
+	for i := range n {
+		l = append(l, key(i))
+	}
+	return l
+}
+
+const wait = 12 * time.Millisecond
+
+// All keys of a question go in one call, to the serving node of this district.
+func TestOneCallAQuestion(t *testing.T) {
+	x := &index{held: map[prefix.Key]string{key(3): "w"}}
+	run(t, x, func(s *Seeker, serving []*wire.Node) {
+		m := s.Seek(context.Background(), keys(20), wait)
+		if len(m) != 20 || len(m[key(3)].Holders) != 1 || len(m[key(4)].Holders) != 0 {
+			t.Errorf("found %v", m)
+		}
+		if !slices.Equal(x.asked, []string{serving[1].Addr}) {
+			t.Errorf("asked %v, want %v alone", x.asked, serving[1].Addr)
+		}
+		if m = s.Seek(context.Background(), []prefix.Key{key(3)}, wait); len(m) != 1 || len(x.asked) != 1 {
+			t.Errorf("asked again at once: %v", x.asked)
+		}
+		pass(s.b.Heal(keepPart))
+		if s.Seek(context.Background(), []prefix.Key{key(3)}, wait); len(x.asked) != 2 {
+			t.Errorf("an old answer was gone by: %v", x.asked)
+		}
+		if s.Seek(context.Background(), nil, wait) != nil || len(x.asked) != 2 {
+			t.Errorf("asked for nothing: %v", x.asked)
+		}
+	})
+}
+
+// Questions that come while others are under way are joined into one call.
+func TestWaitingQuestionsAreJoined(t *testing.T) {
+	x := &index{}
+	run(t, x, func(s *Seeker, _ []*wire.Node) {
+		x.gate = make(chan struct{})
+		var wg sync.WaitGroup
+		ask := func(i int) {
+			wg.Go(func() { s.Seek(context.Background(), []prefix.Key{key(i), key(0)}, s.b.Heal(1)) })
+			synctest.Wait()
+		}
+		for i := range underway + 21 {
+			ask(i)
+		}
+		if len(x.asked) != underway {
+			t.Errorf("%d calls under way", len(x.asked))
+		}
+		close(x.gate)
+		wg.Wait()
+		// One question had been taken out of the ring already while the others waited in it.
+		if len(x.asked) != underway+1 || x.keys != 2*underway-1+22 {
+			t.Errorf("%d calls with %d keys", len(x.asked), x.keys)
+		}
+	})
+}
+
+func TestALateOrMissingAnswerIsAMiss(t *testing.T) {
+	x := &index{mood: map[string]string{}, held: map[prefix.Key]string{key(1): "w"}}
+	run(t, x, func(s *Seeker, serving []*wire.Node) {
+		x.set(serving[0].Addr, "hangs")
+		x.set(serving[1].Addr, "hangs")
+		from := s.clk.Now()
+		if m := s.Seek(context.Background(), keys(2), wait); m != nil || s.clk.Now()-from > wait {
+			t.Errorf("%v after %v", m, s.clk.Now()-from)
+		}
+		x.set(serving[0].Addr, "")
+		pass(time.Second)
+		if m := s.Seek(context.Background(), keys(2), wait); len(m[key(1)].GetHolders()) != 1 {
+			t.Errorf("the other holder wasn't asked in time: %v", m)
+		}
+		n := len(x.asked)
+		if s.Seek(context.Background(), keys(1), wait); x.asked[n] != serving[0].Addr || len(x.asked) != n+1 {
+			t.Errorf("the one that was late was asked first: %v", x.asked[n:])
+		}
+	})
+}
+
+func TestAnErrorOrAColdIndexIsMadeUpForByTheOther(t *testing.T) {
+	for _, mood := range []string{"errors", "cold"} {
+		x := &index{mood: map[string]string{}, held: map[prefix.Key]string{key(1): "w"}}
+		run(t, x, func(s *Seeker, serving []*wire.Node) {
+			x.set(serving[1].Addr, mood)
+			if m := s.Seek(context.Background(), keys(2), wait); len(m[key(1)].GetHolders()) != 1 || len(x.asked) != 2 {
+				t.Errorf("%s: %v, asked %v", mood, m, x.asked)
+			}
+		})
+	}
+	run(t, &index{}, func(s *Seeker, _ []*wire.Node) {
+		s.nodes = func() []*wire.Node { return nil }
+		if m := s.Seek(context.Background(), keys(2), wait); m != nil {
+			t.Errorf("no index: %v", m)
+		}
+	})
+}
+
+func part(i int) []prefix.Entry { return []prefix.Entry{{Key: key(i), Tokens: 100}} }
+
+// What is counted goes to both holders in numbered batches; one that wasn't acknowledged is sent
+// again as it was.
+func TestCountsAreToldInNumberedBatches(t *testing.T) {
+	x := &index{mood: map[string]string{}}
+	run(t, x, func(s *Seeker, serving []*wire.Node) {
+		for range 3 {
+			s.Count("llm", part(1), "w1", "")
+		}
+		s.Count("llm", part(1), "w2", "store")
+		pass(s.b.Heal(tellPart))
+		for _, n := range serving {
+			l := x.told[n.Addr]
+			if len(l) != 1 || len(l[0].Accesses) != 1 || l[0].Number != 1 || l[0].Accesses[0].Count != 4 ||
+				!slices.Equal(l[0].Accesses[0].Presumed, []string{"w1", "w2", "store"}) || !l[0].Accesses[0].Head {
+				t.Fatalf("%s was told %v", n.Addr, l)
+			}
+		}
+		pass(s.b.Heal(3 * tellPart))
+		if len(x.told[serving[0].Addr]) != 1 {
+			t.Error("told again though there was no news")
+		}
+		x.set(serving[0].Addr, "errors")
+		s.Count("llm", part(2), "w1", "")
+		pass(s.b.Heal(tellPart))
+		s.Count("llm", part(3), "w1", "")
+		x.set(serving[0].Addr, "")
+		pass(s.b.Heal(2 * tellPart))
+		l := x.told[serving[0].Addr][1:]
+		if len(l) != 2 || l[0].Number != 2 || l[1].Number != 3 || string(l[0].Accesses[0].Key) != string(part(2)[0].Key[:]) {
+			t.Errorf("after an error: %v", l)
+		}
+	})
+}
+
+func TestAnIndexWithoutMemoryIsToldTheWindow(t *testing.T) {
+	x := &index{}
+	run(t, x, func(s *Seeker, serving []*wire.Node) {
+		s.Count("llm", part(1), "w1", "")
+		pass(s.b.Heal(tellPart))
+		x.mu.Lock()
+		x.again = true
+		x.mu.Unlock()
+		s.Count("llm", part(2), "w1", "")
+		pass(s.b.Heal(2 * tellPart))
+		n := 0
+		for _, l := range x.told {
+			if len(l) == 3 {
+				n++
+				if len(l[2].Accesses) != 2 || len(l[2].Accesses[0].Presumed) != 0 {
+					t.Errorf("the window: %v", l[2])
+				}
+			}
+		}
+		if n != 1 {
+			t.Errorf("%d nodes were told the window", n)
+		}
+	})
+}
+
+// A node that serves no more and then serves again knows this edge's numbers: they go on.
+func TestNumbersGoOnWhenANodeComesBack(t *testing.T) {
+	x := &index{}
+	run(t, x, func(s *Seeker, serving []*wire.Node) {
+		all := s.nodes()
+		s.Count("llm", part(1), "w1", "")
+		pass(s.b.Heal(tellPart))
+		without := slices.DeleteFunc(slices.Clone(all), func(n *wire.Node) bool { return n.Name == serving[0].Name })
+		swap := func(l []*wire.Node) { s.desk.Ask(func(*table) { s.nodes = func() []*wire.Node { return l } }) }
+		swap(without)
+		s.Count("llm", part(2), "w1", "")
+		pass(s.b.Heal(2 * tellPart))
+		swap(all)
+		s.Count("llm", part(3), "w1", "")
+		pass(s.b.Heal(2 * tellPart))
+		l := x.told[serving[0].Addr]
+		if len(l) != 2 || l[1].Number != 2 {
+			t.Errorf("told %v", l)
+		}
+	})
+}
