Choice of worker: its rules' tests, and shared parts read once in a world of late news

Cause: nine edges that know nothing of each other must not read a shared part twice. Found by the tests: what a worker is still reading for this edge counted as a source for others, and a prompt that had ended still counted as being read.

--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -40,7 +40,7 @@
 	if x.w.District != q.r.District {
 		c += afarPart * q.target * rereadPart * float64(q.r.In)
 	}
-	if again := q.upto[min(o.shared, ps)] - q.upto[held] - opt.read; again > 0 && q.known(o, held) {
+	if again := q.upto[min(o.shared, ps)] - q.upto[held] - opt.read; again > 0 && o.kept>>held&1 == 1 {
 		c += q.read * again // somebody keeps it, and it would be read once more
 	}
 	if o.at >= 0 && !o.hot && o.home >= 0 && o.home != i {
@@ -54,16 +54,6 @@
 	return option{cost: c, read: missing, moved: opt.moved, from: opt.from}
 }
 
-// known tells whether anybody keeps the part that a worker lacks first.
-func (q *query) known(o *opening, held int) bool {
-	for _, x := range o.from {
-		if x.parts>>held&1 == 1 {
-			return true
-		}
-	}
-	return false
-}
-
 // fetch finds the one source that spares a worker the most. Its read is what it needn't read.
 func (q *query) fetch(i int, o *opening, held int) (best option) {
 	t, w := q.t, q.g.seats[i]
--- a/internal/pick/memo.go
+++ b/internal/pick/memo.go
@@ -162,13 +162,15 @@
 	}
 	delete(t.sent, k)
 	w.st.under--
+	if left := w.reading - (now - w.at); left > 0 {
+		w.st.busy -= left // it reads no more of that
+	}
 	if l != nil {
 		t.heard(w.st, l, now)
 	}
 	if first > 0 || e == Served {
 		t.confirm(c, w, now)
 	} else if e != Left && e != Unsure {
-		w.st.busy = max(now, w.st.busy-w.reading) // nothing was read
 		for _, key := range w.keys {
 			if m, ok := t.memo.get(key); ok {
 				m.drop(c.Worker.ID)
--- /dev/null
+++ b/internal/pick/pick_test.go
@@ -0,0 +1,600 @@
+package pick
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/placement"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+const start = time.Hour
+
+// edge is one edge machine's table with a clock moved by hand.
+type edge struct {
+	*table
+	s     *fleet.Snapshot
+	now   time.Duration
+	found map[prefix.Key]*wire.Found
+	n     int
+}
+
+func fleetOf(n int) *fleet.Snapshot {
+	s := &fleet.Snapshot{Edges: 9, Named: map[string]uint64{}, NamedAt: map[string]time.Duration{}, Placements: map[string]*placement.Placement{},
+		Plan: &plan.Plan{Services: []plan.Service{
+			{Name: "llm", Engine: &plan.Engine{Slots: 128, Room: 300000, TokenBytes: 18432, LinkMbps: 370000, Models: []string{"m"}}},
+			{Name: "app"},
+			{Name: "depot", Store: &plan.Store{Addr: "store:1", District: "d0", LinkMbps: 150000}}}}}
+	for i := range n {
+		s.Workers = append(s.Workers, fleet.Worker{ID: fmt.Sprint("w", i), Service: "llm", Addr: fmt.Sprintf("w%d:1", i),
+			District: fmt.Sprint("d", i%4), Slots: 128, Weights: map[string]uint64{"m": 1}})
+	}
+	return s
+}
+
+func newEdge(s *fleet.Snapshot) *edge {
+	return &edge{table: newTable(settings.Default(), start), s: s, now: start + time.Minute, found: map[prefix.Key]*wire.Found{}}
+}
+
+var route = &plan.Route{Kind: plan.Stream, Target: 400 * time.Millisecond, Priority: 4, Session: true}
+
+func (e *edge) ask(shared string, tokens int) *Request {
+	e.n++
+	r := &Request{ID: fmt.Sprint("r", e.n), Service: "llm", Route: route, District: "d0", Model: "m", In: tokens + 1000}
+	if shared != "" {
+		r.Parts = append(r.Parts, Part{shared, tokens})
+	}
+	r.Parts = append(r.Parts, Part{fmt.Sprint("own", e.n), 1000})
+	return r
+}
+
+func (e *edge) must(t *testing.T, r *Request, tried ...string) Choice {
+	t.Helper()
+	m := map[string]bool{}
+	for _, x := range tried {
+		m[x] = true
+	}
+	c, ok := e.pick(e.s, r, e.found, m, e.now)
+	if !ok {
+		t.Fatal("nobody was picked")
+	}
+	return c
+}
+
+// tell lets the index tell who keeps a part.
+func (e *edge) tell(part string, state uint32, holders ...string) {
+	f := &wire.Found{Hotness: 1}
+	for _, h := range holders {
+		f.Holders = append(f.Holders, &wire.Holding{Worker: h, State: state})
+	}
+	e.found[catalogue.KeyOf(salt("m", 1, nil), part)] = f
+}
+
+func (e *edge) serve(r *Request, c Choice, first time.Duration) {
+	e.send(r, c, e.now)
+	e.now += first
+	e.done(r, c, Served, nil, first, e.now)
+}
+
+// home is where a cold part is read.
+func (e *edge) home(t *testing.T, part string) string {
+	return newEdge(e.s).must(t, e.ask(part, 13000)).Worker.ID
+}
+
+func other(id string) string {
+	if id == "w7" {
+		return "w8"
+	}
+	return "w7"
+}
+
+// Several edges that know nothing of each other send a cold part to one worker, from any district.
+func TestAColdPartIsReadAtOnePlace(t *testing.T) {
+	s := fleetOf(18)
+	seen := map[string]bool{}
+	for p := range 40 {
+		part, at := fmt.Sprint("p", p), ""
+		for d := range 4 {
+			e := newEdge(s)
+			e.n = 100 * d
+			r := e.ask(part, 13000)
+			r.District = fmt.Sprint("d", d)
+			c := e.must(t, r)
+			if at != "" && at != c.Worker.ID {
+				t.Errorf("%s: %s and %s", part, at, c.Worker.ID)
+			}
+			at = c.Worker.ID
+		}
+		seen[at] = true
+	}
+	if len(seen) < 12 {
+		t.Errorf("40 parts on %d of 18 workers", len(seen))
+	}
+}
+
+func TestAHolderIsPicked(t *testing.T) {
+	e := newEdge(fleetOf(18))
+	h := other(e.home(t, "p"))
+	e.tell("p", catalogue.Confirmed, h)
+	c := e.must(t, e.ask("p", 13000))
+	if c.Worker.ID == h && c.Fetch != "" || c.Worker.ID != h && c.Fetch != h+":1" {
+		t.Errorf("%s, fetching from %q; %s keeps it", c.Worker.ID, c.Fetch, h)
+	}
+	// What is only presumed may not be there yet: it isn't worth the risk.
+	e.tell("p", catalogue.Presumed, h)
+	if c = e.must(t, e.ask("p", 13000)); c.Worker.ID != h {
+		t.Errorf("%s, though %s is reading it", c.Worker.ID, h)
+	}
+}
+
+func TestALoadedHolderIsSpared(t *testing.T) {
+	e := newEdge(fleetOf(18))
+	h := e.home(t, "p")
+	e.tell("p", catalogue.Confirmed, h)
+	if c := e.must(t, e.ask("p", 13000)); c.Worker.ID != h || c.Fetch != "" {
+		t.Fatalf("calm: %s, %q", c.Worker.ID, c.Fetch)
+	}
+	for _, w := range e.s.Workers {
+		l := Load{Running: 10, Slots: 128}
+		if w.ID == h {
+			l = Load{Running: 128, Waiting: 200, Slots: 128}
+		}
+		x := e.lay(e.s).groups["llm"].seats[e.v.groups["llm"].at[w.ID]]
+		e.heard(x.st, &l, e.now)
+	}
+	c := e.must(t, e.ask("p", 13000))
+	if c.Worker.ID == h || c.Fetch != h+":1" {
+		t.Errorf("loaded: %s, fetching from %q", c.Worker.ID, c.Fetch)
+	}
+	e.now += e.b.Heal(1) // an old word says nothing
+	if c := e.must(t, e.ask("p", 13000)); c.Worker.ID != h {
+		t.Errorf("later: %s", c.Worker.ID)
+	}
+}
+
+func TestTheNearSourceIsTakenAndTheStoreLast(t *testing.T) {
+	e := newEdge(fleetOf(18))
+	h := e.home(t, "p")
+	i := e.lay(e.s).groups["llm"].at[h]
+	near, far := "", ""
+	for j, w := range e.s.Workers {
+		switch {
+		case j == i:
+		case j%4 == i%4:
+			near = w.ID
+		case far == "":
+			far = w.ID
+		}
+	}
+	cases := []struct {
+		holders []string
+		want    string
+	}{{[]string{far, near, "depot"}, near + ":1"}, {[]string{"depot"}, "store:1"}}
+	for _, x := range cases {
+		e.tell("p", catalogue.Confirmed, x.holders...)
+		tried := map[string]bool{}
+		for _, id := range append(x.holders, far, near) {
+			tried[id] = true
+		}
+		c, _ := e.pick(e.s, e.ask("p", 13000), e.found, tried, e.now)
+		if c.Worker.ID != h || c.Fetch != x.want {
+			t.Errorf("%v: %s fetches from %q, want %s from %q", x.holders, c.Worker.ID, c.Fetch, h, x.want)
+		}
+	}
+	e.found[catalogue.UpKey("depot")] = &wire.Found{}
+	if c := e.must(t, e.ask("p", 13000)); c.Fetch != "" || c.Save != "" {
+		t.Errorf("the store is down: fetch %q save %q", c.Fetch, c.Save)
+	}
+	e.found[catalogue.UpKey("depot")] = &wire.Found{Holders: []*wire.Holding{{Worker: "depot"}}}
+	if c := e.must(t, e.ask("p", 13000)); c.Fetch != "store:1" {
+		t.Errorf("the store is back: fetch %q", c.Fetch)
+	}
+}
+
+// A worker's moves run one after another: the next comes from elsewhere.
+func TestABusySourceIsSpared(t *testing.T) {
+	e := newEdge(fleetOf(4))
+	h := e.home(t, "p")
+	e.tell("p", catalogue.Confirmed, other("w9"), "w0", "w1", "w2", "w3")
+	g := e.lay(e.s).groups["llm"]
+	q := &query{t: e.table, s: e.s, r: e.ask("p", 13000), g: g, m: g.serve("m"), model: "m", found: e.found, now: e.now, cs: []int{g.at[h]}}
+	q.pick()
+	o := q.open(1)
+	clear(e.maybe)
+	first := q.fetch(g.at[h], o, 0)
+	if first.from == nil {
+		t.Fatal("no source")
+	}
+	first.from.st.moves = e.now + time.Second
+	if second := q.fetch(g.at[h], o, 0); second.from == nil || second.from == first.from {
+		t.Errorf("again from %v", second.from)
+	}
+}
+
+func TestSharedPartsAreSavedOnceAndOwnOnesNever(t *testing.T) {
+	e := newEdge(fleetOf(18))
+	r := e.ask("p", 13000)
+	c := e.must(t, r)
+	if c.Save != "store:1" {
+		t.Fatalf("a cold shared part: save %q", c.Save)
+	}
+	e.serve(r, c, 100*time.Millisecond)
+	if c = e.must(t, e.ask("p", 13000)); c.Save != "" {
+		t.Error("saved twice")
+	}
+	if c = e.must(t, e.ask("", 0)); c.Save != "" || c.Fetch != "" {
+		t.Errorf("an own part: save %q fetch %q", c.Save, c.Fetch)
+	}
+	e.tell("q", catalogue.Confirmed, "depot")
+	if c = e.must(t, e.ask("q", 13000)); c.Save != "" {
+		t.Error("saved though the index knows that the store has it")
+	}
+	// What comes again is a session's: then it is worth keeping.
+	a := e.ask("", 0)
+	e.serve(a, e.must(t, a), 50*time.Millisecond)
+	b := e.ask("", 0)
+	b.Parts[0].ID = a.Parts[0].ID
+	if c := e.must(t, b); c.Save != "store:1" {
+		t.Errorf("a session's part: save %q", c.Save)
+	}
+	// An attempt that never ran saved nothing.
+	f := e.ask("z", 13000)
+	c = e.must(t, f)
+	e.send(f, c, e.now)
+	e.done(f, c, Full, nil, 0, e.now)
+	if c = e.must(t, e.ask("z", 13000)); c.Save == "" {
+		t.Error("a refused attempt counts as saved")
+	}
+}
+
+func TestWeightsAreThoseOfTheRow(t *testing.T) {
+	e := newEdge(fleetOf(6))
+	for i := range e.s.Workers {
+		e.s.Workers[i].Weights = map[string]uint64{"m": uint64(1 + i%2)}
+	}
+	for range 30 {
+		c := e.must(t, e.ask("p"+fmt.Sprint(e.n), 1000))
+		if c.Weights != c.Worker.Weights["m"] || !strings.HasPrefix(c.Salt, fmt.Sprint(c.Weights, ".")) {
+			t.Fatalf("weights %d and text %q at a worker with %d", c.Weights, c.Salt, c.Worker.Weights["m"])
+		}
+	}
+}
+
+// Older weights are picked until a ratio of their bound; with time all goes to the newest.
+func TestOlderWeightsAreLeftInTime(t *testing.T) {
+	s := fleetOf(9)
+	s.Named["m"], s.NamedAt["m"] = 2, start+time.Minute
+	e := newEdge(s)
+	old := func() (n int) {
+		for range 60 {
+			if c, ok := e.pick(e.s, e.ask("p"+fmt.Sprint(e.n), 1000), nil, nil, e.now); ok && c.Weights < 2 {
+				n++
+			}
+		}
+		return n
+	}
+	if n := old(); n != 60 {
+		t.Errorf("nobody has the newest: %d of 60 on the old", n)
+	}
+	next := func(newest int) {
+		c := *s
+		c.Workers = append([]fleet.Worker(nil), s.Workers...)
+		for i := range newest {
+			c.Workers[i].Weights = map[string]uint64{"m": 2}
+		}
+		e.s = &c
+	}
+	if next(6); old() > 30 {
+		t.Errorf("most have the newest: %d of 60 on the old", old())
+	}
+	e.now = s.NamedAt["m"] + e.b.Weights(0.84)
+	if next(1); old() == 0 {
+		t.Error("one has the newest: none on the old")
+	}
+	e.now = s.NamedAt["m"] + e.b.Weights(0.86)
+	if n := old(); n != 0 {
+		t.Errorf("past the bound: %d of 60 on the old", n)
+	}
+	next(0)
+	if _, ok := e.pick(e.s, e.ask("p", 1000), nil, nil, e.now); ok {
+		t.Error("past the bound nobody has the newest, and one was picked")
+	}
+	// A process that began later doesn't know how long the bound has run.
+	e = newEdge(s)
+	e.now = start + time.Second
+	s.NamedAt["m"] = start
+	if next(1); old() != 0 {
+		t.Error("a young process picked older weights though the newest are there")
+	}
+}
+
+func TestRollingAndLoadingWorkersAreAvoided(t *testing.T) {
+	s := fleetOf(4)
+	s.Named["m"], s.NamedAt["m"] = 2, start+time.Minute
+	s.Placements["llm"] = &placement.Placement{Rolling: []string{"w0", "w1"}}
+	e := newEdge(s)
+	at := func() map[string]int {
+		m := map[string]int{}
+		for range 40 {
+			m[e.must(t, e.ask("p"+fmt.Sprint(e.n), 1000)).Worker.ID]++
+		}
+		return m
+	}
+	if m := at(); m["w0"]+m["w1"] != 0 {
+		t.Errorf("rolling ones: %v", m)
+	}
+	r := e.ask("p", 1000)
+	c := e.must(t, r, "w0", "w1", "w2")
+	if c.Worker.ID != "w3" {
+		t.Fatalf("picked %s", c.Worker.ID)
+	}
+	e.send(r, c, e.now)
+	e.done(r, c, Loading, nil, 0, e.now)
+	if m := at(); m["w3"] != 0 {
+		t.Errorf("a loading one: %v", m)
+	}
+	if c := e.must(t, r, "w2", "w3"); c.Worker.ID != "w0" && c.Worker.ID != "w1" {
+		t.Errorf("nobody else is left, yet %s", c.Worker.ID)
+	}
+	n := *s
+	n.Workers = append([]fleet.Worker(nil), s.Workers...)
+	n.Workers[3].Weights = map[string]uint64{"m": 2}
+	n.Placements = nil
+	e.s = &n
+	if c := e.must(t, e.ask("p", 1000), "w0", "w1", "w2"); c.Worker.ID != "w3" || c.Weights != 2 {
+		t.Errorf("its row changed: %s on %d", c.Worker.ID, c.Weights)
+	}
+	e.s = s
+	e.now += e.b.Heal(loadPart)
+	if m := at(); m["w3"] == 0 {
+		t.Errorf("its row may lag no longer: %v", m)
+	}
+}
+
+// No two of different walls, models or versions share a text, whatever they are called.
+func TestTextsOfWallsModelsAndVersionsDiffer(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	names := []string{"", ".", "a", "a.b", "a.", ".a", "1", "1.a", "b c", "a\x00", "ñ", "%2E", "1.1.a", "a/b", "+"}
+	type wall struct {
+		model, name string
+		version     uint64
+	}
+	seen := map[string]wall{}
+	check := func(w wall, t0 *plan.Tenant) {
+		s := salt(w.model, w.version, t0)
+		if old, ok := seen[s]; ok && old != w {
+			t.Fatalf("%q is the text of %+v and %+v", s, old, w)
+		}
+		seen[s] = w
+		if strings.ContainsAny(s, "\x00 \r\n") {
+			t.Fatalf("%q can't stand in a header", s)
+		}
+	}
+	for range 20000 {
+		m, n, v := names[r.IntN(len(names))], names[r.IntN(len(names))], uint64(r.IntN(13))
+		if r.IntN(4) == 0 {
+			m += names[r.IntN(len(names))]
+		}
+		check(wall{m, "isolated " + n, v}, &plan.Tenant{Name: n, Isolated: true})
+		check(wall{m, "", v}, &plan.Tenant{Name: n})
+		check(wall{m, "", v}, nil)
+	}
+}
+
+// Memory of one wall is never offered to another, whatever the index and this edge know.
+func TestWallsAreNeverShared(t *testing.T) {
+	e := newEdge(fleetOf(6))
+	e.tell("p", catalogue.Confirmed, "w1", "w2", "depot")
+	a := &plan.Tenant{Name: "a", Isolated: true, Priority: -1}
+	r := e.ask("p", 13000)
+	e.serve(r, e.must(t, r), 10*time.Millisecond)
+	r = e.ask("p", 13000)
+	r.Tenant = a
+	c := e.must(t, r)
+	if c.Fetch != "" && c.Fetch != "store:1" || c.Salt == salt("m", 1, nil) || c.Save == "" {
+		t.Errorf("an isolated tenant: %+v", c)
+	}
+	for _, k := range e.table.plans.now {
+		for _, x := range k.keys {
+			if e.found[x] != nil {
+				t.Error("looks under another wall's text")
+			}
+		}
+	}
+	// Workers that don't tell their version share nothing while versions are named.
+	s := fleetOf(3)
+	for i := range s.Workers {
+		s.Workers[i].Weights = nil
+	}
+	s.Named["m"] = 1
+	e = newEdge(s)
+	if x, y := e.must(t, e.ask("p", 100)), e.must(t, e.ask("p", 100)); x.Salt == y.Salt {
+		t.Errorf("two requests share %q at workers of unknown version", x.Salt)
+	}
+}
+
+func TestUrgency(t *testing.T) {
+	for _, x := range []struct{ route, tenant, want int }{{4, -1, 4}, {4, 0, 0}, {0, 7, 7}, {12, -1, 9}, {-3, -1, 0}} {
+		r := &Request{Route: &plan.Route{Priority: x.route}, Tenant: &plan.Tenant{Priority: x.tenant}}
+		if got := urgency(r); got != x.want {
+			t.Errorf("%+v: %d", x, got)
+		}
+	}
+	if urgency(&Request{Route: &plan.Route{Priority: 3}}) != 3 {
+		t.Error("a public route")
+	}
+}
+
+// However many attempts break, two thirds of the workers stay in, and none alone is left out.
+func TestEjectionHasAFloor(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 7, 18} {
+		for bad := range n + 1 {
+			e := newEdge(fleetOf(n))
+			g := e.lay(e.s).groups["llm"]
+			var l []int
+			for i := range n {
+				l = append(l, i)
+				if i < bad {
+					for range i%3 + 1 {
+						e.strike(g.seats[i].st, e.now)
+					}
+				}
+			}
+			in := e.eject(g, l, e.now)
+			if len(in) == 0 || n-len(in) > n/3 {
+				t.Errorf("%d of %d broke: %d left in", bad, n, len(in))
+			}
+			if bad > 0 && bad <= n/3 && len(in) != n-bad {
+				t.Errorf("%d of %d broke, and %d are out", bad, n, n-len(in))
+			}
+		}
+	}
+}
+
+func TestBrokenWorkersAreAvoidedLongerEachTime(t *testing.T) {
+	e := newEdge(fleetOf(9))
+	x := e.lay(e.s).groups["llm"].seats[0].st
+	last := time.Duration(0)
+	for i := range 4 {
+		e.strike(x, e.now)
+		if d := x.outUntil - e.now; d <= last {
+			t.Errorf("strike %d: out for %v after %v", i, d, last)
+		} else {
+			last = d
+		}
+		e.now = x.outUntil
+		if b := x.back(e.now); b <= 0 || x.back(e.now+x.outFor/2) >= b || x.back(e.now+x.outFor) != 0 {
+			t.Error("it isn't trusted again little by little")
+		}
+	}
+	for range 9 {
+		e.strike(x, e.now)
+	}
+	if x.outUntil-e.now > e.b.Heal(outMost) {
+		t.Errorf("out for %v", x.outUntil-e.now)
+	}
+	e.now = x.outUntil + time.Minute
+	for range 20 {
+		e.fine(x, e.now)
+	}
+	if x.strikes != 0 || x.bad > 0.05 {
+		t.Errorf("%d strikes, %.2f bad after twenty good endings", x.strikes, x.bad)
+	}
+}
+
+func TestEndingsSayWhatTheySay(t *testing.T) {
+	for e0, avoided := range map[Ending]bool{Served: false, Full: true, Loading: true, Moved: true, Unfit: true, Left: false, Unsure: true} {
+		e := newEdge(fleetOf(6))
+		r := e.ask("p", 13000)
+		c := e.must(t, r)
+		e.send(r, c, e.now)
+		e.done(r, c, e0, nil, 0, e.now)
+		if d := e.must(t, e.ask("p", 13000)); (d.Worker.ID != c.Worker.ID) != avoided {
+			t.Errorf("ending %d: then %s after %s", e0, d.Worker.ID, c.Worker.ID)
+		}
+		if len(e.sent) != 0 || e.v.groups["llm"].seats[e.v.groups["llm"].at[c.Worker.ID]].st.under != 0 {
+			t.Errorf("ending %d leaves an attempt under way", e0)
+		}
+		e.done(r, c, e0, nil, 0, e.now) // told twice
+		if e.v.groups["llm"].seats[e.v.groups["llm"].at[c.Worker.ID]].st.under != 0 {
+			t.Errorf("ending %d counts twice", e0)
+		}
+	}
+}
+
+func TestSlowWorkersArePickedLess(t *testing.T) {
+	e := newEdge(fleetOf(4))
+	at := map[string]int{}
+	for range 400 {
+		r := e.ask("", 0)
+		c := e.must(t, r)
+		at[c.Worker.ID]++
+		first := 40 * time.Millisecond
+		if c.Worker.ID == "w2" {
+			first *= 6
+		}
+		e.serve(r, c, first)
+	}
+	if at["w2"]*3 > at["w1"] {
+		t.Errorf("picked: %v", at)
+	}
+}
+
+func TestDrainingTriedAndUnlistedAreNeverPicked(t *testing.T) {
+	s := fleetOf(4)
+	s.Workers[0].Draining = true
+	e := newEdge(s)
+	e.tell("p", catalogue.Confirmed, "w0", "gone")
+	for range 20 {
+		c := e.must(t, e.ask("p", 13000), "w1")
+		if c.Worker.ID == "w0" || c.Worker.ID == "w1" {
+			t.Fatalf("picked %s", c.Worker.ID)
+		}
+		if c.Fetch != "w0:1" {
+			t.Errorf("a draining worker still gives what it keeps: fetch %q", c.Fetch)
+		}
+	}
+	if _, ok := e.pick(s, e.ask("p", 100), nil, map[string]bool{"w1": true, "w2": true, "w3": true}, e.now); ok {
+		t.Error("picked though all were tried or drain")
+	}
+	if _, ok := e.pick(s, &Request{ID: "x", Service: "none", Route: route}, nil, nil, e.now); ok {
+		t.Error("picked for a service that isn't there")
+	}
+}
+
+func TestPlainServices(t *testing.T) {
+	s := fleetOf(0)
+	for i := range 8 {
+		s.Workers = append(s.Workers, fleet.Worker{ID: fmt.Sprint("a", i), Service: "app", Addr: fmt.Sprint("a", i), District: fmt.Sprint("d", i%2), Slots: 2})
+	}
+	e := newEdge(s)
+	s.Edges = 1
+	at := map[string]int{}
+	for i := range 12 {
+		r := &Request{ID: fmt.Sprint("x", i), Service: "app", Route: route, District: "d0"}
+		c := e.must(t, r)
+		if c.Salt+c.Fetch+c.Save != "" || c.Urgency != -1 || c.Weights != 0 {
+			t.Fatalf("%+v", c)
+		}
+		e.send(r, c, e.now)
+		at[c.Worker.District]++
+		if i < 2 && c.Worker.District != "d0" {
+			t.Errorf("request %d goes to %s", i, c.Worker.District)
+		}
+	}
+	if at["d0"] < 4 || at["d1"] == 0 {
+		t.Errorf("by district: %v", at)
+	}
+}
+
+// What this edge saw itself lately needs no call to the index.
+func TestTheIndexIsAskedOnlyForWhatIsUnknown(t *testing.T) {
+	e := newEdge(fleetOf(6))
+	ask := func(r *Request) int { return len(e.table.ask(e.s, r, e.now)) }
+	if ask(e.ask("", 0)) != 0 {
+		t.Error("asked for a prompt that shares nothing")
+	}
+	r := e.ask("p", 1000)
+	if ask(r) != 3 { // both parts, and whether the store answers
+		t.Errorf("asked for %d keys", ask(r))
+	}
+	e.serve(r, e.must(t, r), 50*time.Millisecond)
+	if n := ask(e.ask("p", 1000)); n != 0 {
+		t.Errorf("asked for %d keys of a part that was just read", n)
+	}
+	e.now += e.b.Heal(freshPart)
+	if ask(e.ask("p", 1000)) == 0 {
+		t.Error("goes by old memory")
+	}
+	if ask(&Request{ID: "x", Service: "app", Route: route, Parts: r.Parts}) != 0 {
+		t.Error("asked for a service that keeps nothing")
+	}
+}
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -45,6 +45,7 @@
 	fadePart   = 1.0 / 24 // of a word on load
 	forgetPart = 0.5      // of a worker's slowness
 	fullPart   = 1.0 / 96
+	soonPart   = 1.0 / 24 // a prompt sent is read by then
 	loadPart   = 1.0 / 24
 	movedPart  = 1.0 / 12
 	outPart    = 1.0 / 48
@@ -111,7 +112,8 @@
 	mean   float64 // of what others have at a worker
 	sweep  time.Duration
 	sure   []uint64 // scratch, by seat: parts kept
-	maybe  []uint64
+	maybe  []uint64 // presumed as well
+	soon   []uint64 // being read for this edge
 	loads  []float64
 }
 
--- a/internal/pick/weigh.go
+++ b/internal/pick/weigh.go
@@ -45,6 +45,7 @@
 	home    int
 	from    []source
 	stores  []uint64
+	kept    uint64 // parts that somebody is known to keep, or to read right now
 }
 
 // source is a worker or store that keeps some of the parts.
@@ -120,7 +121,7 @@
 	q.own = max(0, float64(q.r.In)-q.upto[len(ps)])
 	q.stores()
 	t := q.t
-	t.sure, t.maybe = scratch(t.sure, len(q.g.seats)), scratch(t.maybe, len(q.g.seats))
+	t.sure, t.maybe, t.soon = scratch(t.sure, len(q.g.seats)), scratch(t.maybe, len(q.g.seats)), scratch(t.soon, len(q.g.seats))
 	t.loads = scratch(t.loads, len(q.g.seats))
 	for _, i := range q.cs {
 		t.loads[i] = t.load(q.g.seats[i].st, q.s.Edges, q.now)
@@ -168,24 +169,32 @@
 	t, ps := q.t, q.r.parts()
 	o := &opening{weights: v, text: q.text(v), keys: make([]prefix.Key, len(ps)), home: -1, at: -1,
 		stores: make([]uint64, len(q.g.stores))}
-	storesSure := make([]uint64, len(q.g.stores))
-	note := func(id string, bit uint64, sure bool) {
+	storesSure, storesSoon := make([]uint64, len(q.g.stores)), make([]uint64, len(q.g.stores))
+	note := func(id string, bit uint64, sure, soon bool) {
 		if i, ok := q.g.at[id]; ok {
 			if q.m.by[i] != v {
 				return
 			}
 			t.maybe[i] |= bit
+			o.kept |= bit
 			if sure {
 				t.sure[i] |= bit
 			}
+			if soon {
+				t.soon[i] |= bit
+			}
 			return
 		}
 		for i, x := range q.g.stores {
 			if x.svc.Name == id {
 				o.stores[i] |= bit
+				o.kept |= bit
 				if sure {
 					storesSure[i] |= bit
 				}
+				if soon {
+					storesSoon[i] |= bit
+				}
 			}
 		}
 	}
@@ -197,16 +206,16 @@
 		f, told := q.found[k]
 		o.told = o.told || told
 		for _, h := range f.GetHolders() {
-			note(h.Worker, bit, h.State == catalogue.Confirmed)
+			note(h.Worker, bit, h.State == catalogue.Confirmed, false)
 		}
 		m, mine := t.memo.get(k)
 		for _, h := range m.holders {
 			if h.id != "" && q.now-h.at < t.b.Heal(memoPart) {
-				note(h.id, bit, h.sure)
+				note(h.id, bit, h.sure, !h.sure && q.now-h.at < t.b.Heal(soonPart))
 			}
 		}
 		if m.saved > 0 && q.now-m.saved < t.b.Heal(savedPart) {
-			note(m.store, bit, false)
+			note(m.store, bit, false, q.now-m.saved < t.b.Heal(soonPart))
 		}
 		if i == len(ps)-1 && (mine && m.by != q.r.ID || m.again || !q.retry && len(f.GetHolders()) > 0 || f.GetHotness() > 0) {
 			o.shared = len(ps) // a session's, or asked once more
@@ -216,14 +225,11 @@
 	if o.at < 0 && o.shared > 0 {
 		o.at = 0
 	}
-	q.sources(o, storesSure)
+	q.sources(o, storesSure, storesSoon)
 	if o.at >= 0 {
 		o.hot = q.s.Placements[q.g.svc.Name].Hot(o.keys[o.at])
 		need := uint64(1) << o.at
-		o.cold = true
-		for _, x := range o.from {
-			o.cold = o.cold && x.parts&need == 0
-		}
+		o.cold = o.kept&need == 0
 		q.settle(o)
 	}
 	return o
@@ -240,13 +246,14 @@
 }
 
 // sources lists those that keep any of the prompt, few enough to weigh all against all.
-func (q *query) sources(o *opening, sure []uint64) {
+func (q *query) sources(o *opening, sure, soon []uint64) {
 	t, e := q.t, q.g.svc.Engine
 	for i, x := range q.g.seats {
-		if t.maybe[i] == 0 || q.m.by[i] != o.weights || q.now < x.st.outUntil {
+		parts := t.maybe[i] &^ (t.soon[i] &^ t.sure[i]) // what it is reading it can't give yet
+		if parts == 0 || q.m.by[i] != o.weights || q.now < x.st.outUntil {
 			continue
 		}
-		s := source{st: x.st, seat: i, addr: x.w.Addr, district: x.w.District, parts: t.maybe[i], sure: t.sure[i], pipe: pipe(e, e.LinkMbps)}
+		s := source{st: x.st, seat: i, addr: x.w.Addr, district: x.w.District, parts: parts, sure: t.sure[i], pipe: pipe(e, e.LinkMbps)}
 		if len(o.from) < sources {
 			o.from = append(o.from, s)
 			continue
@@ -262,9 +269,9 @@
 		}
 	}
 	for i, x := range q.g.stores {
-		if o.stores[i] != 0 && !t.down[x.svc.Name] {
+		if parts := o.stores[i] &^ (soon[i] &^ sure[i]); parts != 0 && !t.down[x.svc.Name] {
 			o.from = append(o.from, source{st: x.st, seat: -1, addr: x.svc.Store.Addr, district: x.svc.Store.District,
-				parts: o.stores[i], sure: sure[i], pipe: pipe(e, x.svc.Store.LinkMbps)})
+				parts: parts, sure: sure[i], pipe: pipe(e, x.svc.Store.LinkMbps)})
 		}
 	}
 }
