Habits by service; silent index nodes are probed now and then

Cause: one mean of loads and first pieces mixed services that differ, and while all index nodes were silent each request waited for them in turn. Ruled out: leaving silent nodes alone for a whole pause - a miss may cost a second reading, so one look-up in a while finds out.

--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -29,9 +29,9 @@
 	missing := q.upto[ps] - q.upto[held] + q.own
 	slots := float64(max(1, x.w.Slots))
 	load := t.loads[i]
-	c := crowd*t.span*load/slots + noise*q.target*float64(mix(q.hash^x.hash)>>11)/(1<<53)
+	c := crowd*q.h.span*load/slots + noise*q.target*float64(mix(q.hash^x.hash)>>11)/(1<<53)
 	if load >= slots {
-		c += (load - slots + 1) / slots * t.span
+		c += (load - slots + 1) / slots * q.h.span
 	}
 	if x.w.District != q.r.District {
 		c += afarPart * q.target * rereadPart * float64(q.r.In)
@@ -41,20 +41,20 @@
 		if o.cold {
 			lean = leanCold
 		}
-		c += lean * (q.read + t.bb) * q.upto[o.at+1]
+		c += lean * (q.read + q.h.b) * q.upto[o.at+1]
 	}
 	c += x.st.back(q.now) * backCost * q.target
 	slow := t.slowness(x.st, q.now)
-	c += slow * (t.a + max(0, x.st.busy-q.now).Seconds()*1e3 + t.others(x.st, q.now))
+	c += slow * (q.h.a + max(0, x.st.busy-q.now).Seconds()*1e3 + t.others(x.st, q.now))
 	shared := max(0, q.upto[min(o.shared, ps)]-q.upto[held])
-	if could := c + slow*t.bb*(missing-shared); could >= least {
+	if could := c + slow*q.h.b*(missing-shared); could >= least {
 		return option{cost: could}
 	}
 	if shared > 0 {
 		opt = q.fetch(i, o, held)
 		missing, shared = missing-opt.read, shared-opt.read
 	}
-	c += slow*t.bb*missing + opt.cost
+	c += slow*q.h.b*missing + opt.cost
 	if shared > 0 && o.kept>>held&1 == 1 {
 		c += q.read * shared // somebody keeps it, and it would be read once more
 	}
@@ -63,7 +63,7 @@
 
 // fetch finds the one source that spares a worker the most. Its read is what it needn't read.
 func (q *query) fetch(i int, o *opening, held int) (best option) {
-	t, w := q.t, &q.g.seats[i]
+	w := &q.g.seats[i]
 	gain := 0.0
 	for j := range o.from {
 		s := &o.from[j]
@@ -81,9 +81,9 @@
 		}
 		cost := ms + max(0, max(s.st.moves, w.st.moves)-q.now).Seconds()*1e3 + tokens*q.read*movePart
 		if sure := min(run(s.sure, held), n); sure < n {
-			cost += risk * (q.read + t.bb) * (q.upto[held+n] - q.upto[held+sure])
+			cost += risk * (q.read + q.h.b) * (q.upto[held+n] - q.upto[held+sure])
 		}
-		if g := tokens*(t.bb+q.read) - cost; g > gain {
+		if g := tokens*(q.h.b+q.read) - cost; g > gain {
 			gain, best = g, option{cost: cost, read: tokens, moved: ms, from: s}
 		}
 	}
@@ -95,7 +95,7 @@
 	if !x.spoke {
 		return 0
 	}
-	return fade(now-x.headAt, t.b.Heal(fadePart)) * x.headWait * t.tokens * t.bb
+	return fade(now-x.headAt, t.b.Heal(fadePart)) * x.headWait * x.h.tokens * x.h.b
 }
 
 // choice says how the placement takes effect on the worker picked.
--- /dev/null
+++ b/internal/pick/health_test.go
@@ -0,0 +1,101 @@
+package pick
+
+import (
+	"testing"
+	"time"
+)
+
+// However many attempts break, two thirds of the workers stay in, and none alone is left out.
+func TestEjectionHasAFloor(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 7, 18} {
+		for bad := range n + 1 {
+			e := newEdge(fleetOf(n))
+			g := e.lay(e.s).groups["llm"]
+			var l []int
+			for i := range n {
+				l = append(l, i)
+				if i < bad {
+					for range i%3 + 1 {
+						e.strike(g.seats[i].st, e.now)
+					}
+				}
+			}
+			in := e.eject(g, l, e.now)
+			if len(in) == 0 || n-len(in) > n/3 {
+				t.Errorf("%d of %d broke: %d left in", bad, n, len(in))
+			}
+			if bad > 0 && bad <= n/3 && len(in) != n-bad {
+				t.Errorf("%d of %d broke, and %d are out", bad, n, n-len(in))
+			}
+		}
+	}
+}
+
+func TestBrokenWorkersAreAvoidedLongerEachTime(t *testing.T) {
+	e := newEdge(fleetOf(9))
+	x := e.lay(e.s).groups["llm"].seats[0].st
+	last := time.Duration(0)
+	for i := range 4 {
+		e.strike(x, e.now)
+		if d := x.outUntil - e.now; d <= last {
+			t.Errorf("strike %d: out for %v after %v", i, d, last)
+		} else {
+			last = d
+		}
+		e.now = x.outUntil
+		if b := x.back(e.now); b <= 0 || x.back(e.now+x.outFor/2) >= b || x.back(e.now+x.outFor) != 0 {
+			t.Error("it isn't trusted again little by little")
+		}
+	}
+	for range 9 {
+		e.strike(x, e.now)
+	}
+	if x.outUntil-e.now > e.b.Heal(outMost) {
+		t.Errorf("out for %v", x.outUntil-e.now)
+	}
+	e.now = x.outUntil + time.Minute
+	for range 20 {
+		e.fine(x, e.now)
+	}
+	if x.strikes != 0 || x.bad > 0.05 {
+		t.Errorf("%d strikes, %.2f bad after twenty good endings", x.strikes, x.bad)
+	}
+}
+
+func TestEndingsSayWhatTheySay(t *testing.T) {
+	for e0, avoided := range map[Ending]bool{Served: false, Full: true, Loading: true, Moved: true, Unfit: true, Left: false, Unsure: true} {
+		e := newEdge(fleetOf(6))
+		r := e.ask("p", 13000)
+		c := e.must(t, r)
+		e.send(r, c, e.now)
+		e.done(r, c, e0, nil, 0, e.now)
+		if d := e.must(t, e.ask("p", 13000)); (d.Worker.ID != c.Worker.ID) != avoided {
+			t.Errorf("ending %d: then %s after %s", e0, d.Worker.ID, c.Worker.ID)
+		}
+		if len(e.sent) != 0 || e.v.groups["llm"].seats[e.v.groups["llm"].at[c.Worker.ID]].st.under != 0 {
+			t.Errorf("ending %d leaves an attempt under way", e0)
+		}
+		e.done(r, c, e0, nil, 0, e.now) // told twice
+		if e.v.groups["llm"].seats[e.v.groups["llm"].at[c.Worker.ID]].st.under != 0 {
+			t.Errorf("ending %d counts twice", e0)
+		}
+	}
+}
+
+func TestSlowWorkersArePickedLess(t *testing.T) {
+	e := newEdge(fleetOf(4))
+	at := map[string]int{}
+	for range 400 {
+		r := e.ask("", 0)
+		c := e.must(t, r)
+		at[c.Worker.ID]++
+		first := 40 * time.Millisecond
+		if c.Worker.ID == "w2" {
+			first *= 6
+		}
+		e.serve(r, c, first)
+	}
+	if at["w2"]*3 > at["w1"] {
+		t.Errorf("picked: %v", at)
+	}
+}
--- a/internal/pick/load.go
+++ b/internal/pick/load.go
@@ -3,10 +3,35 @@
 import (
 	"math"
 	"time"
+
+	"pebbleloom/internal/settings"
 )
 
+// habit is what this edge knows of a service's workers together.
+type habit struct {
+	pace   pace
+	a, b   float64 // ms to a first piece, and for each token read
+	a0, b0 float64 // believed before any came
+	tokens float64 // read for a request, lately
+	span   float64 // ms of an attempt, lately
+	told   bool    // the workers tell their load
+	mean   float64 // of what others have at a worker
+}
+
+func newHabit(b settings.Bounds) *habit {
+	h := &habit{a0: b.Heal(basePart).Seconds() * 1e3, b0: b.Heal(tokenPart).Seconds() * 1e3}
+	h.a, h.b, h.span = h.a0, h.b0, 10*h.a0
+	for range belief {
+		for _, n := range []float64{0, believedTokens} {
+			h.pace.add(n, h.a0+h.b0*n, 1)
+		}
+	}
+	return h
+}
+
 // stat is what this edge knows of one worker.
 type stat struct {
+	h        *habit        // of its service
 	under    int           // attempts of this edge under way
 	busy     time.Duration // until then it reads prompts of this edge
 	head     float64       // what others had under way and waiting there, by its last word
@@ -46,14 +71,14 @@
 // others sent it, that fades into the mean of all, and this edge's own. Where workers tell no
 // load, the own ones stand for those of the other edges too.
 func (t *table) load(x *stat, edges int, now time.Duration) float64 {
-	if !t.told {
+	if !x.h.told {
 		return float64(x.under * edges)
 	}
 	a := 0.0
 	if x.spoke {
 		a = fade(now-x.headAt, t.b.Heal(fadePart))
 	}
-	return a*x.head + (1-a)*t.mean + float64(x.under)
+	return a*x.head + (1-a)*x.h.mean + float64(x.under)
 }
 
 // heard takes a worker's word of its load.
@@ -61,10 +86,10 @@
 	x.head = max(0, float64(l.Running+l.Waiting-x.under))
 	x.headWait = max(0, min(float64(l.Waiting), x.head))
 	x.headAt, x.spoke = now, true
-	if !t.told {
-		t.told, t.mean = true, x.head
+	if !x.h.told {
+		x.h.told, x.h.mean = true, x.head
 	}
-	t.mean = towards(t.mean, x.head, meanPart)
+	x.h.mean = towards(x.h.mean, x.head, meanPart)
 }
 
 // pace is what first pieces have shown: milliseconds from a prompt's sending to its first piece,
@@ -88,15 +113,16 @@
 // learn takes a first piece's time.
 func (t *table) learn(x *stat, tokens float64, first, now time.Duration) {
 	ms := first.Seconds() * 1e3
-	if want := t.a + t.bb*tokens; want > 0 {
+	h := x.h
+	if want := h.a + h.b*tokens; want > 0 {
 		f := min(max(ms/want, 1/believe), believe)
 		old := x.slow * fade(now-x.slowAt, t.b.Heal(forgetPart))
 		if x.slow, x.slowAt = old+slowPart*(math.Log(f)-old), now; math.Abs(x.slow) < alike {
 			x.slow = 0
 		}
 	}
-	t.pace.add(tokens, min(ms, (t.a+t.bb*tokens)*believe), keepPart)
-	t.a, t.bb = t.pace.line(t.a0, t.b0)
+	h.pace.add(tokens, min(ms, (h.a+h.b*tokens)*believe), keepPart)
+	h.a, h.b = h.pace.line(h.a0, h.b0)
 }
 
 // slowness is a worker's first pieces against the others'; what is old is forgotten.
--- a/internal/pick/memo.go
+++ b/internal/pick/memo.go
@@ -117,7 +117,7 @@
 	t.plans.drop(k)
 	w.at = now
 	w.st.under++
-	w.reading = time.Duration(w.read * t.bb * float64(time.Millisecond))
+	w.reading = time.Duration(w.read * w.st.h.b * float64(time.Millisecond))
 	w.st.busy = max(w.st.busy, now) + w.reading
 	if w.from != nil {
 		d := time.Duration(w.moved * float64(time.Millisecond))
@@ -184,9 +184,9 @@
 	switch e {
 	case Served:
 		t.fine(w.st, now)
-		t.span = towards(t.span, (now-w.at).Seconds()*1e3, meanPart)
+		w.st.h.span = towards(w.st.h.span, (now-w.at).Seconds()*1e3, meanPart)
 		if w.kept && first > 0 {
-			t.tokens = towards(t.tokens, w.read, meanPart)
+			w.st.h.tokens = towards(w.st.h.tokens, w.read, meanPart)
 			t.learn(w.st, w.read, first, now)
 		}
 	case Full:
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -104,14 +104,8 @@
 	memo   *recent[prefix.Key, memo]
 	plans  *recent[ticket, promise]
 	sent   map[ticket]promise
-	down   map[string]bool // stores that don't answer
-	pace   pace
-	a, bb  float64 // ms to a first piece, and for each token read
-	a0, b0 float64
-	tokens float64 // read for a request, lately
-	span   float64 // ms of an attempt, lately
-	told   bool    // workers tell their load
-	mean   float64 // of what others have at a worker
+	down   map[string]bool   // stores that don't answer
+	habits map[string]*habit // by service
 	sweep  time.Duration
 	sure   []uint64 // scratch, by seat: parts kept
 	maybe  []uint64 // presumed as well
@@ -139,14 +133,7 @@
 
 func newTable(b settings.Bounds, now time.Duration) *table {
 	t := &table{b: b, born: now, stats: map[string]*stat{}, memo: newRecent[prefix.Key, memo](maxMemo),
-		plans: newRecent[ticket, promise](maxTicket), sent: map[ticket]promise{}, down: map[string]bool{}}
-	t.a0, t.b0 = b.Heal(basePart).Seconds()*1e3, b.Heal(tokenPart).Seconds()*1e3
-	t.a, t.bb, t.tokens, t.span = t.a0, t.b0, 0, 10*t.a0
-	for range belief {
-		for _, n := range []float64{0, believedTokens} {
-			t.pace.add(n, t.a0+t.b0*n, 1)
-		}
-	}
+		plans: newRecent[ticket, promise](maxTicket), sent: map[ticket]promise{}, down: map[string]bool{}, habits: map[string]*habit{}}
 	return t
 }
 
@@ -204,7 +191,7 @@
 	if g.svc.Engine == nil {
 		return t.plain(g, cs, r, s, now), true
 	}
-	q := &query{t: t, s: s, r: r, g: g, m: m, model: model, found: found, now: now, cs: cs, retry: len(tried) > 0}
+	q := &query{t: t, s: s, r: r, g: g, m: m, model: model, h: t.habits[r.Service], found: found, now: now, cs: cs, retry: len(tried) > 0}
 	return q.pick(), true
 }
 
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -53,11 +53,18 @@
 	}
 	v := &view{snap: s, groups: map[string]*group{}}
 	stats := make(map[string]*stat, len(s.Workers))
-	stat := func(id string) *stat {
+	habits := map[string]*habit{}
+	stat := func(id, service string) *stat {
 		x := t.stats[id]
 		if x == nil {
 			x = &stat{}
 		}
+		if habits[service] == nil {
+			if habits[service] = t.habits[service]; habits[service] == nil {
+				habits[service] = newHabit(t.b)
+			}
+		}
+		x.h = habits[service]
 		stats[id] = x
 		return x
 	}
@@ -66,7 +73,7 @@
 		for i := range s.Plan.Services {
 			x := &s.Plan.Services[i]
 			if x.Store != nil {
-				stores = append(stores, store{x, stat(x.Name)})
+				stores = append(stores, store{x, stat(x.Name, x.Name)})
 			} else {
 				v.groups[x.Name] = &group{svc: x, at: map[string]int{}, models: map[string]*serving{}}
 			}
@@ -76,7 +83,7 @@
 		w := &s.Workers[i]
 		if g := v.groups[w.Service]; g != nil {
 			g.at[w.ID] = len(g.seats)
-			g.seats = append(g.seats, seat{w, stat(w.ID), queue.Hash(w.ID)})
+			g.seats = append(g.seats, seat{w, stat(w.ID, w.Service), queue.Hash(w.ID)})
 		}
 	}
 	for _, g := range v.groups {
@@ -88,7 +95,7 @@
 			}
 		}
 	}
-	t.stats, t.v = stats, v
+	t.stats, t.habits, t.v = stats, habits, v
 	return v
 }
 
--- a/internal/pick/weigh.go
+++ b/internal/pick/weigh.go
@@ -16,6 +16,7 @@
 // query is one choice among the workers of an engine's service.
 type query struct {
 	t      *table
+	h      *habit
 	s      *fleet.Snapshot
 	r      *Request
 	g      *group
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -22,6 +22,7 @@
 	tellPart  = 1.0 / 24 // between two tellings of what was counted
 	keepPart  = 1.0 / 48 // an answer is gone by
 	latePart  = 1.0 / 12 // an index node that was late, or isn't warm, is asked last
+	probePart = 1.0 / 96 // between two calls to one that was late
 	landPart  = 1.0 / 24 // a telling may take
 	pastPart  = 1.25     // half the window that is told again
 	firstPart = 0.6      // of the wait, for the first holder asked
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -293,3 +293,31 @@
 		}
 	})
 }
+
+// While all index nodes are silent, requests don't wait for them one after another: now and then one
+// finds out whether they are back.
+func TestSilentNodesAreProbedNowAndThen(t *testing.T) {
+	x := &index{mood: map[string]string{}}
+	run(t, x, func(s *Seeker, serving []*wire.Node) {
+		for _, n := range serving {
+			x.set(n.Addr, "hangs")
+		}
+		for range 3 {
+			s.Seek(context.Background(), keys(1), wait)
+		}
+		n, from := len(x.asked), s.clk.Now()
+		for range 20 {
+			s.Seek(context.Background(), keys(1), wait)
+		}
+		if len(x.asked) > n+len(serving) || s.clk.Now()-from > 2*wait {
+			t.Errorf("%d calls in %v", len(x.asked)-n, s.clk.Now()-from)
+		}
+		for _, n := range serving {
+			x.set(n.Addr, "")
+		}
+		pass(s.b.Heal(probePart))
+		if s.Seek(context.Background(), keys(1), wait) == nil {
+			t.Error("they are back and aren't asked")
+		}
+	})
+}
--- a/internal/seek/table.go
+++ b/internal/seek/table.go
@@ -30,14 +30,15 @@
 	seen   []*wire.Node // that the layout was made of
 	laid   string
 	shards *catalogue.Shards
-	near   map[string]bool // index nodes of this district
-	late   map[string]time.Duration
+	near   map[string]bool          // index nodes of this district
+	late   map[string]time.Duration // until then
+	probe  map[string]time.Duration // a late one isn't asked before
 	kept   map[prefix.Key]kept
 	counter
 }
 
 func newTable(s *Seeker) *table {
-	return &table{s: s, near: map[string]bool{}, late: map[string]time.Duration{}, kept: map[prefix.Key]kept{}, counter: newCounter()}
+	return &table{s: s, near: map[string]bool{}, late: map[string]time.Duration{}, probe: map[string]time.Duration{}, kept: map[prefix.Key]kept{}, counter: newCounter()}
 }
 
 // lay lays the shards out anew when the index nodes have changed.
@@ -58,14 +59,15 @@
 	t.laid, t.shards = now.String(), catalogue.NewShards(serving)
 	clear(t.near)
 	clear(t.late)
+	clear(t.probe)
 	for _, n := range serving {
 		t.near[n.Name] = n.District == t.s.home
 	}
 	return t.shards
 }
 
-// legs lays keys out over the fewest index nodes: one that was late is asked last, one of this
-// district first.
+// legs lays keys out over the fewest index nodes: one that was late is asked last and not each
+// time, one of this district first.
 func (t *table) legs(keys []prefix.Key, asked map[string]bool, now time.Duration) (l []leg) {
 	sh := t.lay()
 	for len(keys) > 0 {
@@ -73,7 +75,7 @@
 		for _, k := range keys {
 			h := sh.Holders(k)
 			for i, n := range h {
-				if n != "" && !asked[n] && (i == 0 || n != h[0]) {
+				if n != "" && !asked[n] && (i == 0 || n != h[0]) && (t.late[n] <= now || t.probe[n] <= now) {
 					by[n]++
 				}
 			}
@@ -87,6 +89,9 @@
 		if best == "" {
 			return l
 		}
+		if t.late[best] > now {
+			t.probe[best] = now + t.s.b.Heal(probePart)
+		}
 		x := leg{node: best, addr: sh.Addr(best)}
 		var rest []prefix.Key
 		for _, k := range keys {
