The agent follows changed seeds; tests of its start and of seeds that are all down

Cause: the settings file may name other seeds while a process runs; the agent kept the first ones. Tests read the fake core under its lock: the race detector found that they didn't. Conclusion: seeds of a changed file are asked at once.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"pebbleloom/internal/fleet"
 	"pebbleloom/internal/queue"
 	"pebbleloom/internal/roster"
+	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
 
@@ -26,6 +27,7 @@
 	archive func(addr string) wire.Archive
 	shown   atomic.Pointer[shown]
 	calls   map[string]context.CancelFunc // by address: who is followed; the desk's
+	seeds   []string                      // the desk's
 }
 
 // shown is a snapshot, and what is closed when another with news takes its place.
@@ -44,6 +46,7 @@
 		a.view.Store(&v)
 		a.desk.Tell(a.look)
 	})
+	l.Told(func(p settings.Place) { a.ros.SetSeeds(p.Seeds) })
 	l.Go(func() { <-l.Draining; a.ros.Leave() })
 	l.Meter.Gauge("pebbleloom_plan_version", "version of the plan in use", func() float64 {
 		if p := a.Now().Plan; p != nil {
@@ -60,13 +63,14 @@
 }
 
 func newAgent(l *daemon.Life, codec backend.Codec, archive func(string) wire.Archive) *Agent {
-	a := &Agent{life: l, archive: archive, calls: map[string]context.CancelFunc{}}
+	a := &Agent{life: l, archive: archive, seeds: l.Place.Seeds, calls: map[string]context.CancelFunc{}}
 	t := newTable(l.Place.Bounds, codec, l.Clock.Now())
 	a.shown.Store(&shown{&t.snap, make(chan struct{})})
 	a.view.Store(&roster.View{})
 	a.show(t, true)
 	a.desk = queue.NewDesk(t, 256)
 	l.Until(a.desk.Stop)
+	l.Told(func(p settings.Place) { a.desk.Ask(func(t *table) { a.seeds = p.Seeds; a.tend(t) }) })
 	return a
 }
 
@@ -118,7 +122,7 @@
 		want[address(m)] = true
 	}
 	if now := a.life.Clock.Now(); len(want) == 0 || t.snap.ProofAt == 0 || now-t.snap.ProofAt > t.b.Setup(outOfTouch) {
-		for _, s := range a.life.Place.Seeds { // who was a member may have been replaced meanwhile
+		for _, s := range a.seeds { // who was a member may have been replaced meanwhile
 			want[s] = true
 		}
 		for _, n := range t.snap.Nodes {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"testing"
@@ -40,6 +41,10 @@
 	c.news = make(chan struct{})
 }
 
+// count is how often an address was asked; held is how many questions it holds.
+func (c *core) count(addr string) int { c.mu.Lock(); defer c.mu.Unlock(); return c.asked[addr] }
+func (c *core) held(addr string) int  { c.mu.Lock(); defer c.mu.Unlock(); return c.under[addr] }
+
 type seat struct {
 	*core
 	addr string
@@ -151,17 +156,17 @@
 	c.mood["9:9"] = "empty"
 	run(t, c, func(a *Agent) {
 		until(5 * time.Second)
-		before, strange := c.asked["1:3"], c.asked["9:9"]
+		before, strange := c.count("1:3"), c.count("9:9")
 		for range 100 {
 			until(100 * time.Millisecond)
 			if age := a.life.Clock.Now() - a.Now().ProofAt; age > a.life.Place.Bounds.Setup(2*holdPart) {
 				t.Fatalf("the proof is %v old", age)
 			}
 		}
-		if n := c.asked["1:3"] - before; n < 9 || n > 11 {
+		if n := c.count("1:3") - before; n < 9 || n > 11 {
 			t.Errorf("%d questions in ten seconds", n)
 		}
-		if n := c.asked["9:9"] - strange; n != 0 {
+		if n := c.count("9:9") - strange; n != 0 {
 			t.Errorf("%d questions to one that is no member", n)
 		}
 	})
@@ -174,7 +179,8 @@
 	}
 	run(t, c, func(a *Agent) {
 		until(10 * time.Second)
-		for addr, n := range c.asked {
+		for _, addr := range []string{"1:1", "1:2", "9:9"} {
+			n := c.count(addr)
 			if n < 10 || n > 40 {
 				t.Errorf("%s was asked %d times in ten seconds", addr, n)
 			}
@@ -208,11 +214,11 @@
 		until(3 * time.Second)
 		c.change(func() { c.members, c.index, c.mood["1:1"] = []string{abc[1], abc[2], "1:4/d"}, 3, "hangs" })
 		until(3 * time.Second)
-		n := c.asked["1:1"]
+		n := c.count("1:1")
 		c.change(func() { c.version = 9 })
 		until(3 * time.Second)
-		if c.asked["1:1"] != n || c.under["1:1"] != 0 || c.under["1:4"] != 1 {
-			t.Errorf("asked of the one removed: %d then %d; under way: %v", n, c.asked["1:1"], c.under)
+		if c.count("1:1") != n || c.held("1:1") != 0 || c.held("1:4") != 1 {
+			t.Errorf("asked of the one removed: %d then %d; under way: %d", n, c.count("1:1"), c.held("1:4"))
 		}
 		if age := a.life.Clock.Now() - a.Now().ProofAt; version(a) != 9 || age > a.life.Place.Bounds.Setup(1) {
 			t.Errorf("plan %d, proof %v old", version(a), age)
@@ -235,10 +241,10 @@
 	c.mood["1:1"], c.mood["1:2"], c.mood["9:9"] = "behind", "empty", "empty"
 	run(t, c, func(a *Agent) {
 		until(10 * time.Second)
-		if n := c.asked["1:2"]; n > 40 {
+		if n := c.count("1:2"); n > 40 {
 			t.Errorf("asked %d times in ten seconds", n)
 		}
-		if had := c.asked["1:1"]; had > 12 {
+		if had := c.count("1:1"); had > 12 {
 			t.Errorf("the one behind was asked %d times", had)
 		}
 		if a.Now().Plan == nil || a.Now().Plan.Version != 1 {
@@ -246,3 +252,48 @@
 		}
 	})
 }
+
+// The seeds that a process began with are all down; the settings name others, and it finds the core.
+func TestSeedsChangeWhileItRuns(t *testing.T) {
+	c := newCore("2:1/x", "2:2/y", "2:3/z")
+	c.mood["1:1"], c.mood["1:2"], c.mood["9:9"] = "hangs", "errs", "hangs"
+	run(t, c, func(a *Agent) {
+		until(5 * time.Second)
+		if a.Now().Plan != nil {
+			t.Fatal("a plan from nowhere")
+		}
+		p := a.life.Place
+		p.Seeds = []string{"2:3", "8:8", "8:9"}
+		a.life.Tell(p)
+		until(2 * time.Second)
+		if version(a) != 1 || a.Now().ProofAt == 0 {
+			t.Fatalf("plan %d, proof at %v", version(a), a.Now().ProofAt)
+		}
+	})
+}
+
+// A process that reaches nobody starts, shows what it has, and ends.
+func TestStartAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := daemon.World{Clock: clock.Ticking(), Wall: time.Now, Seed: func() uint64 { return 1 },
+			Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				clock.Pause(ctx, time.Second)
+				return nil, errs.New(errs.CantSay, "nobody is there")
+			}}
+		l := daemon.NewIn(w, "agent", settings.Place{Name: "edge-1", Listen: "1:9", Bounds: settings.Default(),
+			Seeds: []string{"1:1", "1:2", "9:9"}, Extra: []string{"log=off"}})
+		a, err := Start(l, &numbers{}, "runner")
+		if err != nil {
+			t.Fatal(err)
+		}
+		until(10 * time.Second)
+		if s := a.Now(); s.Plan != nil || s.ProofAt != 0 || s.Edges != unheard || len(s.Nodes) != 1 || a.View().Nodes[0].Name != "runner/edge-1" {
+			t.Fatalf("%+v", s)
+		}
+		if a.Handler() == nil {
+			t.Fatal("nothing serves the roster's calls")
+		}
+		l.Stop(time.Second)
+		until(10 * time.Second)
+	})
+}
