--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -90,7 +90,7 @@
 	return t, nil
 }
 
-func run(t *testing.T, c *core, f func(a *Agent)) {
+func run(t *testing.T, c *core, f func(t *testing.T, a *Agent)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c.news = make(chan struct{}) // of this bubble
@@ -98,9 +98,12 @@
 		l := daemon.NewIn(w, "agent", settings.Place{Name: "edge-1", Bounds: settings.Default(),
 			Seeds: []string{"1:1", "1:2", "9:9"}, Extra: []string{"log=off"}})
 		a := newAgent(l, &numbers{}, func(addr string) wire.Archive { return seat{c, addr} })
+		if a.Now() == nil || a.Now().Plan != nil {
+			t.Fatal("a plan before any was told")
+		}
 		a.desk.Ask(a.tend)
 		l.Every(l.Place.Bounds.Setup(holdPart), func() { a.desk.Ask(a.tend) })
-		f(a)
+		f(t, a)
 		l.Stop(time.Second)
 		synctest.Wait()
 	})
@@ -123,10 +126,7 @@
 func TestNewsComesAtOnceThoughOneHangs(t *testing.T) {
 	c := newCore(abc...)
 	c.mood["1:1"] = "hangs"
-	run(t, c, func(a *Agent) {
-		if a.Now() == nil || a.Now().Plan != nil {
-			t.Fatal("a plan before any was told")
-		}
+	run(t, c, func(t *testing.T, a *Agent) {
 		synctest.Wait()
 		if version(a) != 1 {
 			t.Fatalf("plan %d", version(a))
@@ -154,7 +154,7 @@
 func TestCalmSiteIsAskedSeldom(t *testing.T) {
 	c := newCore(abc...)
 	c.mood["9:9"] = "empty"
-	run(t, c, func(a *Agent) {
+	run(t, c, func(t *testing.T, a *Agent) {
 		until(5 * time.Second)
 		before, strange := c.count("1:3"), c.count("9:9")
 		for range 100 {
@@ -177,7 +177,7 @@
 	for _, s := range []string{"1:1", "1:2", "1:3", "9:9"} {
 		c.mood[s] = "errs"
 	}
-	run(t, c, func(a *Agent) {
+	run(t, c, func(t *testing.T, a *Agent) {
 		until(10 * time.Second)
 		for _, addr := range []string{"1:1", "1:2", "9:9"} {
 			n := c.count(addr)
@@ -208,7 +208,7 @@
 // A member is replaced by one at another address; then all that were seeds are gone.
 func TestMembersAreFollowedAsTheyChange(t *testing.T) {
 	c := newCore(abc...)
-	run(t, c, func(a *Agent) {
+	run(t, c, func(t *testing.T, a *Agent) {
 		until(3 * time.Second)
 		c.change(func() { c.members, c.index = append(slices.Clone(abc), "1:4/d"), 2 })
 		until(3 * time.Second)
@@ -239,7 +239,7 @@
 func TestAnswersOfNoUseAreNotAskedForAgainAtOnce(t *testing.T) {
 	c := newCore(abc...)
 	c.mood["1:1"], c.mood["1:2"], c.mood["9:9"] = "behind", "empty", "empty"
-	run(t, c, func(a *Agent) {
+	run(t, c, func(t *testing.T, a *Agent) {
 		until(10 * time.Second)
 		if n := c.count("1:2"); n > 40 {
 			t.Errorf("asked %d times in ten seconds", n)
@@ -257,7 +257,7 @@
 func TestSeedsChangeWhileItRuns(t *testing.T) {
 	c := newCore("2:1/x", "2:2/y", "2:3/z")
 	c.mood["1:1"], c.mood["1:2"], c.mood["9:9"] = "hangs", "errs", "hangs"
-	run(t, c, func(a *Agent) {
+	run(t, c, func(t *testing.T, a *Agent) {
 		until(5 * time.Second)
 		if a.Now().Plan != nil {
 			t.Fatal("a plan from nowhere")
