Tests of a group's disks, ends, darkness and choice of members; late answers go nowhere

An answer that a part's thread gives after its asker has gone is kept from the asker's variables (data race in join, leave, Join and Stand, seen by -race).

--- a/internal/archive/group.go
+++ b/internal/archive/group.go
@@ -221,27 +221,29 @@
 	ctx, end := context.WithTimeout(ctx, settings.Of(n.life.Place.Site.GraceMs, leavePart))
 	defer end()
 	for begun := false; ctx.Err() == nil; clock.Pause(ctx, n.life.Place.Bounds.Heal(groupTick/2)) {
-		gone := true
-		p.ask(ctx, func() {
-			s := p.core.Stands()
-			if gone = p.bad != nil || !s.Owns && (!begun || s.Owner != ""); s.Owns {
-				begun = p.core.HandOver() || begun
-			}
-		})
-		if gone {
+		at := told(ctx, p, handing{gone: true}, p.handOn)
+		if begun = begun || at.begun; at.gone || !begun && !at.owns {
 			break
 		}
 	}
 	n.ros.Leave()
 }
 
+// handing is how far a group is handed over.
+type handing struct{ owns, begun, gone bool }
+
+// handOn asks a colleague to take the group; gone: another has it, or this member is out.
+func (p *part) handOn() handing {
+	s := p.core.Stands()
+	return handing{owns: s.Owns, begun: p.bad == nil && s.Owns && p.core.HandOver(), gone: p.bad != nil || !s.Owns && s.Owner != ""}
+}
+
 // join has this node taken in, and keeps it known while it isn't a member.
 func (n *Node) join() {
 	b, turn := n.life.Place.Bounds, 0
 	for p := n.parts[0]; n.life.Ctx.Err() == nil; clock.Pause(n.life.Ctx, b.Heal(joinPart)) {
-		alone := false
 		ctx, end := context.WithTimeout(n.life.Ctx, b.Heal(1.0/24))
-		p.ask(ctx, func() { alone = p.alone() })
+		alone := told(ctx, p, false, p.alone)
 		end()
 		if g := p.seen.now(); alone {
 			n.ctl.Hint(g.owner)
@@ -298,23 +300,22 @@
 //
 // Example: t, err := a.Join(ctx, &wire.JoinAsk{Name: "10.1.0.17:7360/8f3a"})
 func (n *Node) Join(ctx context.Context, a *wire.JoinAsk) (*wire.JoinTell, error) {
-	p, t := n.parts[0], &wire.JoinTell{Outcome: "cant-say"}
+	p, none := n.parts[0], &wire.JoinTell{Outcome: "cant-say"}
 	if addr, life, ok := strings.Cut(a.Name, "/"); p == nil || p.group == nil || !ok || addr == "" || life == "" {
-		return t, nil
+		return none, nil
 	}
-	p.ask(ctx, func() { t.Outcome, t.Owner = p.takeIn(a) })
-	return t, nil
+	return told(ctx, p, none, func() *wire.JoinTell { return p.takeIn(a) }), nil
 }
 
-func (p *part) takeIn(a *wire.JoinAsk) (outcome, owner string) {
+func (p *part) takeIn(a *wire.JoinAsk) *wire.JoinTell {
 	s := p.core.Stands()
-	if p.bad != nil || !s.Owns {
-		return "not-owner", s.Owner
-	}
-	if !p.core.Learn(a.Name) {
-		return "overloaded", s.Owner
+	switch {
+	case p.bad != nil || !s.Owns:
+		return &wire.JoinTell{Outcome: "not-owner", Owner: s.Owner}
+	case !p.core.Learn(a.Name):
+		return &wire.JoinTell{Outcome: "overloaded", Owner: s.Owner}
 	}
-	return "done", s.Owner
+	return &wire.JoinTell{Outcome: "done", Owner: s.Owner}
 }
 
 // puts adds up what the entries that aren't applied yet may bring: by key the highest version,
--- /dev/null
+++ b/internal/archive/group_faults_test.go
@@ -0,0 +1,211 @@
+package archive
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/ledger"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/wire"
+)
+
+func (g *ground) quiet(i int) { // a machine without power says nothing, nor does it hear
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dark[g.addr(i)] = true
+}
+
+func (g *ground) found(n int) {
+	for i := range n {
+		g.start(i+1, true)
+	}
+	g.until("an owner", 5*time.Second, func() bool { return len(g.members()) == 3 })
+}
+
+// A thread that waits for its disk keeps no question waiting beyond its time; what it answers
+// meanwhile is what it held before, and a plan goes on without it.
+func TestAStalledDiskHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, ctx := newGround(t), context.Background()
+		g.found(3)
+		defer g.down()
+		if _, err := g.nodes[g.addr(1)].PutPlan(ctx, 0, body(1, "x"), false); err != nil {
+			t.Fatal(err)
+		}
+		o := g.owner()
+		n, release := g.nodes[g.addr(o)], make(chan struct{})
+		g.disks[g.addr(o)].set(func(d *heldDisk) { d.hold = release })
+		at := time.Now()
+		if _, err := n.PutPlan(ctx, 1, body(2, "x"), false); err == nil || errs.KindOf(err) != errs.CantSay {
+			t.Errorf("a plan put where the disk stalls: %v", err)
+		}
+		if d := time.Since(at); d > 950*time.Millisecond {
+			t.Errorf("the operator waited %v", d)
+		}
+		at = time.Now()
+		x, _ := n.Follow(ctx, &wire.FollowAsk{Have: []*wire.Have{{Key: plan.Key, Version: 1}}, HoldNs: 3e8, Proof: plan.Key})
+		if d := time.Since(at); d != 300*time.Millisecond || len(x.Docs) > 0 {
+			t.Errorf("after %v: %v", d, x)
+		}
+		g.until("the plan elsewhere", 5*time.Second, func() bool {
+			for i := range 3 {
+				if i+1 != o {
+					if _, err := g.nodes[g.addr(i+1)].PutPlan(ctx, 1, body(2, "x"), false); err == nil {
+						return true
+					}
+				}
+			}
+			return false
+		})
+		g.disks[g.addr(o)].set(func(d *heldDisk) { d.hold = nil })
+		close(release)
+		g.until("the plan at the one that stalled", 5*time.Second, func() bool {
+			return n.parts[0].seen.now().docs[plan.Key].GetEpoch() == 2
+		})
+	})
+}
+
+// A disk that is full takes its member out, and the member comes back by itself once it isn't.
+func TestAFullDiskComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, ctx := newGround(t), context.Background()
+		g.found(3)
+		defer g.down()
+		o := g.owner()
+		n := g.nodes[g.addr(o)]
+		g.disks[g.addr(o)].set(func(d *heldDisk) { d.d.fail = true })
+		for v := range 3 {
+			g.until("a plan", 6*time.Second, func() bool {
+				for _, m := range g.nodes {
+					if _, err := m.PutPlan(ctx, uint64(v), body(uint64(v+1), "x"), false); err == nil {
+						return true
+					}
+				}
+				return false
+			})
+		}
+		x, _ := n.Follow(ctx, &wire.FollowAsk{Have: []*wire.Have{{Key: plan.Key, Version: 9}}, HoldNs: 3e8, Proof: plan.Key})
+		if x.Same || n.parts[0].seen.now().votes {
+			t.Errorf("a member that is out vouches: %v", x)
+		}
+		g.disks[g.addr(o)].set(func(d *heldDisk) { d.d.fail = false })
+		g.until("the member back", 6*time.Second, func() bool {
+			s := n.parts[0].seen.now()
+			return s.votes && s.docs[plan.Key].GetEpoch() == 3
+		})
+	})
+}
+
+// Without a majority an operator hears so before it asks elsewhere; reads too.
+func TestWithoutAMajorityNobodyWaitsLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, ctx := newGround(t), context.Background()
+		g.found(3)
+		defer g.down()
+		o := g.owner()
+		for i := range 3 {
+			if i+1 != o {
+				g.quiet(i + 1)
+			}
+		}
+		n := g.nodes[g.addr(o)]
+		for _, f := range []func() error{
+			func() error { _, err := n.PutPlan(ctx, 0, body(1, "x"), false); return err },
+			func() error { _, _, err := n.ReadPlan(ctx); return err },
+			func() error { return n.NameWeights(ctx, "m", 2) },
+		} {
+			at := time.Now()
+			if err := f(); err == nil || errs.KindOf(err) != errs.CantSay || time.Since(at) > 950*time.Millisecond {
+				t.Errorf("after %v: %v", time.Since(at), err)
+			}
+		}
+	})
+}
+
+// A program that is told to end hands the group over and is done well within its time, also
+// where nobody can take the group.
+func TestAPlannedEndIsShort(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGround(t)
+			g.found(3)
+			defer g.down()
+			o := g.owner()
+			if alone {
+				for i := range 3 {
+					if i+1 != o {
+						g.quiet(i + 1)
+					}
+				}
+			}
+			at := time.Now()
+			g.stop(o)
+			if d := time.Since(at); d > 4*time.Second || !alone && d > time.Second {
+				t.Errorf("alone %v: an end after %v", alone, d)
+			}
+		})
+	}
+}
+
+// Whom the owner adds and removes, case by case.
+func TestWhomTheOwnerAddsAndRemoves(t *testing.T) {
+	in := func(name string, heard int) ledger.Seen {
+		return ledger.Seen{Name: name, Sits: true, Heard: heard, Caught: true}
+	}
+	out := func(name string, heard int, caught bool) ledger.Seen {
+		return ledger.Seen{Name: name, Heard: heard, Caught: caught}
+	}
+	where := map[string]string{"a": "north", "b": "south", "c": "east", "d": "north", "e": "west"}
+	abc := []string{"a/0", "b/0", "c/0"}
+	for _, x := range []struct {
+		name string
+		now  []string
+		sees []ledger.Seen
+		want int
+		next string
+	}{
+		{"all is well", abc, []ledger.Seen{in("b/0", 1), in("c/0", 2), out("d/1", 1, true)}, 3, "[]"},
+		{"one is silent, and nobody waits", abc, []ledger.Seen{in("b/0", 1), in("c/0", 99)}, 3, "[]"},
+		{"one is silent for a moment", abc, []ledger.Seen{in("b/0", 1), in("c/0", silentTicks-1), out("d/1", 1, true)}, 3, "[]"},
+		{"one is silent, a spare is ready", abc, []ledger.Seen{in("b/0", 1), in("c/0", silentTicks), out("d/1", 1, true)}, 3, "[a/0 b/0]"},
+		{"one is silent, the spare lacks much", abc, []ledger.Seen{in("b/0", 1), in("c/0", silentTicks), out("d/1", 1, false)}, 3, "[]"},
+		{"one is silent, the spare too", abc, []ledger.Seen{in("b/0", 1), in("c/0", silentTicks), out("d/1", 30, true)}, 3, "[]"},
+		{"two are silent: the rest is no majority", abc, []ledger.Seen{in("b/0", 40), in("c/0", 40), out("d/1", 1, true)}, 3, "[]"},
+		{"a disk is lost", abc, []ledger.Seen{in("b/0", 1), in("c/0", 3), out("c/7", 0, false)}, 3, "[a/0 b/0]"},
+		{"a disk is lost, and the other is silent", abc, []ledger.Seen{in("b/0", 40), in("c/0", 3), out("c/7", 0, false)}, 3, "[]"},
+		{"one is missing", []string{"a/0", "b/0"}, []ledger.Seen{in("b/0", 1), out("c/7", 1, true)}, 3, "[a/0 b/0 c/7]"},
+		{"one is missing, another district is better", []string{"a/0", "b/0"}, []ledger.Seen{in("b/0", 1), out("d/7", 1, true), out("e/7", 1, true)}, 3, "[a/0 b/0 e/7]"},
+		{"five are wanted", abc, []ledger.Seen{in("b/0", 1), in("c/0", 1), out("d/1", 1, true)}, 5, "[a/0 b/0 c/0 d/1]"},
+		{"one is missing, one is silent", []string{"a/0", "b/0"}, []ledger.Seen{in("b/0", 40), out("c/7", 1, true)}, 3, "[a/0 b/0 c/7]"},
+		{"one of four is silent, and more are wanted", []string{"a/0", "b/0", "c/0", "d/0"},
+			[]ledger.Seen{in("b/0", 1), in("c/0", 40), in("d/0", 40), out("e/7", 1, true)}, 5, "[a/0 b/0 c/0 d/0 e/7]"},
+		{"the group is alone", abc, nil, 3, "[]"},
+	} {
+		next := regroup("a/0", slices.Clone(x.now), x.sees, x.want, func(a string) string { return where[a] })
+		if got := fmt.Sprint(next); got != x.next {
+			t.Errorf("%s: %s, want %s", x.name, got, x.next)
+		}
+	}
+}
+
+// What an empty disk begins as: only the seeds of the first start found a group.
+func TestWhatAnEmptyDiskBeginsAs(t *testing.T) {
+	seeds := []string{"b:1", "a:1", "c:1"}
+	random := func() uint64 { return 0xabc }
+	for _, x := range []struct {
+		first bool
+		own   string
+		self  string
+		ms    string
+	}{{true, "a:1", "a:1/0", "[a:1/0 b:1/0 c:1/0]"}, {true, "d:1", "d:1/0000000000000abc", "[]"}, {false, "a:1", "a:1/0000000000000abc", "[]"}} {
+		s := begin(x.first, x.own, seeds, random)
+		if s.Hard.Incarnation != x.self || fmt.Sprint(s.Members) != x.ms || s.Hard.Standing != wire.Standing_FOUNDED {
+			t.Errorf("%+v: %v", x, s)
+		}
+	}
+}
--- a/internal/archive/group_world_test.go
+++ b/internal/archive/group_world_test.go
@@ -123,7 +123,8 @@
 	if p == nil {
 		return nil, errors.New("connection refused")
 	}
-	a, b := net.Pipe()
+	x, y := net.Pipe()
+	a, b := &line{x, g, from, addr}, &line{y, g, from, addr}
 	select {
 	case p.c <- b:
 		return a, nil
@@ -132,6 +133,23 @@
 	}
 }
 
+// line is one end of a connection; where either machine is dark, what is sent is lost.
+type line struct {
+	net.Conn
+	g        *ground
+	from, to string
+}
+
+func (l *line) Write(b []byte) (int, error) {
+	l.g.mu.Lock()
+	dark := l.g.dark[l.from] || l.g.dark[l.to]
+	l.g.mu.Unlock()
+	if dark {
+		return len(b), nil
+	}
+	return l.Conn.Write(b)
+}
+
 // start runs the machine's node; first: it is the first start of the whole site.
 func (g *ground) start(i int, first bool) *Node {
 	g.t.Helper()
--- a/internal/archive/node.go
+++ b/internal/archive/node.go
@@ -213,16 +213,15 @@
 			continue
 		}
 		x := &wire.PartStand{Part: i, Member: n.life.Place.Name, Bad: "its thread doesn't answer: the disk may be stalled"}
-		p.ask(ctx, func() {
+		t.Parts = append(t.Parts, told(ctx, p, x, func() *wire.PartStand {
 			s := p.core.Stands()
 			y := &wire.PartStand{Part: i, Member: n.life.Place.Name, Owner: s.Owner, Owns: s.Owns, Blank: s.Blank, Stuck: s.Stuck, Applied: s.Applied,
 				Last: s.Last, Term: s.Term, StateBytes: uint64(p.st.bytes), LogBytes: uint64(p.sh.Size())}
 			if p.bad != nil {
 				y.Bad = errs.Text(p.bad)
 			}
-			x = y
-		})
-		t.Parts = append(t.Parts, x)
+			return y
+		}))
 	}
 	return t, nil
 }
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -221,6 +221,15 @@
 	}
 }
 
+// told asks for a value on the part's thread; or is what holds where no answer comes in time.
+func told[T any](ctx context.Context, p *part, or T, f func() T) T {
+	c := make(chan T, 1) // an answer that comes late is nobody's
+	if p.ask(ctx, func() { c <- f() }) {
+		return <-c
+	}
+	return or
+}
+
 // entry checks a calendar entry against the others of its service.
 func (p *part) entry(u *wire.Put) error {
 	e, err := calendar.Read(u.Body)
--- a/internal/archive/sim_group_run_test.go
+++ b/internal/archive/sim_group_run_test.go
@@ -285,6 +285,8 @@
 // soon as a change is acknowledged, or replaced by empty machines at other addresses.
 func (s *gsim) lose() {
 	struck := false
+	s.far = s.nodes[s.r.IntN(len(s.nodes))].addr // it holds the newest a little later than a majority
+	defer func() { s.far = "" }()
 	strike := func(by *gsimNode) {
 		if struck {
 			return
--- a/internal/archive/sim_group_test.go
+++ b/internal/archive/sim_group_test.go
@@ -58,6 +58,7 @@
 	sent     int
 	cut      map[string]bool
 	loss     float64
+	far      string // letters to this address take long
 	writes   []*gsimWrite
 	reads    []*simRead
 	open     []func() bool
@@ -184,6 +185,9 @@
 	if s.r.IntN(50) == 0 {
 		d = time.Duration(s.r.Int64N(int64(time.Second)))
 	}
+	if to == s.far {
+		d += 100 * time.Millisecond
+	}
 	if n := s.node(from); n.frozen > s.now {
 		d += n.frozen - s.now
 	}
@@ -274,12 +278,12 @@
 		if m == nil || m == n || !s.well(m) || s.apart(n.addr, m.addr) {
 			return
 		}
-		outcome, owner := m.p.takeIn(&wire.JoinAsk{Name: n.p.core.Self()})
-		if s.after(m); outcome == "done" {
+		t := m.p.takeIn(&wire.JoinAsk{Name: n.p.core.Self()})
+		if s.after(m); t.Outcome == "done" {
 			s.counts["taken in"]++
 			return
 		}
-		m = s.node(link.Addr(owner))
+		m = s.node(link.Addr(t.Owner))
 	}
 }
 
--- a/internal/ledger/letters.go
+++ b/internal/ledger/letters.go
@@ -162,6 +162,9 @@
 	}
 	p.busy = false
 	p.probe = max(p.probe, l.Probe)
+	if !l.Ok && c.cfg.Group && l.Index < p.match {
+		return // it has lost what it had acknowledged, which nobody may: asked again at the next beat, not at once
+	}
 	if !l.Ok {
 		p.next = max(p.match+1, min(p.next-1, l.Index+1))
 		c.feed(l.From, true)
