What workers dropped is known sooner: index asks more often, edges go by its word

Cause: an edge believed for two heal bounds that a worker keeps what it once read there, and the index asked each worker only every sixth of the heal bound. With rooms full, parts go within seconds: moves were planned from workers that had dropped the part, and it was read again. Ruled out: the store as the cause; with nothing saved or taken from it the same was read again. Late answers around new weights remain.

--- a/internal/catalogue/site.go
+++ b/internal/catalogue/site.go
@@ -16,7 +16,7 @@
 // How a site's workers are followed, as ratios of the heal bound: each call has its price.
 const (
 	tickPart  = 1.0 / 48
-	pacePart  = 1.0 / 6  // between two calls to one worker
+	pacePart  = 1.0 / 24 // between two calls to one worker
 	waitPart  = 1.0 / 12 // that a worker may hold a call until something happens
 	landPart  = 1.0 / 12 // beyond the wait that an answer may take
 	keptPart  = 1.0 / 24 // between two whole lists of any workers: they hold the workers up
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -50,7 +50,8 @@
 	movedPart  = 1.0 / 12
 	outPart    = 1.0 / 48
 	outMost    = 0.5
-	freshPart  = 0.25 // what this edge saw itself needs no asking
+	freshPart  = 1.0 / 8 // what this edge saw itself needs no asking
+	newsPart   = 1.0 / 8 // a worker's word of what it dropped has reached the index by then
 	memoPart   = 2.0
 	savedPart  = 1.0
 	waitPart   = 1.0 / 25   // of a target, for the index
--- a/internal/pick/weigh.go
+++ b/internal/pick/weigh.go
@@ -216,8 +216,12 @@
 			note(h.Worker, bit, h.State == catalogue.Confirmed, false)
 		}
 		m, mine := t.memo.get(k)
+		trust := t.b.Heal(memoPart)
+		if f.GetHotness() > 0 {
+			trust = t.b.Heal(newsPart) // what is older the index knows better
+		}
 		for _, h := range m.holders {
-			if h.id != "" && q.now-h.at < t.b.Heal(memoPart) {
+			if h.id != "" && q.now-h.at < trust {
 				note(h.id, bit, h.sure, !h.sure && q.now-h.at < t.b.Heal(soonPart))
 			}
 		}
