A new holder goes on at once with workers that no order can have reached lately

The rule is a worker's: a past holder sets each worker aside, in an agreed document, before it sends an order; whoever isn't in it and has its first weights had none lately. Ruled out: a shorter wait for all.

--- a/internal/duty/roll.go
+++ b/internal/duty/roll.go
@@ -71,7 +71,7 @@
 	Named   map[string]uint64
 	Since   map[string]time.Duration // when each model's was named
 	Engines map[string]bool          // the services whose workers are brought
-	From    time.Duration            // no order goes off before
+	From    time.Duration            // no order goes off before, where a past holder may have sent one lately
 }
 
 // Roll brings workers to named weights, some at once: each is first set aside, so that edges
@@ -82,6 +82,7 @@
 	loads  map[string]*load         // by worker
 	later  map[string]time.Duration // workers that couldn't be brought: not before then
 	unsure map[string]bool          // workers that an order may have reached
+	past   map[string]bool          // those whom a past holder had set aside
 	took   map[string]time.Duration // by model: the shortest load seen
 	grown  map[string]int           // by service: how many load at once in this roll-out
 }
@@ -91,9 +92,9 @@
 //
 // Example: r := duty.NewRoll(bounds, placement.Rolling)
 func NewRoll(b settings.Bounds, rolling []string) *Roll {
-	r := &Roll{b: b, loads: map[string]*load{}, later: map[string]time.Duration{}, unsure: map[string]bool{}, took: map[string]time.Duration{}, grown: map[string]int{}}
+	r := &Roll{b: b, loads: map[string]*load{}, later: map[string]time.Duration{}, unsure: map[string]bool{}, past: map[string]bool{}, took: map[string]time.Duration{}, grown: map[string]int{}}
 	for _, id := range rolling {
-		r.unsure[id] = true
+		r.unsure[id], r.past[id] = true, true
 	}
 	return r
 }
@@ -153,7 +154,7 @@
 		case !ok || m == "":
 			delete(r.loads, id)
 			delete(r.unsure, id)
-		case l.stage == aside && f.Now < f.From-r.b.Leave(lead):
+		case l.stage == aside && f.Now < r.from(f, w)-r.b.Leave(lead):
 			delete(r.loads, id) // it serves on until an order may go
 		case l.stage == aside:
 			l.w, l.model, l.want = w, m, v // named again meanwhile: the newest
@@ -176,6 +177,21 @@
 	}
 }
 
+// from is when a worker may get this holder's first order. A past holder set each worker aside
+// before it sent an order, in a document that is read at the take-over: whoever isn't in it, and
+// never had newer weights than its first, had no order lately and has to wait for nothing.
+func (r *Roll) from(f Facts, w fleet.Worker) time.Duration {
+	if r.past[w.ID] {
+		return f.From
+	}
+	for _, v := range w.Weights {
+		if v > 1 {
+			return f.From
+		}
+	}
+	return 0
+}
+
 // service moves one service's loads on.
 func (r *Roll) service(f Facts, ws []fleet.Worker, a *Acts) {
 	slices.SortFunc(ws, func(x, y fleet.Worker) int { return cmpID(x.ID, y.ID) })
@@ -207,7 +223,7 @@
 		case r.unsure[w.ID]:
 			r.loads[w.ID] = &load{w: w, model: m, want: v, stage: doubt, set: -1, at: f.Now, next: f.Now}
 			busy++
-		default:
+		case f.Now >= r.from(f, w)-r.b.Leave(lead):
 			next = append(next, w)
 		}
 	}
@@ -219,7 +235,7 @@
 	r.grown[ws[0].Service] = most
 	for _, w := range ws {
 		l := r.loads[w.ID]
-		if l == nil || l.stage != aside || l.set < 0 || f.Now < l.set+r.b.Leave(lead) || f.Now < f.From || busy >= most {
+		if l == nil || l.stage != aside || l.set < 0 || f.Now < l.set+r.b.Leave(lead) || f.Now < r.from(f, w) || busy >= most {
 			continue
 		}
 		busy, waiting = busy+1, waiting-1
@@ -227,9 +243,6 @@
 		r.unsure[w.ID] = true
 		a.Orders = append(a.Orders, Order{w, l.model, l.want})
 	}
-	if f.Now < f.From-r.b.Leave(lead) {
-		return
-	}
 	for _, w := range next[:max(0, min(len(next), most-busy-waiting+soon))] {
 		m, v := behind(w, f)
 		r.loads[w.ID] = &load{w: w, model: m, want: v, set: -1}
--- a/internal/duty/tenure.go
+++ b/internal/duty/tenure.go
@@ -121,13 +121,14 @@
 }
 
 // left gives the fence, and how long an order that begins now may take; false: none may begin.
+// Whether a worker may have one so soon after the holder before is the roll-out's to say.
 func (n *tenure) left() (uint64, time.Duration, bool) {
 	fence, ok := n.lease.Held()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clk.Now()
 	d := n.until - now
-	return fence, d, ok && fence == n.fence && now >= n.first && d >= n.part(landPart)
+	return fence, d, ok && fence == n.fence && d >= n.part(landPart)
 }
 
 // giveBack lets another have the lease at once.
