--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Pinned generators; their output is committed. `make tools generate` makes it again.
-.PHONY: tools generate build
+.PHONY: tools generate build platform
 tools:
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 	go install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
@@ -9,3 +9,5 @@
 	go generate ./...
 build:
 	go build -o bin/ ./cmd/...
+platform:
+	go build -ldflags=-linkmode=external -o target/ ./platform/cmd/...
