--- /dev/null
+++ b/internal/link/group_test.go
@@ -0,0 +1,84 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/roster"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+// seat is one core machine of a group, which may know who owns it.
+type seat struct {
+	wire.Archive
+	owner func() string
+	owns  bool
+	asked int
+}
+
+func (s *seat) Change(context.Context, *wire.ChangeAsk) (*wire.ChangeTell, error) {
+	s.asked++
+	if s.owns {
+		return &wire.ChangeTell{Outcome: "done", Epoch: 7}, nil
+	}
+	return &wire.ChangeTell{Outcome: "not-owner", Owner: s.owner()}, nil
+}
+
+// The owner of a group is found by whom anybody names, by the roster and by the seeds; once
+// found it is asked first; where nobody knows, that is said in time.
+func TestTheOwnerOfAGroupIsFound(t *testing.T) {
+	var addr [4]string
+	name := ""
+	s := [4]*seat{}
+	for i := range s {
+		s[i] = &seat{owner: func() string { return name }}
+		x := httptest.NewServer(wire.NewArchiveServer(s[i]))
+		defer x.Close()
+		addr[i] = x.Listener.Addr().String()
+	}
+	b := settings.Default()
+	b.HealMs = 1200
+	view := roster.View{Nodes: []*wire.Node{{Name: "archive/core-2", Role: "archive", Addr: addr[1]}, {Name: "runner/e", Role: "runner", Addr: addr[0]}}}
+	c := NewGroup([]string{addr[2], "127.0.0.1:1"}, func() roster.View { return view }, daemon.NewCalls(daemon.New("test", settings.Place{Bounds: b})), b)
+	for _, x := range []struct {
+		what  string
+		owner int    // who owns it
+		named string // whom the others name
+		asked [4]int
+	}{
+		{"named by one of the roster", 3, addr[3] + "/8f3a", [4]int{0, 1, 0, 1}},
+		{"asked first the next time", 3, "", [4]int{0, 0, 0, 1}},
+		{"it has passed on, which the one before knows", 1, addr[1] + "/0", [4]int{0, 1, 0, 1}},
+		{"it has passed on, and nobody names it", 2, "", [4]int{0, 1, 1, 0}},
+	} {
+		for i := range s {
+			s[i].asked, s[i].owns = 0, i == x.owner
+		}
+		name = x.named
+		r, err := c.Change(context.Background(), put("t", false))
+		if got := [4]int{s[0].asked, s[1].asked, s[2].asked, s[3].asked}; err != nil || r.Epoch != 7 || got != x.asked {
+			t.Errorf("%s: %v, %v, asked %v, want %v", x.what, r, err, got, x.asked)
+		}
+	}
+	for i := range s {
+		s[i].owns = false
+	}
+	ctx, end := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer end()
+	if _, err := c.Change(ctx, put("t", false)); err == nil || errs.KindOf(err) != errs.CantSay {
+		t.Errorf("nobody owns it: %v", err)
+	}
+	c.SetSeeds([]string{"127.0.0.1:2"})
+	if l := fmt.Sprint(c.Seats()); l != fmt.Sprint([]string{addr[2], addr[1], "127.0.0.1:2"}) {
+		t.Errorf("seats: %s", l)
+	}
+	if Addr("10.1.0.17:7360/8f3a") != "10.1.0.17:7360" || Addr("10.1.0.17:7360") != "10.1.0.17:7360" {
+		t.Error("the address of a name")
+	}
+}
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -58,6 +58,14 @@
 	return l
 }
 
+// pace is the place's bounds; a site that beats more slowly judges as much later.
+func pace(p settings.Place) settings.Bounds {
+	if p.Site != nil {
+		p.Bounds.LeaveMs = max(p.Bounds.LeaveMs, int(float64(p.Site.BeatMs)/beatPart))
+	}
+	return p.Bounds
+}
+
 // Start makes a member of the place's site; hook is told of every change of the view.
 //
 // Example: m := roster.Start(ctx, place, "runner", clk, log, call, nil)
@@ -65,9 +73,7 @@
 	call func(string) wire.Roster, hook func(View)) *Member {
 	self := &wire.Node{Name: role + "/" + p.Name, Incarnation: uint64(clk.Now()), Role: role, District: p.District,
 		Addr: p.Told(), Operator: p.Operator}
-	if p.Site != nil { // a site that beats more slowly judges as much later
-		p.Bounds.LeaveMs = max(p.Bounds.LeaveMs, int(float64(p.Site.BeatMs)/beatPart))
-	}
+	p.Bounds = pace(p)
 	m := &Member{desk: queue.NewDesk(New(p.Bounds, self, p.Seeds), 256), clk: clk, b: p.Bounds, log: log, call: call, hook: hook}
 	m.desk.Ask(func(c *Core) { m.show(c) })
 	go m.run(ctx)
