--- a/internal/duty/papers.go
+++ b/internal/duty/papers.go
@@ -17,9 +17,9 @@
 
 // paper is one document as it was last seen in force.
 type paper struct {
-	epoch uint64
-	body  []byte
-	known bool
+	version uint64
+	body    []byte
+	known   bool
 }
 
 // papers writes the documents of one tenure: under its fence, and onto the version that it
@@ -71,13 +71,13 @@
 	}
 	ctx, end := context.WithTimeout(ctx, p.b.Leave(0.5))
 	defer end()
-	put := &wire.Put{Key: key, Body: body, IfEpoch: f.epoch, Duty: Lease, Fence: fence, Holder: p.holder}
+	put := &wire.Put{Key: key, Body: body, IfEpoch: f.version, Duty: Lease, Fence: fence, Holder: p.holder}
 	t, err := p.ctl.Change(ctx, &wire.ChangeAsk{Command: &wire.Command{Kind: &wire.Command_Put{Put: put}}})
 	if err != nil {
 		f.known = false // read it again before the next try
 		return true, errs.Wrap(err, "write "+key)
 	}
-	f.epoch, f.body = t.Epoch, body
+	f.version, f.body = t.Epoch, body
 	return true, nil
 }
 
--- a/internal/forward/line.go
+++ b/internal/forward/line.go
@@ -91,7 +91,7 @@
 	writing int  // writes under way
 	sent    bool // the holder's bytes were taken by the kernel
 	holder  any  // nil: none
-	expiry  *time.Timer
+	timer   *time.Timer
 	once    sync.Once
 }
 
@@ -131,8 +131,8 @@
 func (c *line) Close() error {
 	c.mu.Lock()
 	c.stopped = true
-	if c.expiry != nil {
-		c.expiry.Stop()
+	if c.timer != nil {
+		c.timer.Stop()
 	}
 	c.mu.Unlock()
 	c.once.Do(c.shut)
@@ -144,8 +144,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.holder, c.sent = by, false
-	if c.expiry != nil {
-		c.expiry.Stop()
+	if c.timer != nil {
+		c.timer.Stop()
 	}
 }
 
@@ -158,14 +158,14 @@
 		return
 	}
 	c.holder = nil
-	if c.expiry == nil {
-		c.expiry = time.AfterFunc(keep, c.expire)
+	if c.timer == nil {
+		c.timer = time.AfterFunc(keep, c.lapse)
 	} else {
-		c.expiry.Reset(keep)
+		c.timer.Reset(keep)
 	}
 }
 
-func (c *line) expire() {
+func (c *line) lapse() {
 	c.mu.Lock()
 	idle := c.holder == nil
 	c.mu.Unlock()
--- a/internal/forward/line_test.go
+++ b/internal/forward/line_test.go
@@ -270,7 +270,7 @@
 	l.take(1)
 	l.take(2)
 	l.rest(1, time.Nanosecond)
-	if l.stop(1) || l.holder != 2 || l.expiry != nil {
+	if l.stop(1) || l.holder != 2 || l.timer != nil {
 		t.Error("the line was the first one's still")
 	}
 	if n, err := l.Write([]byte("x")); n == 0 || err != nil {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -11,7 +11,7 @@
 )
 
 // way is a proper route to a service named s.
-func way(name, host, prefix string) Route {
+func route(name, host, prefix string) Route {
 	return Route{Name: name, Host: host, Prefix: prefix, Timeout: time.Second, Split: []Share{{"s", 1}}}
 }
 
@@ -20,9 +20,9 @@
 }
 
 func TestTheLongestPrefixWins(t *testing.T) {
-	p := sample(way("a", "one.example", "/a/"), way("ab", "one.example", "/a/b/"), way("abc", "one.example", "/a/b/c/d/"),
-		way("root", "two.example", "/"), way("bare", "two.example", "/x"), way("bare2", "two.example", "/x/yy"), way("x", "two.example", "/x/"),
-		way("big", "Three.Example:80", "/A/")).Ready()
+	p := sample(route("a", "one.example", "/a/"), route("ab", "one.example", "/a/b/"), route("abc", "one.example", "/a/b/c/d/"),
+		route("root", "two.example", "/"), route("bare", "two.example", "/x"), route("bare2", "two.example", "/x/yy"), route("x", "two.example", "/x/"),
+		route("big", "Three.Example:80", "/A/")).Ready()
 	for _, c := range []struct{ host, path, name string }{
 		{"one.example", "/a/", "a"}, {"one.example", "/a/1", "a"}, {"one.example", "/a", ""}, {"one.example", "/", ""}, {"one.example", "", ""},
 		{"one.example", "/a/b", "a"}, {"one.example", "/a/b/", "ab"}, {"one.example", "/a/b/c/d", "ab"}, {"one.example", "/a/b/c/d/e/f", "abc"},
@@ -37,7 +37,7 @@
 			t.Errorf("%s%s: %v, want %q", c.host, c.path, r, c.name)
 		}
 	}
-	if _, ok := sample(way("a", "one.example", "/a/")).Route("one.example", "/a/"); ok {
+	if _, ok := sample(route("a", "one.example", "/a/")).Route("one.example", "/a/"); ok {
 		t.Error("a plan that isn't ready finds a route")
 	}
 }
@@ -59,7 +59,7 @@
 		for i := range 12 {
 			if x := all[(seed*31+i*i*7+i*13)%len(all)]; !taken[x] {
 				taken[x] = true
-				p.Routes = append(p.Routes, way(x, "h", x))
+				p.Routes = append(p.Routes, route(x, "h", x))
 			}
 		}
 		p.Ready()
@@ -156,7 +156,7 @@
 		"no tenants":                    {func(p *Plan) { p.Tenants = nil }, ""},
 		"no routes, no services at all": {func(p *Plan) { *p = Plan{Version: 3} }, ""},
 	} {
-		p := sample(way("a", "h", "/a/"), way("b", "h", "/b/"))
+		p := sample(route("a", "h", "/a/"), route("b", "h", "/b/"))
 		p.Tenants = []Tenant{{Name: "one", Keys: []string{"k1", "k2"}}, {Name: "two", Keys: []string{"k3"}}}
 		c.change(p)
 		err := Check(p)
@@ -170,7 +170,7 @@
 }
 
 func TestEveryFaultIsListed(t *testing.T) {
-	p := sample(way("a", "h", "/a/"), way("b", "h", "/a/"))
+	p := sample(route("a", "h", "/a/"), route("b", "h", "/a/"))
 	p.Version, p.Routes[0].Timeout, p.Routes[1].Split[0].Service = 0, 0, "gone"
 	err := Check(p)
 	for _, w := range []string{"4 faults", "version", `route "a": timeout`, `route "b": service "gone"`, `host "h" and prefix "/a/"`} {
@@ -195,7 +195,7 @@
 func many(n int) *Plan {
 	p := sample()
 	for i := range n {
-		p.Routes = append(p.Routes, way(fmt.Sprint("r", i), fmt.Sprintf("h%d.example", i%5), fmt.Sprintf("/p%d/", i)))
+		p.Routes = append(p.Routes, route(fmt.Sprint("r", i), fmt.Sprintf("h%d.example", i%5), fmt.Sprintf("/p%d/", i)))
 	}
 	return p
 }
