A worker's backlog is told by its late first pieces, and its load heard at the first piece

Cause: what a worker said of its load, and how long a first piece took, counted only from the answer's end, and that tens of prompts waited was guessed from a word that fades in half a second. In the seconds after new weights 20 to 30 prompts waited at some workers, each for 2 s and more, while others had none; so clients gave up and what was read for them was read again. Now the first piece tells at once; a worker whose next first piece is overdue, or whose last one was late, is that far behind. Prompts that waited, and requests without a prompt, teach nothing of how long reading takes. Ruled out: places (14 of 128 taken), the store's link (the same with nothing moved over it).

--- a/internal/forward/site_test.go
+++ b/internal/forward/site_test.go
@@ -187,6 +187,8 @@
 
 func (p *picker) Sent(*pick.Request, pick.Choice) { p.mu.Lock(); defer p.mu.Unlock(); p.open++ }
 
+func (p *picker) Begun(*pick.Request, pick.Choice, *pick.Load, time.Duration) {}
+
 func (p *picker) Done(_ *pick.Request, _ pick.Choice, e pick.Ending, l *pick.Load, _ time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -45,7 +45,7 @@
 	}
 	c += x.st.back(q.now) * backCost * q.target
 	slow := t.slowness(x.st, q.now)
-	c += slow * (q.h.a + max(0, x.st.busy-q.now).Seconds()*1e3 + t.others(x.st, q.now))
+	c += slow * (q.h.a + t.backlog(x.st, q.now))
 	shared := max(0, q.upto[min(o.shared, ps)]-q.upto[held])
 	if could := c + slow*q.h.b*(missing-shared); could >= least {
 		return option{cost: could}
@@ -90,19 +90,26 @@
 	return best
 }
 
-// others is about how long others' prompts take that wait at a worker, in ms.
-func (t *table) others(x *stat, now time.Duration) float64 {
-	if !x.spoke {
-		return 0
+// backlog is about how long a prompt waits at a worker until it is read, in ms: by this edge's own
+// prompts there, by what others have waiting, by how late the last first piece was, and by how
+// late the next one is already.
+func (t *table) backlog(x *stat, now time.Duration) float64 {
+	ms := max(0, x.busy-now).Seconds() * 1e3
+	if x.spoke {
+		ms = max(ms, fade(now-x.headAt, t.b.Heal(fadePart))*x.headWait*x.h.tokens*x.h.b)
 	}
-	return fade(now-x.headAt, t.b.Heal(fadePart)) * x.headWait * x.h.tokens * x.h.b
+	ms = max(ms, fade(now-x.lateAt, t.b.Heal(fadePart))*x.late)
+	for _, p := range x.unread {
+		ms = max(ms, (now-p.at).Seconds()*1e3-p.want)
+	}
+	return ms
 }
 
 // choice says how the placement takes effect on the worker picked.
 func (q *query) choice(o *opening, i int, x option) Choice {
 	t, w := q.t, q.g.seats[i]
 	c := Choice{Worker: *w.w, Weights: o.weights, Salt: o.text, Urgency: urgency(q.r)}
-	p := promise{st: w.st, read: x.read, keys: o.keys, kept: true}
+	p := promise{st: w.st, read: x.read, keys: o.keys, kept: q.r.In > 0}
 	if x.from != nil {
 		c.Fetch, p.from, p.moved = x.from.addr, x.from.st, x.moved
 	}
--- a/internal/pick/load.go
+++ b/internal/pick/load.go
@@ -47,9 +47,19 @@
 	full     time.Duration // until then: it had no place
 	loading  time.Duration // until then: it turned requests away for other weights
 	loadingV uint64        // the version that its row told then
+	late     float64       // ms by which its last first piece was
+	lateAt   time.Duration
+	unread   []unread      // this edge's attempts there whose first piece hasn't come
 	moves    time.Duration // until then its link is taken, as far as this edge knows
 }
 
+// unread is an attempt whose first piece hasn't come.
+type unread struct {
+	k    ticket
+	at   time.Duration
+	want float64 // ms until it, if nothing waited
+}
+
 // fade is how much a word of age d still says: about e to the power of -d, for less work.
 func fade(d, over time.Duration) float64 {
 	x := float64(d) / float64(over)
--- a/internal/pick/memo.go
+++ b/internal/pick/memo.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"slices"
 	"time"
 
 	"pebbleloom/internal/catalogue"
@@ -125,6 +126,9 @@
 		w.st.moves = max(w.st.moves, now) + d
 	}
 	t.sent[k] = w
+	if w.kept {
+		w.st.unread = append(w.st.unread, unread{k, now, w.st.h.a + w.st.h.b*w.read + w.moved})
+	}
 	for _, key := range w.keys {
 		m, _ := t.memo.get(key)
 		m.again = m.again || m.by != "" && m.by != r.ID
@@ -148,27 +152,62 @@
 	for k, w := range t.sent {
 		if now-w.at > t.b.Once(1.0/2) {
 			w.st.under--
+			w.st.unread = slices.DeleteFunc(w.st.unread, func(u unread) bool { return u.k == k })
 			delete(t.sent, k)
 		}
 	}
 }
 
+// begin takes an attempt's first piece: the prompt is read and kept.
+func (t *table) begin(r *Request, c Choice, l *Load, first, now time.Duration) {
+	k := ticket{r.ID, c.Worker.ID}
+	w, ok := t.sent[k]
+	if !ok || w.begun {
+		return
+	}
+	w.begun = true
+	t.read(&w, k, now)
+	t.sent[k] = w
+	if l != nil {
+		t.heard(w.st, l, now)
+	}
+	t.confirm(c, w, now)
+	if !w.kept {
+		return
+	}
+	w.st.h.tokens = towards(w.st.h.tokens, w.read, meanPart)
+	w.st.late, w.st.lateAt = max(0, first.Seconds()*1e3-w.st.h.a-w.st.h.b*w.read), now
+	if l == nil || l.Waiting == 0 { // what waited for others tells nothing of reading
+		t.learn(w.st, w.read, first, now)
+	}
+}
+
+// read notes that a worker reads no more of a prompt.
+func (t *table) read(w *promise, k ticket, now time.Duration) {
+	w.st.unread = slices.DeleteFunc(w.st.unread, func(u unread) bool { return u.k == k })
+	if left := w.reading - (now - w.at); left > 0 {
+		w.st.busy -= left
+	}
+	w.reading = 0
+}
+
 // done takes an attempt's ending.
 func (t *table) done(r *Request, c Choice, e Ending, l *Load, first, now time.Duration) {
 	k := ticket{r.ID, c.Worker.ID}
+	if first > 0 {
+		t.begin(r, c, l, first, now)
+	}
 	w, ok := t.sent[k]
 	if !ok {
 		return
 	}
+	t.read(&w, k, now)
 	delete(t.sent, k)
 	w.st.under--
-	if left := w.reading - (now - w.at); left > 0 {
-		w.st.busy -= left // it reads no more of that
-	}
-	if l != nil {
+	if l != nil && !w.begun {
 		t.heard(w.st, l, now)
 	}
-	if first > 0 || e == Served {
+	if w.begun || e == Served {
 		t.confirm(c, w, now)
 	} else if e != Left && e != Unsure {
 		for _, key := range w.keys {
@@ -185,10 +224,6 @@
 	case Served:
 		t.fine(w.st, now)
 		w.st.h.span = towards(w.st.h.span, (now-w.at).Seconds()*1e3, meanPart)
-		if w.kept && first > 0 {
-			w.st.h.tokens = towards(w.st.h.tokens, w.read, meanPart)
-			t.learn(w.st, w.read, first, now)
-		}
 	case Full:
 		w.st.full = now + t.b.Heal(fullPart)
 	case Loading:
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -93,7 +93,8 @@
 	store   string // handed to
 	at      time.Duration
 	reading time.Duration // of its worker's time
-	kept    bool          // an engine
+	kept    bool          // an engine, and a prompt to read
+	begun   bool          // its first piece came
 }
 
 // table is one edge machine's memory for choices.
@@ -171,6 +172,13 @@
 	p.index.Count(r.Service, w.uses, c.Worker.ID, w.store)
 }
 
+// Begun notes that its first piece came.
+//
+// Example: p.Begun(request, choice, &load, 80*time.Millisecond)
+func (p *picker) Begun(r *Request, c Choice, l *Load, first time.Duration) {
+	p.desk.Ask(func(t *table) { t.begin(r, c, l, first, p.clk.Now()) })
+}
+
 // Done notes how it ended.
 //
 // Example: p.Done(request, choice, pick.Served, &load, 80*time.Millisecond)
--- a/internal/pick/shape.go
+++ b/internal/pick/shape.go
@@ -65,8 +65,10 @@
 	Look(ctx context.Context, s *fleet.Snapshot, r *Request) map[prefix.Key]*wire.Found
 	// Pick chooses among the service's workers that aren't draining nor tried; false: none.
 	Pick(s *fleet.Snapshot, r *Request, found map[prefix.Key]*wire.Found, tried map[string]bool) (Choice, bool)
-	// Sent notes an attempt under way; Done how it ended, what the worker said of its load
-	// (nil: nothing) and how long its first piece took (0: none came).
+	// Sent notes an attempt under way; Begun that its first piece came, what the worker said of
+	// its load (nil: nothing) and how long that took; Done how it ended, and the same once more
+	// (0: no piece came).
 	Sent(r *Request, c Choice)
+	Begun(r *Request, c Choice, l *Load, first time.Duration)
 	Done(r *Request, c Choice, e Ending, l *Load, first time.Duration)
 }
