After all have begun anew the first request is served a second sooner

Cause: a core whose members had all begun anew waited for 9 to 18 ticks of silence (0.9 to 1.8 s) before anyone stood; a connection begun towards a machine that was still without power hung until its first packet was sent again; a node knew its peers only after beats of the site's pace, 1.2 s. Now a member that has heard of no owner since its start asks for votes at once and often (asking changes nothing, and whoever hears an owner says no); connections between pebbleloom's own processes are begun again beside the first while nothing is said; the first eight beats of a node fill one period; an agent without any proof asks for answers that aren't held. Owning the group and the first proved plan are written to the log. Ruled out: start of the processes (6 ms of initialisation; members serve 0.1 s after the power is back); reading the disks.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -149,13 +149,16 @@
 // heard takes one member's answer into the table, and says whether it was of any use.
 func (a *Agent) heard(tell *wire.FollowTell, had uint64, asked time.Duration) (useful bool) {
 	a.desk.Ask(func(t *table) {
-		term, index := t.proof.term, t.proof.index
+		term, index, first := t.proof.term, t.proof.index, t.snap.ProofAt == 0
 		news, err := t.hear(tell, had, asked, a.life.Clock.Now())
 		if err != nil {
 			// The control state holds checked documents; a program older than one can still fail here.
 			a.life.Log.Error("news can't be read: the last that could be stays in use", "from", tell.Member, "error", err)
 		}
 		a.show(t, news)
+		if first && t.snap.ProofAt > 0 {
+			a.life.Log.Info("first plan proved", "version", t.snap.Plan.Version, "workers", len(t.snap.Workers))
+		}
 		if t.proof.term != term || t.proof.index != index {
 			a.tend(t)
 		}
--- a/internal/agent/follow.go
+++ b/internal/agent/follow.go
@@ -14,10 +14,12 @@
 // counts as silent: ratios of the setup bound. News comes at once; the hold only says how often
 // a calm site is asked. A proof is two holds old at the most while all is calm.
 const (
-	holdPart  = 1.0 / 2
-	graceWait = 1.0 / 4
-	pauseLeft = 1.0 / 40 // after an error, or an answer that came early with nothing in it
-	pauseMost = 1.0 / 5
+	holdPart   = 1.0 / 2
+	graceWait  = 1.0 / 4
+	pauseLeft  = 1.0 / 40 // after an error, or an answer that came early with nothing in it
+	pauseMost  = 1.0 / 5
+	pauseEager = 1.0 / 25 // the most just after the start
+	eagerPart  = 1.0 / 2
 )
 
 // address is where a member listens: its name without its life.
@@ -31,7 +33,7 @@
 func (a *Agent) follow(ctx context.Context, addr string) {
 	b := a.life.Place.Bounds
 	hold := b.Setup(holdPart)
-	member := a.archive(addr)
+	member, born := a.archive(addr), a.life.Clock.Now()
 	for pause := b.Setup(pauseLeft); ctx.Err() == nil; {
 		var ask *wire.FollowAsk
 		asked := a.life.Clock.Now()
@@ -47,6 +49,9 @@
 		}
 		clock.Pause(ctx, pause)
 		pause = min(2*pause, b.Setup(pauseMost))
+		if a.Now().ProofAt == 0 && a.life.Clock.Now()-born < b.Setup(eagerPart) { // all may have begun anew: whoever is next to is heard soon
+			pause = min(pause, b.Setup(pauseEager))
+		}
 	}
 }
 
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -50,7 +50,7 @@
 // hold is how long a question asked now may be held. An agent that was out of touch, or slept, needs
 // a proof before it can serve again: it asks for answers at once.
 func (t *table) hold(now time.Duration) time.Duration {
-	if t.snap.Plan != nil && now-t.snap.ProofAt > t.b.Setup(outOfTouch) {
+	if t.snap.Plan != nil && (t.snap.ProofAt == 0 || now-t.snap.ProofAt > t.b.Setup(outOfTouch)) {
 		return 0
 	}
 	return t.b.Setup(holdPart)
--- a/internal/archive/follow.go
+++ b/internal/archive/follow.go
@@ -47,6 +47,9 @@
 	if !fresh && len(o.Records) == 0 && len(o.Commits) == 0 && old.owner == s.Owner && old.owns == owns && p.bad == nil {
 		return
 	}
+	if owns && (old == nil || !old.owns) {
+		p.log.Info("owns the group", "term", s.Term)
+	}
 	g := &glimpse{owner: s.Owner, owns: owns, open: puts(p.core.Unsettled())}
 	g.members, g.term, g.index = p.core.Members()
 	g.self = p.core.Self()
--- a/internal/archive/part.go
+++ b/internal/archive/part.go
@@ -87,15 +87,20 @@
 func (p *part) run(tick time.Duration) {
 	t := clock.Every(tick)
 	defer t.Stop()
+	at := func() {
+		if p.bad == nil {
+			p.core.Tick()
+		}
+		p.watch()
+	}
+	at() // what begins anew doesn't wait for the first tick
+	p.step()
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case <-t.C:
-			if p.bad == nil {
-				p.core.Tick()
-			}
-			p.watch()
+			at()
 		case f := <-p.in.Out():
 			f()
 			for _, g := range p.in.Drain(63) {
--- a/internal/archive/sim_group_run_test.go
+++ b/internal/archive/sim_group_run_test.go
@@ -208,9 +208,11 @@
 		n.stall = [...]time.Duration{0, 30 * time.Millisecond, 2 * time.Second}[s.r.IntN(3)]
 		s.counts["stall"]++
 	case 11:
-		if s.well(n) && n.p.core.HandOver() {
-			s.after(n)
-			s.counts["hand over"]++
+		for _, n := range s.nodes { // whoever owns the group, so that it happens each time
+			if s.well(n) && n.p.core.HandOver() {
+				s.after(n)
+				s.counts["hand over"]++
+			}
 		}
 	case 12:
 		s.loss = [...]float64{0, 0, 0.05, 0.3}[s.r.IntN(4)]
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -198,7 +198,11 @@
 //
 // Example: c := daemon.NewCalls(life)
 func NewCalls(l *Life) *Calls {
-	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute, DialContext: l.Dial}}
+	dial := l.Dial
+	if l.Place.Site != nil {
+		dial = insistent(dial, l.Place.Bounds)
+	}
+	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute, DialContext: dial}}
 	l.Until(h.CloseIdleConnections)
 	return &Calls{h}
 }
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -102,6 +102,9 @@
 		}
 	}
 	c.rest()
+	if c.young() {
+		c.limit = 1
+	}
 	return c
 }
 
@@ -110,8 +113,6 @@
 // Example: shelf.Turn(ledger.First("core-1/9f3a"), nil)
 func First(inc string) *wire.Slot { return &wire.Slot{Epoch: 1, Hard: &wire.Hard{Incarnation: inc}} }
 
-func (c *Core) rest() { c.silent, c.limit = 0, c.cfg.ElectTicks+c.cfg.Rand.IntN(c.cfg.ElectTicks) }
-
 func (c *Core) last() uint64 {
 	if n := len(c.log); n > 0 {
 		return c.log[n-1].Index
--- a/internal/ledger/stand.go
+++ b/internal/ledger/stand.go
@@ -24,6 +24,24 @@
 	return false
 }
 
+// youngPart is the longest pause between two asks of a young member, as a part of ElectTicks.
+const youngPart = 3
+
+// young tells whether a member of a group has just begun and heard of no owner yet. It asks at once
+// whether it could win, and often: after all have begun anew nobody else will. Asking changes
+// nothing, and whoever hears an owner says no.
+func (c *Core) young() bool {
+	return c.cfg.Group && c.heardAt == 0 && c.ticks < c.cfg.ElectTicks
+}
+
+// rest lets time go by until this member stands, if no owner speaks before.
+func (c *Core) rest() {
+	c.silent, c.limit = 0, c.cfg.ElectTicks+c.cfg.Rand.IntN(c.cfg.ElectTicks)
+	if c.young() {
+		c.limit = 1 + c.cfg.Rand.IntN(max(1, c.cfg.ElectTicks/youngPart))
+	}
+}
+
 // Standing tells how the member stands: who owns the part, and why it can't vote, if so.
 type Standing struct {
 	Owner   string
--- /dev/null
+++ b/internal/ledger/young_test.go
@@ -0,0 +1,49 @@
+package ledger
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// After all members have begun anew there is an owner within a few ticks, whichever of them
+// begins last; nobody waits for a silence that nobody can break.
+func TestAllBegunAnewAgreeSoon(t *testing.T) {
+	for seed := range uint64(200) {
+		x := newBand(t, "a b c", "")
+		for n, c := range x.c {
+			c.cfg.Rand = rand.New(rand.NewPCG(seed, uint64(n[0])))
+		}
+		late := string("abc"[seed%3])
+		c := x.c[late]
+		delete(x.c, late)
+		x.tick(1)
+		x.c[late] = c
+		x.tick(8)
+		owners := 0
+		for _, c := range x.c {
+			if c.role == owner && c.commit > 0 {
+				owners++
+			}
+		}
+		if owners != 1 {
+			t.Fatalf("seed %d: %d owners after a few ticks", seed, owners)
+		}
+	}
+}
+
+// One that begins anew beside an owner asks, is told no, and follows.
+func TestOneBegunAnewUnseatsNobody(t *testing.T) {
+	for seed := range uint64(50) {
+		x := newBand(t, "a b c", "")
+		x.stand("a")
+		x.calm()
+		x.tick(30)
+		term := x.c["a"].hard.Term
+		s, rest := x.c["b"].Compact([]byte("state"))
+		x.c["b"] = New(Config{Self: "b", Group: true, BeatTicks: 2, ElectTicks: 10, MaxBytes: 1 << 16, Rand: rand.New(rand.NewPCG(seed, 2))}, s, rest)
+		x.tick(40)
+		if x.c["a"].role != owner || x.c["b"].owner != "a" || x.c["a"].hard.Term != term {
+			t.Fatalf("seed %d: %+v in term %d before", seed, x.c["b"].Stands(), term)
+		}
+	}
+}
--- a/internal/roster/core.go
+++ b/internal/roster/core.go
@@ -21,9 +21,10 @@
 
 const maxNodes = 4096
 
-// young is how many periods a node asks to be told all in: others may not have seen that it
-// was away, and have no reason of their own to tell it.
-const young = 4
+// young is how many beats a node asks to be told all in: others may not have seen that it was
+// away, and have no reason of their own to tell it. These beats fill the first period, so that
+// nodes that begin together know each other soon.
+const young = 8
 
 // patience is how long views may differ, as a ratio of the leave bound, before all is told
 // though there is still news under way.
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -114,14 +115,20 @@
 }
 
 func (m *Member) run(ctx context.Context) {
-	tick := clock.Every(m.b.Leave(beatPart))
-	defer tick.Stop()
-	for {
+	beat := m.b.Leave(beatPart)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			m.desk.Stop()
 			return
-		case <-tick.C:
+		case <-next.C:
+		}
+		if turn < young {
+			next.Reset(beat / young)
+		} else {
+			next.Reset(beat)
 		}
 		m.desk.Tell(func(c *Core) {
 			if m.gone {
--- a/internal/roster/member_test.go
+++ b/internal/roster/member_test.go
@@ -1,10 +1,17 @@
 package roster
 
 import (
+	"context"
+	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
+	"pebbleloom/internal/clock"
 	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
 )
 
 // A site says how often it beats; nobody is judged sooner for that.
@@ -20,3 +27,47 @@
 		}
 	}
 }
+
+// direct lets members call each other by address.
+type direct map[string]*Member
+
+func (d direct) call(addr string) wire.Roster {
+	if m := d[addr]; m != nil {
+		return m
+	}
+	return dark{}
+}
+
+type dark struct{}
+
+func (dark) Hear(ctx context.Context, _ *wire.Beat) (*wire.Beat, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Nodes that begin within a part of a beat know each other by its end.
+func TestNodesThatBeginTogetherKnowEachOtherSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(context.Background())
+		defer end()
+		const n = 17
+		var l []*Member
+		d := direct{}
+		p := settings.Place{Bounds: settings.Default(), Seeds: []string{"1", "2", "3"}, Site: &settings.Site{BeatMs: 1200}}
+		beat := pace(p).Leave(beatPart)
+		for i := range n {
+			p.Name, p.Listen = strconv.Itoa(i), strconv.Itoa(i)
+			m := Start(ctx, p, "runner", clock.Ticking(), hclog.NewNullLogger(), d.call, nil)
+			l, d[p.Listen] = append(l, m), m
+			pass := time.NewTimer(beat / 4 / n)
+			<-pass.C
+		}
+		pass := time.NewTimer(beat * 3 / 4)
+		<-pass.C
+		for i, m := range l {
+			if k := len(m.View().Role("runner")); k != n {
+				t.Errorf("%d knows %d nodes after a beat", i, k)
+			}
+		}
+	})
+}
