--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -55,14 +55,14 @@
 
 // The outcomes.
 const (
-	Unknown Outcome = iota // no answer: it may have been taken
-	Begun                  // it is being done
-	Holds                  // it was done before
-	Busy                   // another order is under way
-	Fenced                 // a higher fence was seen
-	Denied                 // no such order or version
-	Stranger               // another worker has that address
-	TooMany                // asked too often, or as many are held as may be
+	Unknown  Outcome = iota // no answer: it may have been taken
+	Begun                   // it is being done
+	Holds                   // it was done before
+	Busy                    // another order is under way
+	Fenced                  // a higher fence was seen
+	Denied                  // no such order or version
+	Stranger                // another worker has that address
+	TooMany                 // asked too often, or as many are held as may be
 )
 
 // Change is what a worker or store keeps of one part now; no tokens: it is gone.
