--- a/internal/catalogue/events_test.go
+++ b/internal/catalogue/events_test.go
@@ -278,7 +278,9 @@
 	if err := p.enter(addr, p.events); err != nil {
 		return backend.Events{}, err
 	}
+	p.mu.Lock()
 	p.waits = append(p.waits, wait)
+	p.mu.Unlock()
 	return backend.Events{Boot: 1, Next: 5, Lost: p.lost && since == 0, Full: p.full, List: []backend.Change{plus("a", 10)}}, nil
 }
 
