New weights come steadily: prompts drawn by cost, no more workers out for haste

Cause: from the naming on, a third of the prompts and more was sent to the three or four workers that had the new weights, whatever waited there (tens of prompts, first pieces after 2 s) while older workers idled; and as a load takes 2.7 s where the bound seemed to press, six workers of 18 were out at once, which makes loads slower still. Now being drawn to newer weights is a cost, as large as reading the shared parts, that a backlog outweighs; and the last workers may load when the older weights are picked no more, so three or four are out at a time.

--- a/internal/duty/roll.go
+++ b/internal/duty/roll.go
@@ -16,6 +16,7 @@
 	atOnce   = 1.0 / 5  // of a service's workers load at once
 	mostOut  = 1.0 / 3  // of them at the most, when the bound presses
 	span     = 0.8      // of the weights bound: all loads fit into it
+	tail     = 0.2      // of the weights bound: the last may load while the older ones are picked no more
 	guess    = 1.0 / 10 // of the weights bound: a load, until one was seen
 	lead     = 1.0 / 15 // of the leave bound: a worker is set aside this long before its order
 	look     = 1.0 / 20 // of the leave bound: between two reports of a worker
@@ -231,6 +232,9 @@
 		delete(r.grown, ws[0].Service)
 		return
 	}
+	if since >= 0 {
+		since += r.b.Weights(tail)
+	}
 	most := max(r.grown[ws[0].Service], r.most(f, len(ws), left-busy, since, model))
 	r.grown[ws[0].Service] = most
 	for _, w := range ws {
@@ -262,7 +266,7 @@
 	}
 	one := float64(took + r.b.Leave(look))
 	rounds := max(1, (float64(since+r.b.Weights(span)-f.Now)-one/2)/one) // the loads under way are half done
-	return min(max(base, int(math.Ceil(float64(waiting)/rounds))), max(base, int(float64(all)*mostOut)))
+	return min(max(base, int(math.Round(float64(waiting)/rounds))), max(base, int(float64(all)*mostOut)))
 }
 
 // Aside notes that edges were told to send these workers nothing new.
--- a/internal/pick/backlog_test.go
+++ b/internal/pick/backlog_test.go
@@ -62,3 +62,38 @@
 		t.Errorf("%d under way, %d of them unread", x.under, len(x.unread))
 	}
 }
+
+// While weights are rolled out, prompts are drawn to the newer ones, but not into a queue: where
+// those workers are behind, the older ones go on.
+func TestPromptsAreNotDrawnIntoAQueue(t *testing.T) {
+	s := fleetOf(18)
+	s.Named["m"], s.NamedAt["m"] = 2, start+time.Minute
+	for i := range 6 {
+		s.Workers[i].Weights = map[string]uint64{"m": 2}
+	}
+	e := newEdge(s)
+	e.born = start - time.Hour
+	e.now += time.Second
+	newer := func(i int) bool {
+		r := e.ask(fmt.Sprint("p", i), 13000)
+		c := e.must(t, r)
+		return c.Weights == 2
+	}
+	drawn := 0
+	for i := range 100 {
+		if newer(i) {
+			drawn++
+		}
+	}
+	if drawn < 20 || drawn > 80 {
+		t.Errorf("%d of 100 are drawn to a third of the workers", drawn)
+	}
+	for _, x := range e.lay(s).groups["llm"].seats[:6] {
+		x.st.late, x.st.lateAt = 4*route.Target.Seconds()*1e3, e.now
+	}
+	for i := range 100 {
+		if newer(i) {
+			t.Fatal("drawn to workers that are behind")
+		}
+	}
+}
--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -44,6 +44,9 @@
 		c += lean * (q.read + q.h.b) * q.upto[o.at+1]
 	}
 	c += x.st.back(q.now) * backCost * q.target
+	if o.weights < q.drawn {
+		c += drawCost * (q.read + q.h.b) * q.upto[o.shared]
+	}
 	slow := t.slowness(x.st, q.now)
 	c += slow * (q.h.a + t.backlog(x.st, q.now))
 	shared := max(0, q.upto[min(o.shared, ps)]-q.upto[held])
--- a/internal/pick/weigh.go
+++ b/internal/pick/weigh.go
@@ -32,6 +32,7 @@
 	mean   float64 // load
 	read   float64 // what reading a token again costs, in ms of a target
 	hash   uint64  // of the request
+	drawn  uint64  // version that the prompt is drawn to; 0: none
 }
 
 // opening is a prompt under one version of the weights.
@@ -86,13 +87,7 @@
 	if float64(queue.Hash(id)>>11)/(1<<53) >= f*drawPart {
 		return
 	}
-	var l []int
-	for _, i := range q.cs {
-		if q.m.by[i] == newest {
-			l = append(l, i)
-		}
-	}
-	q.cs = l
+	q.drawn = newest
 }
 
 // weights lists the versions that the seats left serve, newest first.
