Edges share load and endings of workers through the index; look-ups wait an eighth

Cause: at the grown sites an edge sees a hundredth of the traffic, so what it knows of a worker's load is seconds old and each of 80 edges has to meet an ill worker itself; and 27% of look-ups had no answer within a twenty-fifth of the target (median 8.5 ms, nine of ten within 24 ms), so shared parts were read again. Now each look-up and telling carries what the edge has under way, unread and ended at workers, and the answer the sum of the others': loads, backlogs, and a worker that fails far more than its peers, or whose first pieces are overdue, is left out by all, at most a third. A look-up waits an eighth of the target. Ruled out: nothing beside; the pace of tellings went from a 24th to a 60th of the heal bound.

--- a/internal/catalogue/core.go
+++ b/internal/catalogue/core.go
@@ -61,6 +61,7 @@
 	tellers map[string]*teller
 	mine    func(prefix.Key) bool
 	slack   float64 // the share of those asked that may not have told all while the index is warm
+	loads   *Loads
 	Stats   Stats
 }
 
@@ -72,7 +73,7 @@
 // Example: c := catalogue.New(bounds, func(k prefix.Key) bool { return shards.Mine(k) })
 func New(b settings.Bounds, mine func(prefix.Key) bool) *Core {
 	return &Core{b: b, window: 30 * time.Second, all: map[prefix.Key]*entry{}, workers: map[string]*worker{},
-		tellers: map[string]*teller{}, mine: mine}
+		tellers: map[string]*teller{}, mine: mine, loads: NewLoads(b)}
 }
 
 func (c *Core) decay(e *entry, now time.Duration) {
--- /dev/null
+++ b/internal/catalogue/loads_test.go
@@ -0,0 +1,64 @@
+package catalogue
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+func told(list uint64, at, active, unread, ok, bad uint32) *wire.Loads {
+	return &wire.Loads{List: list, At: []uint32{at}, Active: []uint32{active}, Unread: []uint32{unread}, Ok: []uint32{ok}, Bad: []uint32{bad}}
+}
+
+func TestLoadsAreAddedUpOverAllOthers(t *testing.T) {
+	l, now := NewLoads(settings.Default()), time.Hour
+	l.Hear("a", told(1, 7, 1, 10, 8, 0), now)
+	l.Hear("a", told(1, 7, 2, 20, 8, 0), now) // the last word counts alone
+	l.Hear("b", told(1, 7, 3, 30, 0, 8), now)
+	l.Hear("b2", told(1, 4, 1, 0, 16, 0), now)
+	l.Hear("c", told(1, 7, 50, 50, 0, 0), now) // the asker itself
+	l.Hear("d", told(2, 7, 50, 50, 0, 0), now) // of another list
+	x := l.Others("c", 1, now)
+	if x.Tellers != 3 || x.List != 1 || !slices.Equal(x.At, []uint32{4, 7}) || !slices.Equal(x.Active, []uint32{1, 5}) ||
+		!slices.Equal(x.Unread, []uint32{0, 50}) || !slices.Equal(x.Ok, []uint32{16, 8}) || !slices.Equal(x.Bad, []uint32{0, 8}) {
+		t.Fatalf("told %v", x)
+	}
+}
+
+func TestAnOldWordOnLoadCountsNoMore(t *testing.T) {
+	b := settings.Default()
+	l, now := NewLoads(b), time.Hour
+	l.Hear("a", told(1, 7, 1, 10, 8, 0), now)
+	if x := l.Others("b", 1, now+b.Heal(loadPart)+1); x.Tellers != 0 || len(x.At) != 0 {
+		t.Fatalf("told %v", x)
+	}
+}
+
+func TestABrokenWordOnLoadIsNone(t *testing.T) {
+	l, now := NewLoads(settings.Default()), time.Hour
+	l.Hear("a", &wire.Loads{List: 1, At: []uint32{1, 2}, Active: []uint32{1}}, now)
+	l.Hear("b", nil, now)
+	if x := l.Others("c", 1, now); x.Tellers != 0 {
+		t.Fatalf("told %v", x)
+	}
+}
+
+// However many names call, the memory for them is bounded, and those that still talk are heard.
+func TestLoadsOfManyNamesAreBounded(t *testing.T) {
+	b := settings.Default()
+	l, now := NewLoads(b), time.Hour
+	for i := range 3 * maxTellers {
+		l.Hear("x"+string(rune(i)), told(1, 0, 1, 0, 0, 0), now)
+	}
+	if len(l.by) > maxTellers {
+		t.Fatalf("%d words kept", len(l.by))
+	}
+	later := now + 2*b.Heal(loadPart)
+	l.Hear("new", told(1, 0, 1, 0, 0, 0), later)
+	if x := l.Others("c", 1, later); x.Tellers != 1 {
+		t.Fatalf("%d tellers", x.Tellers)
+	}
+}
--- a/internal/catalogue/node.go
+++ b/internal/catalogue/node.go
@@ -126,7 +126,14 @@
 			ks = append(ks, prefix.Key(k))
 		}
 	}
-	n.desk.Ask(func(c *Core) { t.Found, t.Warm = c.Seek(ks, n.clk.Now()), c.Warm() })
+	n.desk.Ask(func(c *Core) {
+		now := n.clk.Now()
+		t.Found, t.Warm = c.Seek(ks, now), c.Warm()
+		if a.Loads != nil {
+			c.loads.Hear(a.Teller, a.Loads, now)
+			t.Loads = c.loads.Others(a.Teller, a.Loads.List, now)
+		}
+	})
 	return t, nil
 }
 
@@ -135,7 +142,11 @@
 // Example: wire.NewCatalogueProtobufClient(url, h).Count(ctx, ask)
 func (n *Node) Count(_ context.Context, a *wire.CountAsk) (*wire.CountTell, error) {
 	t := &wire.CountTell{}
-	n.desk.Ask(func(c *Core) { t = c.Count(a, n.clk.Now()) })
+	n.desk.Ask(func(c *Core) {
+		now := n.clk.Now()
+		c.loads.Hear(a.Teller, a.Loads, now)
+		t = c.Count(a, now)
+	})
 	return t, nil
 }
 
--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -99,7 +99,7 @@
 func (t *table) backlog(x *stat, now time.Duration) float64 {
 	ms := max(0, x.busy-now).Seconds() * 1e3
 	if x.spoke {
-		ms = max(ms, fade(now-x.headAt, t.b.Heal(fadePart))*x.headWait*x.h.tokens*x.h.b)
+		ms = max(ms, fade(now-x.headAt, t.b.Heal(fadePart))*x.headUnread*x.h.b)
 	}
 	ms = max(ms, fade(now-x.lateAt, t.b.Heal(fadePart))*x.late)
 	for _, p := range x.unread {
--- a/internal/pick/load.go
+++ b/internal/pick/load.go
@@ -31,26 +31,28 @@
 
 // stat is what this edge knows of one worker.
 type stat struct {
-	h        *habit        // of its service
-	under    int           // attempts of this edge under way
-	busy     time.Duration // until then it reads prompts of this edge
-	head     float64       // what others had under way and waiting there, by its last word
-	headWait float64       // of them waiting
-	headAt   time.Duration
-	spoke    bool
-	slow     float64 // its first pieces against the others', as a logarithm; 0: as fast
-	slowAt   time.Duration
-	bad      float64 // share of bad endings, the last ones first
-	strikes  int
-	outUntil time.Duration // its attempts broke: avoided
-	outFor   time.Duration
-	full     time.Duration // until then: it had no place
-	loading  time.Duration // until then: it turned requests away for other weights
-	loadingV uint64        // the version that its row told then
-	late     float64       // ms by which its last first piece was
-	lateAt   time.Duration
-	unread   []unread      // this edge's attempts there whose first piece hasn't come
-	moves    time.Duration // until then its link is taken, as far as this edge knows
+	h                   *habit        // of its service
+	under               int           // attempts of this edge under way
+	busy                time.Duration // until then it reads prompts of this edge
+	head                float64       // what others had under way and waiting there, by its last word
+	headUnread          float64       // tokens that it had to read for them still
+	headAt              time.Duration
+	spoke               bool
+	tally               tally   // how attempts of this edge ended there
+	othersOK, othersBad float64 // and of the others
+	slow                float64 // its first pieces against the others', as a logarithm; 0: as fast
+	slowAt              time.Duration
+	bad                 float64 // share of bad endings, the last ones first
+	strikes             int
+	outUntil            time.Duration // its attempts broke: avoided
+	outFor              time.Duration
+	full                time.Duration // until then: it had no place
+	loading             time.Duration // until then: it turned requests away for other weights
+	loadingV            uint64        // the version that its row told then
+	late                float64       // ms by which its last first piece was
+	lateAt              time.Duration
+	unread              []unread      // this edge's attempts there whose first piece hasn't come
+	moves               time.Duration // until then its link is taken, as far as this edge knows
 }
 
 // unread is an attempt whose first piece hasn't come.
@@ -94,7 +96,7 @@
 // heard takes a worker's word of its load.
 func (t *table) heard(x *stat, l *Load, now time.Duration) {
 	x.head = max(0, float64(l.Running+l.Waiting-x.under))
-	x.headWait = max(0, min(float64(l.Waiting), x.head))
+	x.headUnread = max(0, min(float64(l.Waiting), x.head)) * x.h.tokens
 	x.headAt, x.spoke = now, true
 	if !x.h.told {
 		x.h.told, x.h.mean = true, x.head
--- a/internal/pick/memo.go
+++ b/internal/pick/memo.go
@@ -125,6 +125,7 @@
 		w.from.moves = max(w.from.moves, now) + d
 		w.st.moves = max(w.st.moves, now) + d
 	}
+	w.due = now + t.patience(&w, r, now)
 	t.sent[k] = w
 	if w.kept {
 		w.st.unread = append(w.st.unread, unread{k, now, w.st.h.a + w.st.h.b*w.read + w.moved})
@@ -207,6 +208,7 @@
 	if l != nil && !w.begun {
 		t.heard(w.st, l, now)
 	}
+	t.judge(&w, e, now)
 	if w.begun || e == Served {
 		t.confirm(c, w, now)
 	} else if e != Left && e != Unsure {
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -55,9 +55,9 @@
 	newsPart   = 1.0 / 8 // a worker's word of what it dropped has reached the index by then
 	memoPart   = 2.0
 	savedPart  = 1.0
-	waitPart   = 1.0 / 25   // of a target, for the index
+	waitPart   = 1.0 / 8    // of a target, for the index
 	waitLeast  = 1.0 / 2400 // of the heal bound
-	waitMost   = 1.0 / 600
+	waitMost   = 1.0 / 150
 	basePart   = 1.0 / 400     // believed before a first piece was seen
 	tokenPart  = 1.0 / 1200000 // the same, for each token read
 	slowPart   = 0.2
@@ -96,6 +96,7 @@
 	reading time.Duration // of its worker's time
 	kept    bool          // an engine, and a prompt to read
 	begun   bool          // its first piece came
+	due     time.Duration // it should have come by then
 }
 
 // table is one edge machine's memory for choices.
@@ -131,6 +132,7 @@
 func New(l *daemon.Life, c *seek.Seeker, self string) Picker {
 	p := &picker{clk: l.Clock, b: l.Place.Bounds, index: c, desk: queue.NewDesk(newTable(l.Place.Bounds, l.Clock.Now()), 1024)}
 	l.Until(p.desk.Stop)
+	c.Share(p.loads, p.heard)
 	return p
 }
 
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -11,9 +11,10 @@
 
 // seat is one worker of a service, with what this edge knows of it.
 type seat struct {
-	w    *fleet.Worker
-	st   *stat
-	hash uint64
+	w     *fleet.Worker
+	st    *stat
+	hash  uint64
+	index uint32 // in the list of all workers
 }
 
 // group is a service's workers and the stores that keep parts.
@@ -41,6 +42,7 @@
 // view is a snapshot laid out by service.
 type view struct {
 	snap   *fleet.Snapshot
+	list   uint64 // the number of its list of workers
 	groups map[string]*group
 }
 
@@ -51,7 +53,7 @@
 	if t.v != nil && t.v.snap == s {
 		return t.v
 	}
-	v := &view{snap: s, groups: map[string]*group{}}
+	v := &view{snap: s, list: t.listOf(s.Workers), groups: map[string]*group{}}
 	stats := make(map[string]*stat, len(s.Workers))
 	habits := map[string]*habit{}
 	stat := func(id, service string) *stat {
@@ -83,7 +85,7 @@
 		w := &s.Workers[i]
 		if g := v.groups[w.Service]; g != nil {
 			g.at[w.ID] = len(g.seats)
-			g.seats = append(g.seats, seat{w, stat(w.ID, w.Service), queue.Hash(w.ID)})
+			g.seats = append(g.seats, seat{w, stat(w.ID, w.Service), queue.Hash(w.ID), uint32(i)})
 		}
 	}
 	for _, g := range v.groups {
--- a/internal/seek/count.go
+++ b/internal/seek/count.go
@@ -70,6 +70,7 @@
 // flush tells each index node what was counted. A batch keeps its number until it is
 // acknowledged, so a lost answer can't make it count twice.
 func (s *Seeker) flush() {
+	loads := s.loads()
 	s.desk.Ask(func(t *table) {
 		sh := t.lay()
 		for n, x := range t.to {
@@ -78,7 +79,7 @@
 				x.next, x.sent = map[prefix.Key]*wire.Access{}, nil // it serves no more; its number stays its own
 				continue
 			}
-			if x.busy || x.sent == nil && len(x.next) == 0 {
+			if x.busy || x.sent == nil && len(x.next) == 0 && len(loads.GetAt()) == 0 {
 				continue
 			}
 			if x.sent == nil {
@@ -89,7 +90,7 @@
 				}
 				x.next = map[prefix.Key]*wire.Access{}
 			}
-			x.busy = true
+			x.busy, x.sent.Loads = true, loads // the newest word, also with a batch that is sent again
 			go s.tell(n, addr, x, x.sent)
 		}
 	})
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -19,7 +19,7 @@
 
 // Ratios of the heal bound.
 const (
-	tellPart  = 1.0 / 24 // between two tellings of what was counted
+	tellPart  = 1.0 / 60 // between two tellings of what was counted
 	keepPart  = 1.0 / 48 // an answer is gone by
 	latePart  = 1.0 / 12 // an index node that was late, or isn't warm, is asked last
 	probePart = 1.0 / 96 // between two calls to one that was late
@@ -52,6 +52,7 @@
 	name  string
 	inc   uint64
 	home  string // district
+	share atomic.Pointer[share]
 	asked atomic.Uint64
 }
 
@@ -198,7 +199,7 @@
 		asked[l.node] = true
 		s.asked.Add(1)
 		go func() {
-			a := &wire.LookAsk{}
+			a := &wire.LookAsk{Teller: s.name, Loads: s.loads()}
 			for i := range l.keys {
 				a.Keys = append(a.Keys, l.keys[i][:])
 			}
@@ -210,6 +211,9 @@
 		r := <-out
 		ok := r.err == nil && r.t != nil && len(r.t.Found) == len(r.leg.keys)
 		s.desk.Ask(func(t *table) { t.mark(r.leg.node, ok && r.t.Warm, s.clk.Now()) })
+		if x := s.share.Load(); x != nil && r.err == nil && r.t.GetLoads() != nil {
+			x.take(r.t.Loads)
+		}
 		if !ok {
 			continue // a miss
 		}
@@ -218,3 +222,23 @@
 		}
 	}
 }
+
+// Share has look-ups carry what this edge has at workers, and hands on what the others have there.
+//
+// Example: s.Share(p.loads, p.heard)
+func (s *Seeker) Share(give func() *wire.Loads, take func(*wire.Loads)) {
+	s.share.Store(&share{give, take})
+}
+
+type share struct {
+	give func() *wire.Loads
+	take func(*wire.Loads)
+}
+
+// loads is this edge's word on workers' load; nil: none.
+func (s *Seeker) loads() *wire.Loads {
+	if x := s.share.Load(); x != nil {
+		return x.give()
+	}
+	return nil
+}
