Documents go packed to those that follow the control state

Cause: each of 77 edges is told each new list of workers and placement by each member that it follows, 25 KB a time; a third and more of the bytes between zones. A member deflates a document once, when it is shown, for those that ask for it so; a list of 140 workers becomes less than a fifth. Ruled out: telling it by one member only: the first to tell must not be waited for.

--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -58,7 +58,7 @@
 
 // ask is what to ask a member with now.
 func (t *table) ask(hold time.Duration) *wire.FollowAsk {
-	a := &wire.FollowAsk{HoldNs: uint64(hold), Proof: plan.Key}
+	a := &wire.FollowAsk{HoldNs: uint64(hold), Proof: plan.Key, Packed: true}
 	for _, k := range []string{plan.Key, fleet.WorkersKey, fleet.WeightsKey, fleet.PlacementKey} {
 		a.Have = append(a.Have, &wire.Have{Key: k, Version: t.have[k]})
 	}
@@ -105,6 +105,10 @@
 // adopt takes a newer document into use. Members tell committed ones alone. One that this program
 // can't read leaves the one before it in use, and a plan's proof then grows no more.
 func (t *table) adopt(d *wire.Doc, now time.Duration) error {
+	d, err := fleet.Unpack(d)
+	if err != nil {
+		return err
+	}
 	switch d.Key {
 	case plan.Key:
 		p, err := t.codec.Read(d.Body)
--- a/internal/archive/follow.go
+++ b/internal/archive/follow.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"pebbleloom/internal/fleet"
 	"pebbleloom/internal/ledger"
 	"pebbleloom/internal/wire"
 )
@@ -17,7 +18,8 @@
 type glimpse struct {
 	self    string
 	docs    map[string]*wire.Doc
-	open    map[string]uint64 // what entries that aren't applied yet may bring
+	packed  map[string]*wire.Doc // the same, for those that take them so
+	open    map[string]uint64    // what entries that aren't applied yet may bring
 	members []string
 	term    uint64
 	index   uint64
@@ -60,8 +62,9 @@
 	}
 	if put {
 		g.docs = maps.Clone(p.st.docs)
+		g.packed = packed(g.docs, old)
 	} else {
-		g.docs = old.docs
+		g.docs, g.packed = old.docs, old.packed
 	}
 	if old != nil {
 		g.next = old.next
@@ -122,14 +125,18 @@
 		have[h.Key] = h.Version
 	}
 	known := have[a.Proof]
+	docs := g.docs
+	if a.Packed {
+		docs = g.packed
+	}
 	for _, h := range a.Have {
 		if strings.HasSuffix(h.Key, "/") {
-			for k, d := range g.docs {
+			for k, d := range docs {
 				if _, listed := have[k]; !listed && strings.HasPrefix(k, h.Key) {
 					t.Docs = append(t.Docs, d)
 				}
 			}
-		} else if d := g.docs[h.Key]; d.GetEpoch() > h.Version {
+		} else if d := docs[h.Key]; d.GetEpoch() > h.Version {
 			t.Docs = append(t.Docs, d)
 			if h.Key == a.Proof {
 				known = d.Epoch
@@ -139,3 +146,16 @@
 	t.Same = a.Proof != "" && g.votes && g.docs[a.Proof].GetEpoch() <= known && g.open[a.Proof] <= known && g.open[""] == 0
 	return t
 }
+
+// packed packs documents; those that a glimpse before showed already aren't packed again.
+func packed(docs map[string]*wire.Doc, old *glimpse) map[string]*wire.Doc {
+	m := make(map[string]*wire.Doc, len(docs))
+	for k, d := range docs {
+		if old != nil && old.docs[k] == d {
+			m[k] = old.packed[k]
+		} else {
+			m[k] = fleet.Pack(d)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/fleet/pack_test.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pebbleloom/internal/wire"
+)
+
+func TestAListOfWorkersPacksToAFifth(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var tab Table
+	for i := range 140 {
+		tab.Workers = append(tab.Workers, Worker{ID: fmt.Sprintf("i-%010x", r.Uint64()>>24), Service: "llm", District: fmt.Sprint("district-", i%4),
+			Addr: fmt.Sprintf("10.%d.64.%d:8006", i%4, i), Slots: 24, Weights: map[string]uint64{"model": 1}})
+	}
+	body, err := json.Marshal(tab)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &wire.Doc{Key: WorkersKey, Body: body, Epoch: 7}
+	p := Pack(d)
+	if !p.Packed || 5*len(p.Body) > len(body) || p.Key != d.Key || p.Epoch != 7 {
+		t.Fatalf("%d bytes of %d", len(p.Body), len(body))
+	}
+	u, err := Unpack(p)
+	if err != nil || u.Packed || u.Key != d.Key || u.Epoch != 7 || !bytes.Equal(u.Body, body) {
+		t.Fatalf("unpacked: %v", err)
+	}
+	if Pack(p) != p {
+		t.Error("packed twice")
+	}
+}
+
+func TestWhatPackingDoesNotShortenStays(t *testing.T) {
+	short := &wire.Doc{Key: "k", Body: []byte("{}")}
+	noise := &wire.Doc{Key: "k", Body: make([]byte, 4096)}
+	r := rand.New(rand.NewPCG(3, 4))
+	for i := range noise.Body {
+		noise.Body[i] = byte(r.Uint32())
+	}
+	for _, d := range []*wire.Doc{short, noise} {
+		if Pack(d) != d {
+			t.Errorf("%d bytes packed", len(d.Body))
+		}
+		if u, err := Unpack(d); err != nil || u != d {
+			t.Error(err)
+		}
+	}
+}
+
+func TestABrokenPackedDocumentIsAnError(t *testing.T) {
+	for _, b := range [][]byte{nil, {1}, []byte("no deflated bytes")} {
+		if _, err := Unpack(&wire.Doc{Key: "k", Body: b, Packed: true}); err == nil {
+			t.Errorf("%q unpacked", b)
+		}
+	}
+}
