Holders are picked before copies are made: a copy takes the room of another part

Cause: a request went to its part's home, which fetched the part, though a holder stood by: three of four hits were fetches. Each is a copy; rooms turned over within seconds, and what was pushed out was read again. Now a holder costs nothing, a copy 0.3 of what reading the part costs, and a little more away from the part's home. Hot parts stay free of it.

--- a/internal/pick/backlog_test.go
+++ b/internal/pick/backlog_test.go
@@ -97,3 +97,26 @@
 		}
 	}
 }
+
+// A copy takes the room of another part: a holder is picked though a little waits there, and the
+// part's home isn't there.
+func TestNoCopyIsMadeForAShortWait(t *testing.T) {
+	e := newEdge(fleetOf(18))
+	e.must(t, e.ask("p", 13000))
+	var h *seat
+	for i := range e.v.groups["llm"].seats {
+		if x := &e.v.groups["llm"].seats[i]; x.w.District == "d0" && x.w.ID != e.home(t, "p") {
+			h = x
+		}
+	}
+	e.tell("p", catalogue.Confirmed, h.w.ID)
+	read := 13000 * h.st.h.b
+	h.st.late, h.st.lateAt = 0.3*read, e.now
+	if c := e.must(t, e.ask("p", 13000)); c.Worker.ID != h.w.ID {
+		t.Errorf("%s, for a wait of %.0f ms where %.0f would be read", c.Worker.ID, h.st.late, read)
+	}
+	h.st.late = 2 * read
+	if c := e.must(t, e.ask("p", 13000)); c.Worker.ID == h.w.ID || c.Fetch != h.w.Addr {
+		t.Errorf("%s, fetching from %q, though %.0f ms wait at %s", c.Worker.ID, c.Fetch, h.st.late, h.w.ID)
+	}
+}
--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -36,10 +36,15 @@
 	if x.w.District != q.r.District {
 		c += afarPart * q.target * rereadPart * float64(q.r.In)
 	}
-	if o.at >= 0 && !o.hot && o.home >= 0 && o.home != i {
-		lean := leanKept
-		if o.cold {
-			lean = leanCold
+	if o.at >= 0 && !o.hot {
+		lean := 0.0
+		if !o.cold && t.maybe[i]>>o.at&1 == 0 {
+			lean += leanKept // a copy takes the room of another part
+		}
+		if o.home >= 0 && o.home != i && lean > 0 {
+			lean += leanHome
+		} else if o.home >= 0 && o.home != i && o.cold {
+			lean += leanCold
 		}
 		c += lean * (q.read + q.h.b) * q.upto[o.at+1]
 	}
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -21,7 +21,8 @@
 	boundLoad   = 1.25     // a home is leaned to up to this multiple of the mean load, and one more
 	slotRoom    = 1.0 / 16 // and this share of its places, where it has many
 	leanCold    = 0.75     // of what reading it costs: that nobody else reads it too
-	leanKept    = 0.05     // of the same, once it is kept: all edges come to the same worker
+	leanKept    = 0.3      // of the same, once it is kept: that no copy takes the room of another part
+	leanHome    = 0.05     // of the same: that copies are made at the same worker
 	rereadPart  = 1.0 / 12500
 	movePart    = 0.011 // of what reading a token again costs, beside the time of its move
 	risk        = 0.15  // that what is presumed to be kept isn't yet
