--- /dev/null
+++ b/internal/capacity/calls.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"pebbleloom/internal/backend"
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/wire"
+)
+
+// keeper is one worker that keeps many parts, told at once.
+type keeper struct {
+	backend.Calls
+	parts int
+}
+
+func (k *keeper) Events(_ context.Context, _ string, since uint64, _ time.Duration) (backend.Events, error) {
+	e := backend.Events{Boot: 1, Next: 2}
+	if since == 0 {
+		e.List = changes(0, k.parts, 800)
+	}
+	return e, nil
+}
+
+func (k *keeper) Kept(context.Context, string) (backend.Events, error) {
+	return backend.Events{Boot: 1, Next: 2, List: changes(0, k.parts, 800)}, nil
+}
+
+// calls measures the edges' calls to an index node over real connections, by how many keys a call
+// holds: what a call costs at either end is the base, what a key costs is the slope.
+func calls(b *bench) error {
+	parts, n := 50000, 4000.0
+	if b.quick {
+		parts, n = 100, 20
+	}
+	t, err := newTap()
+	if err != nil {
+		return err
+	}
+	l := life("core-1", bounds(), t)
+	defer l.Stop(time.Second)
+	s := &fleet.Snapshot{Plan: (&plan.Plan{Version: 1, Services: []plan.Service{{Name: serviceName(0), Engine: engine()}}}).Ready(), Workers: roll(1, 1),
+		Nodes: []*wire.Node{{Name: "catalogue/core-1", Role: "catalogue", District: "district-0", Addr: t.addr()}}}
+	node, err := catalogue.StartSite(l, &keeper{parts: parts}, func() *fleet.Snapshot { return s })
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(wire.CataloguePathPrefix, node.Handler())
+	if err := l.Serve(t.addr(), mux); err != nil {
+		return err
+	}
+	k := catalogue.KeyOf(cacheText, partName(0))
+	if err := until("the index has the worker's parts", func() bool {
+		x, err := node.Seek(l.Ctx, &wire.LookAsk{Keys: [][]byte{k[:]}})
+		return err == nil && len(x.Found[0].Holders) > 0
+	}); err != nil {
+		return err
+	}
+	for _, what := range []string{"seek", "count"} {
+		if err := b.vary("calls", "keys", b.sizes(1, 4, 16, 64, 256), []kind{
+			{what + "-server", "µs", "processor time of a " + what + " call at the index node"},
+			{what + "-caller", "µs", "processor time of a " + what + " call at the edge, beside the choice"},
+			{what + "-bytes", "B", "bytes of a " + what + " call on its connection, both ways"},
+		}, func(keys float64) ([]float64, error) {
+			f, err := start(task{Kind: what, Addr: t.addr(), Keys: int(keys), Calls: int(n), Parts: parts})
+			if err != nil {
+				return nil, err
+			}
+			defer f.end()
+			at, bytes := cpu(), t.bytes.Load()
+			x, err := f.run()
+			if err != nil {
+				return nil, err
+			}
+			return []float64{(cpu() - at) / x.Calls, x.CPU / x.Calls, float64(t.bytes.Load()-bytes) / x.Calls}, nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/capacity/form.go
@@ -0,0 +1,202 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/plan"
+)
+
+// form is a stand-in for the form in which operators write plans: as many fields as theirs, names
+// about as long, and read by the same library into the same plan.
+type form struct{}
+
+// written is a plan in that form.
+func written(p *plan.Plan) []byte {
+	type m = map[string]any
+	var routes, services, tenants []m
+	for _, r := range p.Routes {
+		var split []m
+		for _, s := range r.Split {
+			split = append(split, m{"takingService": s.Service, "weight": s.Weight})
+		}
+		routes = append(routes, m{"name": r.Name, "hostname": r.Host, "prefixOfPath": r.Prefix, "kindOfRoute": int(r.Kind), "longestMs": r.Timeout.Milliseconds(),
+			"latencyWantedMs": r.Target.Milliseconds(), "gapWantedMs": r.Gap.Milliseconds(), "priority": r.Priority, "mostTries": r.Attempts, "public": r.Public, "sessionDrawn": r.Session, "resumable": r.Resumable, "split": split})
+	}
+	for _, s := range p.Services {
+		services = append(services, m{"name": s.Name, "healthAt": s.Health, "mostConnections": s.MaxConns, "slots": s.Engine.Slots, "room": s.Engine.Room, "tokenBytes": s.Engine.TokenBytes, "models": s.Engine.Models})
+	}
+	for _, t := range p.Tenants {
+		tenants = append(tenants, m{"name": t.Name, "keysHeld": t.Keys, "priority": t.Priority, "isolated": t.Isolated})
+	}
+	raw, err := json.Marshal(m{"versionOfPlan": p.Version, "routes": routes, "services": services, "tenants": tenants})
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+func object(d *jx.Decoder, field func(d *jx.Decoder, key string) error) error {
+	return d.ObjBytes(func(d *jx.Decoder, key []byte) error { return field(d, string(key)) })
+}
+
+func each[T any](d *jx.Decoder, to *[]T, one func(*jx.Decoder, *T) error) error {
+	if d.Next() == jx.Null {
+		return d.Null()
+	}
+	return d.Arr(func(d *jx.Decoder) error {
+		var x T
+		err := one(d, &x)
+		*to = append(*to, x)
+		return err
+	})
+}
+
+func text(d *jx.Decoder, to *string) (err error) { *to, err = d.Str(); return err }
+func whole(d *jx.Decoder, to *int) (err error)   { *to, err = d.Int(); return err }
+func flag(d *jx.Decoder, to *bool) (err error)   { *to, err = d.Bool(); return err }
+
+func millis(d *jx.Decoder, to *time.Duration) error {
+	n, err := d.Int()
+	*to = time.Duration(n) * time.Millisecond
+	return err
+}
+
+// Read takes a whole plan, checks it and makes it ready.
+//
+// Example: p, err := form{}.Read(body)
+func (form) Read(body []byte) (*plan.Plan, error) {
+	p := &plan.Plan{}
+	err := object(jx.DecodeBytes(body), func(d *jx.Decoder, key string) (err error) {
+		switch key {
+		case "versionOfPlan":
+			p.Version, err = d.UInt64()
+			return err
+		case "routes":
+			return each(d, &p.Routes, oneRoute)
+		case "services":
+			return each(d, &p.Services, oneService)
+		case "tenants":
+			return each(d, &p.Tenants, oneTenant)
+		}
+		return d.Skip()
+	})
+	if err == nil {
+		err = plan.Check(p)
+	}
+	if err != nil {
+		return nil, errs.As(err, errs.BadInput, "plan")
+	}
+	return p.Ready(), nil
+}
+
+func oneRoute(d *jx.Decoder, r *plan.Route) error {
+	return object(d, func(d *jx.Decoder, key string) error {
+		switch key {
+		case "name":
+			return text(d, &r.Name)
+		case "hostname":
+			return text(d, &r.Host)
+		case "prefixOfPath":
+			return text(d, &r.Prefix)
+		case "kindOfRoute":
+			return whole(d, (*int)(&r.Kind))
+		case "longestMs":
+			return millis(d, &r.Timeout)
+		case "latencyWantedMs":
+			return millis(d, &r.Target)
+		case "gapWantedMs":
+			return millis(d, &r.Gap)
+		case "priority":
+			return whole(d, &r.Priority)
+		case "mostTries":
+			return whole(d, &r.Attempts)
+		case "public":
+			return flag(d, &r.Public)
+		case "sessionDrawn":
+			return flag(d, &r.Session)
+		case "resumable":
+			return flag(d, &r.Resumable)
+		case "split":
+			return each(d, &r.Split, func(d *jx.Decoder, s *plan.Share) error {
+				return object(d, func(d *jx.Decoder, key string) error {
+					if key == "weight" {
+						return whole(d, &s.Weight)
+					}
+					return text(d, &s.Service)
+				})
+			})
+		}
+		return d.Skip()
+	})
+}
+
+func oneService(d *jx.Decoder, s *plan.Service) error {
+	s.Engine = &plan.Engine{}
+	return object(d, func(d *jx.Decoder, key string) error {
+		switch key {
+		case "name":
+			return text(d, &s.Name)
+		case "healthAt":
+			return text(d, &s.Health)
+		case "mostConnections":
+			return whole(d, &s.MaxConns)
+		case "slots":
+			return whole(d, &s.Engine.Slots)
+		case "room":
+			return whole(d, &s.Engine.Room)
+		case "tokenBytes":
+			return whole(d, &s.Engine.TokenBytes)
+		case "models":
+			return each(d, &s.Engine.Models, text)
+		}
+		return d.Skip()
+	})
+}
+
+func oneTenant(d *jx.Decoder, t *plan.Tenant) error {
+	return object(d, func(d *jx.Decoder, key string) error {
+		switch key {
+		case "name":
+			return text(d, &t.Name)
+		case "keysHeld":
+			return each(d, &t.Keys, text)
+		case "priority":
+			return whole(d, &t.Priority)
+		case "isolated":
+			return flag(d, &t.Isolated)
+		}
+		return d.Skip()
+	})
+}
+
+// Merge takes whole plans alone.
+//
+// Example: kept, version, err := form{}.Merge(nil, body, false)
+func (form) Merge(_, sent []byte, _ bool) ([]byte, uint64, error) {
+	p, err := form{}.Read(sent)
+	if err != nil {
+		return nil, 0, err
+	}
+	return sent, p.Version, nil
+}
+
+// sample is a plan of so many routes and tenants, over the services of all models.
+func sample(number uint64, routes, tenants int) *plan.Plan {
+	p := &plan.Plan{Version: number}
+	for i := range models {
+		p.Services = append(p.Services, plan.Service{Name: serviceName(i), Health: "/health", MaxConns: 630, Engine: &plan.Engine{Slots: 128, Room: 320000, TokenBytes: 18432, Models: []string{modelName(i)}}})
+	}
+	for i := range routes {
+		p.Routes = append(p.Routes, plan.Route{Name: fmt.Sprintf("r-%07x", i*2654435761&0xfffffff), Host: fmt.Sprintf("host%02d.example", i%23), Prefix: fmt.Sprintf("/pre%05d/", i), Kind: plan.Stream,
+			Timeout: 8 * time.Second, Target: 600 * time.Millisecond, Gap: 250 * time.Millisecond, Priority: i % 3, Attempts: 2, Session: true, Resumable: true, Split: []plan.Share{{Service: serviceName(i % models), Weight: 100}}})
+	}
+	for i := range tenants {
+		p.Tenants = append(p.Tenants, plan.Tenant{Name: fmt.Sprintf("tenant%05d", i), Keys: []string{fmt.Sprintf("k%019d", i*7919)}, Priority: i % 3, Isolated: i%4 == 0})
+	}
+	return p
+}
--- /dev/null
+++ b/internal/capacity/hollow.go
@@ -0,0 +1,284 @@
+package capacity
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/wire"
+)
+
+// HollowVariable is set for a process that this command starts as the far end of connections, so
+// that either end's processor time is its own: it holds what that process is to do.
+const HollowVariable = "PEBBLELOOM_HOLLOW"
+
+// task is what a hollow process does. It says "up" once all is ready; then it answers each line on
+// its standard input with a sum, and ends with it.
+type task struct {
+	Kind   string `json:"kind"` // seek, count, follow or traffic
+	Addr   string `json:"addr"`
+	Nodes  int    `json:"nodes"`   // hollow nodes in this process
+	Keys   int    `json:"keys"`    // a call
+	Calls  int    `json:"calls"`   // a line
+	Parts  int    `json:"parts"`   // known to the index
+	HoldMs int    `json:"hold_ms"` // of a long poll
+	Events int    `json:"events"`  // of an answer
+}
+
+// sum is what a hollow process has done since the last line.
+type sum struct {
+	Calls float64 `json:"calls"`
+	Docs  float64 `json:"docs"` // since its start
+	CPU   float64 `json:"cpu_us"`
+	Error string  `json:"error,omitempty"`
+	Told  string  `json:"told,omitempty"` // an address
+}
+
+// Hollow does what HollowVariable says, until its standard input ends.
+//
+// Example: if os.Getenv(capacity.HollowVariable) != "" { os.Exit(capacity.Hollow(os.Stdin, os.Stdout)) }
+func Hollow(in io.Reader, out io.Writer) int {
+	var t task
+	if err := json.Unmarshal([]byte(os.Getenv(HollowVariable)), &t); err != nil {
+		fmt.Fprintln(os.Stderr, "hollow process: "+err.Error())
+		return errs.BadInput.Exit
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	ends := map[string]func(context.Context, task) (string, func() (float64, float64, error), error){
+		"seek": callers, "count": callers, "follow": followers, "traffic": streams}
+	begin := ends[t.Kind]
+	if begin == nil {
+		fmt.Fprintf(os.Stderr, "hollow process: %q: no such kind\n", t.Kind)
+		return errs.BadInput.Exit
+	}
+	enc := json.NewEncoder(out)
+	told, run, err := begin(ctx, t)
+	if err != nil {
+		_ = enc.Encode(sum{Error: err.Error()})
+		return errs.Inside.Exit
+	}
+	_ = enc.Encode(sum{Told: told})
+	at := cpu()
+	for s := bufio.NewScanner(in); s.Scan(); {
+		n, docs, err := run()
+		now := cpu()
+		x := sum{Calls: n, Docs: docs, CPU: now - at}
+		if at = now; err != nil {
+			x.Error = err.Error()
+		}
+		_ = enc.Encode(x)
+	}
+	return 0
+}
+
+// far is a hollow process as its starter sees it.
+type far struct {
+	cmd  *exec.Cmd
+	in   io.WriteCloser
+	out  *json.Decoder
+	told string
+}
+
+func start(t task) (*far, error) {
+	raw, err := json.Marshal(t)
+	if err != nil {
+		return nil, err
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	f := &far{cmd: exec.Command(exe)}
+	f.cmd.Env = append(os.Environ(), HollowVariable+"="+string(raw), fmt.Sprintf("GOMAXPROCS=%d", threads))
+	f.cmd.Stderr = os.Stderr
+	if f.in, err = f.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, err := f.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	f.out = json.NewDecoder(out)
+	if err := f.cmd.Start(); err != nil {
+		return nil, err
+	}
+	s, err := f.heard()
+	if err != nil {
+		f.end()
+		return nil, errs.Wrap(err, "hollow "+t.Kind)
+	}
+	f.told = s.Told
+	return f, nil
+}
+
+func (f *far) heard() (s sum, err error) {
+	if err = f.out.Decode(&s); err == nil && s.Error != "" {
+		err = errs.New(errs.Inside, "%s", s.Error)
+	}
+	return s, err
+}
+
+// run has it do its task once, and gives the sum.
+func (f *far) run() (sum, error) {
+	if _, err := io.WriteString(f.in, "go\n"); err != nil {
+		return sum{}, err
+	}
+	return f.heard()
+}
+
+func (f *far) end() {
+	f.in.Close()
+	_ = f.cmd.Wait()
+}
+
+// callers are hollow edges that ask or tell an index node.
+func callers(ctx context.Context, t task) (string, func() (float64, float64, error), error) {
+	l := life("hollow", bounds(), nil)
+	c := daemon.NewCalls(l).Catalogue(t.Addr)
+	key := func(i int) []byte { k := catalogue.KeyOf(cacheText, partName(i*31%max(1, t.Parts))); return k[:] }
+	var number atomic.Uint64
+	one := func(i int) error {
+		if t.Kind == "seek" {
+			a := &wire.LookAsk{}
+			for j := range t.Keys {
+				a.Keys = append(a.Keys, key(i*t.Keys+j))
+			}
+			_, err := c.Seek(ctx, a)
+			return err
+		}
+		a := &wire.CountAsk{Teller: "edge/edge-0001", Incarnation: 1, Number: number.Add(1)}
+		for j := range t.Keys {
+			a.Accesses = append(a.Accesses, &wire.Access{Key: key(i*t.Keys + j), Count: 1, Tokens: 800, Service: serviceName(0), Presumed: []string{"i-00000000"}})
+		}
+		_, err := c.Count(ctx, a)
+		return err
+	}
+	run := func() (float64, float64, error) {
+		var wg sync.WaitGroup
+		var bad atomic.Pointer[error]
+		for w := range threads {
+			wg.Go(func() {
+				for i := w; i < t.Calls; i += threads {
+					if err := one(i); err != nil {
+						bad.Store(&err)
+						return
+					}
+				}
+			})
+		}
+		wg.Wait()
+		if p := bad.Load(); p != nil {
+			return 0, 0, *p
+		}
+		return float64(t.Calls), 0, nil
+	}
+	_, _, err := run() // connections come up
+	return "", run, err
+}
+
+// followers are hollow nodes that follow the control state, each over a connection of its own.
+func followers(ctx context.Context, t task) (string, func() (float64, float64, error), error) {
+	var polls, docs atomic.Int64
+	var up sync.WaitGroup
+	hold := time.Duration(t.HoldMs) * time.Millisecond
+	for i := range t.Nodes {
+		up.Add(1)
+		go func() {
+			first := sync.OnceFunc(up.Done)
+			l := life(fmt.Sprintf("hollow-%d", i), bounds(), nil)
+			c := daemon.NewCalls(l).Archive(t.Addr)
+			have := map[string]uint64{}
+			for ctx.Err() == nil {
+				a := &wire.FollowAsk{HoldNs: uint64(hold), Proof: plan.Key}
+				for _, k := range []string{plan.Key, "workers", "weights", "placement/"} {
+					a.Have = append(a.Have, &wire.Have{Key: k, Version: have[k]})
+				}
+				tell, err := c.Follow(ctx, a)
+				if err != nil {
+					continue
+				}
+				for _, d := range tell.Docs {
+					have[d.Key] = d.Epoch
+					docs.Add(1)
+				}
+				polls.Add(1)
+				first()
+			}
+		}()
+	}
+	up.Wait()
+	return "", func() (float64, float64, error) { return float64(polls.Swap(0)), float64(docs.Load()), nil }, nil
+}
+
+// tap is a listener whose connections are counted.
+type tap struct {
+	net.Listener
+	bytes atomic.Int64
+	open  atomic.Int64 // connections
+}
+
+func newTap() (*tap, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return &tap{Listener: ln}, err
+}
+
+func (t *tap) addr() string { return t.Addr().String() }
+
+// listen gives this listener for its own address, and any other for others.
+func (t *tap) listen(addr string) (net.Listener, error) {
+	if addr == t.addr() {
+		return t, nil
+	}
+	return net.Listen("tcp", addr)
+}
+
+// Accept counts what goes over a connection, both ways.
+//
+// Example: c, err := t.Accept()
+func (t *tap) Accept() (net.Conn, error) {
+	c, err := t.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t.open.Add(1)
+	return &tapped{Conn: c, t: t}, nil
+}
+
+type tapped struct {
+	net.Conn
+	t    *tap
+	over sync.Once
+}
+
+// Close ends it.
+//
+// Example: c.Close()
+func (c *tapped) Close() error {
+	c.over.Do(func() { c.t.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+func (c *tapped) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.t.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *tapped) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.t.bytes.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/capacity/kept.go
@@ -0,0 +1,145 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"time"
+
+	"pebbleloom/internal/backend"
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/wire"
+)
+
+const cacheText = "3.model-00-70000.w0"
+
+func partName(i int) string { return fmt.Sprintf("%08x", uint32(i*2654435761)) }
+
+// changes are so many parts that a worker began to keep, from one on; each kind of removal is the
+// same with no tokens.
+func changes(from, n, tokens int) []backend.Change {
+	l := make([]backend.Change, n)
+	for i := range l {
+		l[i] = backend.Change{Salt: cacheText, Part: partName(from + i), Model: modelName(0), Tokens: tokens}
+	}
+	return l
+}
+
+// index is an index node's table with so many parts, each kept by one worker of some.
+func index(parts, workers int, now time.Duration) *catalogue.Core {
+	c := emptyIndex()
+	per := (parts + workers - 1) / workers
+	for w := range workers {
+		tell(c, w, 1, changes(w*per, max(0, min(per, parts-w*per)), 800), now)
+	}
+	return c
+}
+
+func emptyIndex() *catalogue.Core {
+	b := bounds()
+	b.Entries = 1 << 30 // as if nothing had to give way
+	return catalogue.New(b, func(prefix.Key) bool { return true })
+}
+
+func tell(c *catalogue.Core, w int, next uint64, l []backend.Change, now time.Duration) {
+	q := c.Next(fmt.Sprintf("i-%08x", w*40503), serviceName(0))
+	c.Changes(q, backend.Events{Boot: 7, Next: next, List: l}, now)
+}
+
+// kept measures the index: by how many parts are kept, how many workers keep each, and how many
+// changes one answer of a worker tells.
+func kept(b *bench) error {
+	if err := byParts(b); err != nil {
+		return err
+	}
+	if err := byHolders(b); err != nil {
+		return err
+	}
+	return byEvents(b)
+}
+
+func byParts(b *bench) error {
+	return b.vary("kept", "parts", b.sizes(60000, 120000, 240000, 480000, 960000), []kind{
+		{"part-memory", "B", "heap of an index node with so many parts, each kept by one worker"},
+		{"part-seek", "µs", "processor time of one key's look-up there, keys drawn evenly"},
+		{"part-hottest", "µs", "processor time to list a service's hottest parts there: all parts are walked"},
+		{"part-sweep", "µs", "processor time of one sweep over it"},
+	}, func(n float64) ([]float64, error) {
+		now := time.Hour
+		was := heap()
+		c := index(int(n), 16, now)
+		memory := heap() - was
+		i := 0
+		keys := make([]prefix.Key, 8)
+		seek := b.spend(func() {
+			for j := range keys {
+				i++
+				keys[j] = catalogue.KeyOf(cacheText, partName(i*7919%int(n)))
+			}
+			c.Seek(keys, now)
+		}) / float64(len(keys))
+		hottest := b.spend(func() { c.Hottest(serviceName(0), 1000, now) })
+		sweep := b.spend(func() { c.Sweep(map[string]bool{}, now) })
+		runtime.KeepAlive(c)
+		return []float64{max(1, memory), seek, hottest, sweep}, nil
+	})
+}
+
+func byHolders(b *bench) error {
+	return b.vary("kept", "holders", b.sizes(1, 2, 4, 8), []kind{
+		{"holder-memory", "B", "heap of one part that so many workers keep"},
+	}, func(n float64) ([]float64, error) {
+		parts := 60000
+		if b.quick {
+			parts = 500
+		}
+		was := heap()
+		c := emptyIndex()
+		for w := range int(n) {
+			tell(c, w, 1, changes(0, parts, 800), time.Hour)
+		}
+		memory := (heap() - was) / float64(parts)
+		runtime.KeepAlive(c)
+		return []float64{max(1, memory)}, nil
+	})
+}
+
+// byEvents measures answers of workers that tell so many changes, half of them removals, at an
+// index of 240,000 parts: reading the answer, and laying it over the table.
+func byEvents(b *bench) error {
+	have := 240000
+	if b.quick {
+		have = 1000
+	}
+	return b.vary("kept", "changes", b.sizes(10, 100, 1000, 10000), []kind{
+		{"events-table", "µs", "processor time to lay one answer with so many changes over the table"},
+		{"events-read", "µs", "processor time to read such an answer"},
+		{"events-bytes", "B", "such an answer, without the head"},
+		{"count-table", "µs", "processor time to add so many accesses that an edge counted"},
+	}, func(n float64) ([]float64, error) {
+		now, next := time.Hour, uint64(1)
+		c := index(have, 16, now)
+		add := changes(have, int(n)/2, 800)
+		gone := changes(have, int(n)/2, 0)
+		table := b.spend(func() {
+			next++
+			tell(c, 0, next, add, now)
+			next++
+			tell(c, 0, next, gone, now)
+		})
+		var s strings.Builder
+		for i, x := range add {
+			fmt.Fprintf(&s, `,[%d,"+","%s","%s",%d,"%s"],[%d,"-","%s","%s",0,"%s"]`, i, x.Salt, x.Part, x.Tokens, x.Model, i, x.Salt, x.Part, x.Model)
+		}
+		body := []byte("[" + strings.TrimPrefix(s.String(), ",") + "]")
+		read := b.spend(func() { _, _ = readChanges(body) })
+		a := &wire.CountAsk{Teller: "edge/edge-1", Incarnation: 1}
+		for i := range int(n) {
+			k := catalogue.KeyOf(cacheText, partName(i*31%have))
+			a.Accesses = append(a.Accesses, &wire.Access{Key: k[:], Count: 2, Tokens: 800, Service: serviceName(0), Presumed: []string{"i-00000000"}})
+		}
+		count := b.spend(func() { a.Number++; c.Count(a, now) })
+		return []float64{table, read, float64(len(body)), count}, nil
+	})
+}
--- /dev/null
+++ b/internal/capacity/plans.go
@@ -0,0 +1,71 @@
+package capacity
+
+import (
+	"runtime"
+
+	"github.com/go-faster/jx"
+
+	"pebbleloom/internal/plan"
+)
+
+// plans measures what grows with routes and with tenants: the plan's bytes, its reading, its memory,
+// and a request's look-up in it.
+func plans(b *bench) error {
+	for _, f := range []struct {
+		name, factor string
+		sizes        []float64
+		make         func(n int) *plan.Plan
+	}{
+		{"route", "routes", b.sizes(100, 400, 1600), func(n int) *plan.Plan { return sample(1, n, 0) }},
+		{"tenant", "tenants", b.sizes(725, 1450, 2900), func(n int) *plan.Plan { return sample(1, 0, n) }},
+	} {
+		if err := b.vary("plans", f.factor, f.sizes, []kind{
+			{f.name + "-bytes", "B", "a plan's document"},
+			{f.name + "-read", "µs", "processor time to read, check and index it, as each agent does at each change, and the owner before it"},
+			{f.name + "-memory", "B", "heap of the plan in use"},
+			{f.name + "-lookup", "µs", "processor time of a request's look-ups in it"},
+		}, func(n float64) ([]float64, error) {
+			body := written(f.make(int(n)))
+			was := heap()
+			p, err := form{}.Read(body)
+			if err != nil {
+				return nil, err
+			}
+			memory := heap() - was
+			read := b.spend(func() { _, _ = form{}.Read(body) })
+			i := 0
+			look := b.spend(func() {
+				i++
+				if len(p.Routes) > 0 {
+					r := &p.Routes[i%len(p.Routes)]
+					p.Route(r.Host, r.Prefix+"some/more/path")
+				} else {
+					p.Tenant(p.Tenants[i%len(p.Tenants)].Keys[0])
+				}
+			})
+			runtime.KeepAlive(p)
+			return []float64{float64(len(body)), read, max(1, memory), look}, nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readChanges reads what a worker kept and dropped, each change a short list as workers tell them.
+func readChanges(body []byte) (n int, err error) {
+	var number int
+	var a [4]string
+	err = jx.DecodeBytes(body).Arr(func(d *jx.Decoder) error {
+		i := 0
+		n++
+		return d.Arr(func(d *jx.Decoder) error {
+			defer func() { i++ }()
+			if d.Next() == jx.Number {
+				return whole(d, &number)
+			}
+			return text(d, &a[i&3])
+		})
+	})
+	return n, err
+}
--- /dev/null
+++ b/internal/capacity/workers.go
@@ -0,0 +1,181 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"pebbleloom/internal/backend"
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/duty"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/pick"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/seek"
+	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
+)
+
+const models = 35
+
+func modelName(i int) string   { return fmt.Sprintf("model-%02d-70000", i) }
+func serviceName(i int) string { return fmt.Sprintf("service-%02d", i) }
+
+// roll lists workers, spread over so many services.
+func roll(n, services int) []fleet.Worker {
+	l := make([]fleet.Worker, n)
+	for i := range l {
+		s := i % services
+		l[i] = fleet.Worker{ID: fmt.Sprintf("i-%08x", i*2654435761), Service: serviceName(s), Addr: fmt.Sprintf("10.%d.%d.%d:8080", 64+i%5, i/200, i%200),
+			District: fmt.Sprintf("district-%d", i%5), Slots: 128, Weights: map[string]uint64{modelName(s): 3}}
+	}
+	return l
+}
+
+// life is a program's life in this process; listen, if any, is where its connections are counted.
+func life(name string, b settings.Bounds, tap *tap) *daemon.Life {
+	p := settings.Place{Name: name, District: "district-0", Listen: "127.0.0.1:0", Bounds: b, Extra: []string{"log=off"},
+		Site: &settings.Site{First: true, IP: "127.0.0.1", MemoryMB: 4096, Ready: "127.0.0.1:0", BeatMs: 1200, GraceMs: 100, LeaseMs: 3000, AckMs: 60000, TransitMs: 1000}}
+	w := daemon.Real(p)
+	if tap != nil {
+		w.Listen, p.Listen = tap.listen, tap.addr()
+		p.Seeds = []string{p.Listen}
+		w.Dial = (&settings.Place{Bounds: b}).Dialer().DialContext
+	}
+	return daemon.NewIn(w, name, p)
+}
+
+func engine() *plan.Engine {
+	return &plan.Engine{Slots: 128, Room: 320000, TokenBytes: 18432, LinkMbps: 370000, Polls: 4}
+}
+
+// workers measures what grows with how many workers there are.
+func workers(b *bench) error {
+	if err := b.vary("workers", "workers", b.sizes(89, 178, 355, 710), []kind{
+		{"table-bytes", "B", "the document of workers"},
+		{"table-read", "µs", "processor time to read that document, as every agent does at each of its changes"},
+		{"table-take", "µs", "processor time to lay one whole reading of the list over the table and write the document anew"},
+		{"table-memory", "B", "heap of the workers that a snapshot holds"},
+	}, func(n float64) ([]float64, error) {
+		l := roll(int(n), models)
+		t := duty.NewTable(fleet.Table{Workers: l})
+		body, err := json.Marshal(t.Doc())
+		if err != nil {
+			return nil, err
+		}
+		read := b.spend(func() { var x fleet.Table; _ = json.Unmarshal(body, &x) })
+		took := b.spend(func() { t.Take(l, true); _, _ = json.Marshal(t.Doc()) })
+		was := heap()
+		x := &fleet.Table{}
+		if err := json.Unmarshal(body, x); err != nil {
+			return nil, err
+		}
+		memory := heap() - was
+		runtime.KeepAlive(x)
+		return []float64{float64(len(body)), read, took, max(1, memory)}, nil
+	}); err != nil {
+		return err
+	}
+	if err := choice(b); err != nil {
+		return err
+	}
+	return polls(b)
+}
+
+// choice measures one choice of a worker, and the first one under a new table.
+func choice(b *bench) error {
+	return b.vary("workers", "workers", b.sizes(20, 89, 178, 355, 710), []kind{
+		{"pick-cpu", "µs", "processor time of one choice among so many workers of one service, noted as sent and as ended"},
+		{"pick-table", "µs", "the same where the table of workers has just changed"},
+	}, func(n float64) ([]float64, error) {
+		l := life("edge-1", bounds(), nil)
+		defer l.Stop(time.Second)
+		x := &plan.Plan{Version: 1, Services: []plan.Service{{Name: serviceName(0), MaxConns: 630, Engine: engine()}},
+			Routes: []plan.Route{{Name: "r", Host: "h", Prefix: "/", Kind: plan.Stream, Timeout: 8 * time.Second, Target: time.Second, Session: true, Attempts: 2, Split: []plan.Share{{Service: serviceName(0), Weight: 1}}}}}
+		s := &fleet.Snapshot{Plan: x.Ready(), ProofAt: l.Clock.Now(), Workers: roll(int(n), 1), Edges: 340}
+		p := pick.New(l, seek.New(l, func() []*wire.Node { return nil }), "edge-1")
+		i, d := 0, rand.New(rand.NewPCG(1, 2))
+		one := func(s *fleet.Snapshot) {
+			i++
+			q := &pick.Request{ID: fmt.Sprintf("%016x", i), Service: serviceName(0), Route: &x.Routes[0], District: "district-0", Model: modelName(0), In: 17000, Out: 450,
+				Parts: []pick.Part{{ID: fmt.Sprintf("%08x", d.IntN(8)), Tokens: 2500}, {ID: fmt.Sprintf("%08x", 100+d.IntN(290)), Tokens: 11000}, {ID: fmt.Sprintf("%08x", 1000+i), Tokens: 3500}}}
+			if c, ok := p.Pick(s, q, nil, map[string]bool{}); ok {
+				p.Sent(q, c)
+				p.Done(q, c, pick.Served, &pick.Load{Running: 40, Slots: 128}, 300*time.Millisecond)
+			}
+		}
+		steady := b.spend(func() { one(s) })
+		fresh := b.spend(func() { c := *s; one(&c) })
+		return []float64{steady, fresh}, nil
+	})
+}
+
+// idle answers as workers do that have nothing new to tell.
+type idle struct {
+	backend.Calls
+	asked chan struct{}
+}
+
+func (c *idle) Events(ctx context.Context, _ string, since uint64, wait time.Duration) (backend.Events, error) {
+	c.asked <- struct{}{}
+	return backend.Events{Boot: 1, Next: since + 1}, nil
+}
+
+func (c *idle) Kept(context.Context, string) (backend.Events, error) {
+	return backend.Events{Boot: 1, Next: 1}, nil
+}
+
+// polls measures an index node's round over all workers, without the calls themselves: its bounds
+// are so short that it asks all the time.
+func polls(b *bench) error {
+	return b.vary("workers", "workers", b.sizes(89, 178, 355, 710), []kind{
+		{"round-cpu", "µs", "processor time at an index node for each question to a worker, beside the call itself and the events in it"},
+	}, func(n float64) ([]float64, error) {
+		short := bounds()
+		short.HealMs = 1200
+		if b.quick {
+			short.HealMs = 240
+		}
+		l := life("core-1", short, nil)
+		s := &fleet.Snapshot{Plan: (&plan.Plan{Version: 1, Services: []plan.Service{{Name: serviceName(0), Engine: engine()}}}).Ready(), Workers: roll(int(n), 1),
+			Nodes: []*wire.Node{{Name: "catalogue/core-1", Role: "catalogue", District: "district-0", Addr: "127.0.0.1:1"}}}
+		c := &idle{asked: make(chan struct{}, 1<<16)}
+		if _, err := catalogue.StartSite(l, c, func() *fleet.Snapshot { return s }); err != nil {
+			return nil, err
+		}
+		defer l.Stop(time.Second)
+		take := func(k int) {
+			for range k {
+				<-c.asked
+			}
+		}
+		rounds := 10
+		if b.quick {
+			rounds = 1
+		}
+		take(2 * int(n))
+		at := cpu()
+		take(rounds * int(n))
+		return []float64{(cpu() - at) / float64(rounds) / n}, nil
+	})
+}
+
+// patience is how long anything that should come soon is waited for.
+const patience = time.Minute
+
+// until waits for something that comes soon.
+func until(what string, f func() bool) error {
+	clk, ctx := clock.Boot(), context.Background()
+	for end := clk.Now() + patience; !f(); clock.Pause(ctx, time.Millisecond) {
+		if clk.Now() > end {
+			return errs.New(errs.Inside, "%s: not within %v", what, patience)
+		}
+	}
+	return nil
+}
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"pebbleloom/internal/capacity"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fares"
 	"pebbleloom/internal/settings"
@@ -26,6 +27,8 @@
 	Scenario             string
 	Seconds, Net, Seeds  int
 	Times                int
+	Part, Out            string // with capacity
+	Quick                bool
 	Seed                 uint64
 	Rate                 float64
 }
@@ -34,6 +37,9 @@
 //
 // Example: os.Exit(yard.Main([]string{"up", "--site", "paramo"}, os.Stdout, os.Stderr))
 func Main(args []string, out, bad io.Writer) int {
+	if os.Getenv(capacity.HollowVariable) != "" { // the far end of another yard's measurement
+		return capacity.Hollow(os.Stdin, out)
+	}
 	o := Options{Seconds: 20, Seed: 1, Net: 10}
 	ps := flaggy.NewParser("yard")
 	ps.Description = "runs a whole site on this machine\n\n  yard up --site paramo              run until interrupted\n  yard run --site daegu --seconds 20  run with callers, check, report, stop\n  yard fit > curve.json               fit the prefill curve on a worker"
@@ -48,6 +54,7 @@
 		{"play", "run one scenario, or all: yard play --scenario owner-killed"},
 		{"tally", "draw a table from the lines of many runs, which come in on standard input"},
 		{"upgrade", "bring a site of an earlier release to this one and back: yard upgrade --old /tmp/old-bin"},
+		{"capacity", "measure what each role costs as the fleet grows (docs/CAPACITY.md)"},
 		{"fit", "measure a worker's prefill and fit the curve (JSON, to be kept as internal/placement/curve.json)"}} {
 		s := flaggy.NewSubcommand(c[0])
 		s.Description = c[1]
@@ -63,6 +70,9 @@
 		s.Int(&o.Seeds, "k", "seeds", "with compare: how many seeds")
 		s.UInt64(&o.Seed, "e", "seed", "seed of the callers")
 		s.Float64(&o.Rate, "r", "rate", "requests a second; 0: the site's own")
+		s.String(&o.Part, "p", "part", "with capacity: nodes, workers, plans, kept, placement, calls, follow or traffic; all without; page: write the page anew")
+		s.String(&o.Out, "f", "out", "with capacity: file that keeps what was measured; with page: the folder docs")
+		s.Bool(&o.Quick, "q", "quick", "with capacity: a few sizes so small that the figures mean nothing")
 		ps.AttachSubcommand(s, 1)
 		sub[c[0]] = s
 	}
@@ -87,7 +97,13 @@
 		}
 	}
 	if used == "" {
-		return fail(errs.New(errs.BadInput, "no command: give up, run, compare, scenarios, play, mix or fit (see --help)"))
+		return fail(errs.New(errs.BadInput, "no command: give up, run, compare, scenarios, play, mix, capacity or fit (see --help)"))
+	}
+	if used == "capacity" {
+		if err := sizes(o, out, bad); err != nil {
+			return fail(err)
+		}
+		return 0
 	}
 	if o.Bin == "" {
 		exe, err := os.Executable()
