Of members that stand at once all but one yield; the door waits for its first proof

Cause: after kill_all the members begin within some ms of each other, all asked for votes at once and took them from each other: the owner came 0.12 s after the start, a tick later than it could. And the door began to answer with the first plan, though its proof came some ms later: what had waited at the listener until then was denied. Now one that asks whether it could win leaves it to a colleague that asks too and is ahead, or comes first by name; the door waits for the first proof as it waits for the first plan (a quarter of the setup bound at the most, as before).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -112,12 +112,13 @@
 
 func quiet() *log.Logger { return log.New(io.Discard, "", 0) }
 
-// limits are the first plan's, if it comes soon; until then connections wait at the listener.
+// limits are the first plan's, if it and its proof come soon; until then connections wait at the
+// listener: what would have to be denied is served a moment later.
 func (d *door) limits() plan.Limits {
 	b := d.l.Place.Bounds
 	step := b.Setup(firstPlan / 25)
 	for range 25 {
-		if p := d.plan(); p != nil {
+		if p := d.plan(); p != nil && (!d.site.Revokes || d.Snapshot().ProofAt > 0) {
 			l := p.Limits
 			if l.HeaderBytes > 0 && l.HeaderTime > 0 && l.IdleTime > 0 {
 				return l
--- a/internal/forward/leave_test.go
+++ b/internal/forward/leave_test.go
@@ -124,3 +124,35 @@
 		}
 	})
 }
+
+// Connections wait at the listener for the first proof where keys may have been taken away, a
+// short while at the most: what comes just before it is served, not denied.
+func TestTheDoorWaitsForTheFirstProof(t *testing.T) {
+	open(t, []script{says(okay)}, func(s *site) {
+		b := s.l.Place.Bounds
+		for _, x := range []struct {
+			name    string
+			revokes bool
+			proof   time.Duration // after that long
+			least   time.Duration
+			most    time.Duration
+		}{
+			{"proved", true, 0, 0, 0},
+			{"proved soon", true, 100 * time.Millisecond, 100 * time.Millisecond, 130 * time.Millisecond},
+			{"never proved", true, time.Hour, b.Setup(0.8 * firstPlan), b.Setup(firstPlan)},
+			{"no proof is asked for", false, time.Hour, 0, 0},
+		} {
+			s.d.site.Revokes = x.revokes
+			if x.proof > 0 {
+				s.set(func(n *fleet.Snapshot) { n.ProofAt = 0 })
+			}
+			e := time.AfterFunc(max(x.proof, time.Nanosecond), func() { s.set(func(n *fleet.Snapshot) { n.ProofAt = s.l.Clock.Now() }) })
+			from := time.Now()
+			s.d.limits()
+			if d := time.Since(from); d < x.least || d > x.most {
+				t.Errorf("%s: after %v", x.name, d)
+			}
+			e.Stop()
+		}
+	})
+}
--- a/internal/ledger/letters.go
+++ b/internal/ledger/letters.go
@@ -38,6 +38,10 @@
 	}
 	if l.Kind == wire.LetterKind_ASK_SOUND {
 		ok := l.Term > c.hard.Term && c.upToDate(l) && (c.owner == "" || c.role != owner && c.silent >= c.cfg.ElectTicks)
+		if ok && c.cfg.Group && c.role == sounding && c.yields(l) {
+			c.role = follower
+			c.rest()
+		}
 		c.send(&wire.Letter{To: l.From, Kind: wire.LetterKind_TELL_SOUND, Ok: ok, Probe: l.Term, About: l.Incarnation})
 		return
 	}
@@ -75,6 +79,12 @@
 	return l.LogTerm > t || l.LogTerm == t && l.Index >= c.last()
 }
 
+// yields tells whether this member leaves standing to a colleague that asks at the same time: to
+// one whose log is ahead, or that comes first by name. Members that begin together would all stand.
+func (c *Core) yields(l *wire.Letter) bool {
+	return l.From < c.cfg.Self || l.LogTerm > c.lastTerm() || l.Index > c.last()
+}
+
 func (c *Core) tellVote(l *wire.Letter) {
 	ok := l.Term == c.hard.Term && (c.hard.Vote == "" || c.hard.Vote == l.From) && c.upToDate(l)
 	if ok {
--- a/internal/ledger/young_test.go
+++ b/internal/ledger/young_test.go
@@ -47,3 +47,29 @@
 		}
 	}
 }
+
+// Members that stand in one moment don't take the votes from each other: nearly always one of them
+// wins without another round, whatever the order of the letters.
+func TestOfThoseThatStandAtOnceAllButOneYield(t *testing.T) {
+	won := 0
+	const walks = 300
+	for seed := range uint64(walks) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		x := newBand(t, "a b c", "")
+		for _, n := range []string{"a", "b", "c"} {
+			x.c[n].Tick()
+			x.collect(n)
+		}
+		for len(x.mail) > 0 {
+			x.deliver(r.IntN(len(x.mail)))
+		}
+		for _, c := range x.c {
+			if c.role == owner {
+				won++
+			}
+		}
+	}
+	if won < walks*9/10 {
+		t.Errorf("one of them won in %d of %d", won, walks)
+	}
+}
