The idle age that a connection surely stands is learnt; unrepeatable requests keep to it

Cause: a worker may forget an idle connection without a word, and resets what comes on it next: a request that may not be repeated is lost, and its downstream gets no promise to come again. Now the age of a kept connection that broke before any answer halves what counts as safe, ages beyond it that stood for repeatable requests win it back, and an unrepeatable request takes a younger connection or a new one. Ruled out: asking the worker before each use (a round trip); never reusing (a third of the requests).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,7 +37,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	line   *line
-	reused bool // the line served before
+	reused bool          // the line served before
+	age    time.Duration // and lay idle since
+	aged   bool          // for too long
 	resp   *http.Response
 	began  time.Duration
 	first  time.Duration // until its first piece
@@ -68,12 +70,18 @@
 	within := max(rt.Target/2, q.d.l.Place.Bounds.Leave(0.05))
 	ctx := context.WithValue(q.ctx, dialingKey{}, dialing{most: q.conns, within: within})
 	a.ctx, a.cancel = context.WithCancel(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		a.line, a.reused = i.Conn.(*line), i.Reused
+		a.line, a.reused, a.age = i.Conn.(*line), i.Reused, i.IdleTime
 		a.line.take(a)
+		if i.Reused && !q.repeatable() && !q.d.lines.idle.fit(i.IdleTime) {
+			a.aged = a.line.stop(a) // nothing of the request is on it: another is taken
+		}
 	}}))
 	q.d.Pick.Sent(&q.ask, c)
-	for range 4 { // a kept line may have ended before it was used; then nothing has happened
+	for n := 0; n < 4; n++ { // a kept line may have ended before it was used; then nothing has happened
 		a.exchange()
+		if a.aged {
+			n-- // in the end there is none left but a new one
+		}
 		if a.fate != unsent || !a.reused || q.ctx.Err() != nil {
 			break
 		}
@@ -95,11 +103,14 @@
 
 // exchange sends the request and waits for the head of an answer.
 func (a *attempt) exchange() {
-	a.line, a.reused = nil, false
+	a.line, a.reused, a.aged = nil, false, false
 	resp, err := a.q.d.lines.t.RoundTrip(a.message())
 	switch {
 	case err == nil:
 		a.resp, a.fate = resp, good
+		if a.reused {
+			a.q.d.lines.idle.stands(a.age)
+		}
 	case a.line == nil || a.line.stop(a):
 		a.fate, a.ending = unsent, pick.Unfit
 		if errs.KindOf(err) == errs.Overloaded { // this machine's share, not the worker's fault
@@ -107,6 +118,9 @@
 		}
 	default:
 		a.fate, a.ending = broken, pick.Unfit
+		if a.reused && a.ctx.Err() == nil {
+			a.q.d.lines.idle.forgot(a.age)
+		}
 	}
 }
 
--- a/internal/forward/line.go
+++ b/internal/forward/line.go
@@ -20,6 +20,7 @@
 	t    *http.Transport
 	mu   sync.Mutex
 	open map[string]int // by worker's address
+	idle idles
 }
 
 // dialing is what a new connection is held to; it goes with the context of the attempt.
