Being drawn to newer weights weighs the time of reading, not the price of reading again

Cause: a prompt drawn to newer weights charged older workers with the price that reading a part again has, five times its time. So drawing was a rule still: shortly before older weights end, the four old workers left had a tenth of the prompts and waited for nothing, while seven waited at each of the others. What is read for the first time under new weights has no such price.

--- a/internal/pick/backlog_test.go
+++ b/internal/pick/backlog_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/wire"
 )
 
 // A worker whose first pieces don't come is behind, whatever it last said of its load: others are
@@ -120,3 +121,34 @@
 		t.Errorf("%s, fetching from %q, though %.0f ms wait at %s", c.Worker.ID, c.Fetch, h.st.late, h.w.ID)
 	}
 }
+
+// Being drawn to newer weights costs an older worker no more than the time of reading the shared
+// parts there: the first reading under new weights has no other price.
+func TestADrawWeighsNoMoreThanReading(t *testing.T) {
+	s := fleetOf(18)
+	s.Named["m"], s.NamedAt["m"] = 2, start+time.Minute
+	for i := range 12 {
+		s.Workers[i].Weights = map[string]uint64{"m": 2}
+	}
+	e := newEdge(s)
+	e.born = start - time.Hour
+	e.now += time.Second
+	for _, x := range e.lay(s).groups["llm"].seats[:12] {
+		x.st.late, x.st.lateAt = 2.5*13000*x.st.h.b, e.now
+	}
+	for i := range 50 {
+		part := fmt.Sprint("p", i)
+		e.found[catalogue.KeyOf(salt("m", 1, nil), part)] = found("w13", "w14", "w15", "w16", "w17")
+		if c := e.must(t, e.ask(part, 13000)); c.Weights != 1 {
+			t.Fatalf("%s waits %.0f ms for newer weights, though older workers that keep the part are free", part, 2.5*13000*e.habits["llm"].b)
+		}
+	}
+}
+
+func found(holders ...string) *wire.Found {
+	f := &wire.Found{Hotness: 1}
+	for _, h := range holders {
+		f.Holders = append(f.Holders, &wire.Holding{Worker: h, State: catalogue.Confirmed})
+	}
+	return f
+}
--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -50,7 +50,7 @@
 	}
 	c += x.st.back(q.now) * backCost * q.target
 	if o.weights < q.drawn {
-		c += drawCost * (q.read + q.h.b) * q.upto[o.shared]
+		c += drawCost * q.h.b * q.upto[o.shared]
 	}
 	slow := t.slowness(x.st, q.now)
 	c += slow * (q.h.a + t.backlog(x.st, q.now))
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -36,7 +36,7 @@
 	inheritPart = 1.0 / 6
 	fewPart     = 1.0 / 7 // of the workers on the newest version before requests are drawn to it
 	drawPart    = 1.3     // requests drawn there, for a share of the workers that is there
-	drawCost    = 1.0     // of what reading the shared parts costs: as much as moving to it
+	drawCost    = 1.0     // of the time that reading the shared parts takes
 	sources     = 12      // workers that are weighed as sources
 	maxParts    = 60
 	leastSaved  = 128 // tokens worth handing to the store
