--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -25,6 +25,10 @@
 	//
 	// POST /v1/calendar/{service}/{name}/{verb}
 	AskMove(ctx context.Context, params AskMoveParams) (*Changed, error)
+	// AskRetirement invokes askRetirement operation.
+	//
+	// POST /v1/retirements/{service}/{name}/{verb}
+	AskRetirement(ctx context.Context, params AskRetirementParams) (*Changed, error)
 	// ChangeSetup invokes changeSetup operation.
 	//
 	// POST /v1/setup
@@ -57,6 +61,10 @@
 	//
 	// GET /v1/nodes
 	ListNodes(ctx context.Context) (*NodeList, error)
+	// ListRetirements invokes listRetirements operation.
+	//
+	// GET /v1/retirements
+	ListRetirements(ctx context.Context) (*Retirements, error)
 	// ListWorkers invokes listWorkers operation.
 	//
 	// GET /v1/workers
@@ -69,6 +77,10 @@
 	//
 	// POST /v1/weights
 	NameWeights(ctx context.Context, request *Weights) (*Changed, error)
+	// PlanRetirement invokes planRetirement operation.
+	//
+	// POST /v1/retirements
+	PlanRetirement(ctx context.Context, request *NewRetirement) (*Changed, error)
 	// RevokeKey invokes revokeKey operation.
 	//
 	// POST /v1/keys/revoke
@@ -215,6 +227,103 @@
 	return result, nil
 }
 
+// AskRetirement invokes askRetirement operation.
+//
+// POST /v1/retirements/{service}/{name}/{verb}
+func (c *Client) AskRetirement(ctx context.Context, params AskRetirementParams) (*Changed, error) {
+	res, err := c.sendAskRetirement(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendAskRetirement(ctx context.Context, params AskRetirementParams) (res *Changed, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [6]string
+	pathParts[0] = "/v1/retirements/"
+	{
+		// Encode "service" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "service",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Service))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Name))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[3] = encoded
+	}
+	pathParts[4] = "/"
+	{
+		// Encode "verb" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "verb",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(string(params.Verb)))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[5] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeAskRetirementResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ChangeSetup invokes changeSetup operation.
 //
 // POST /v1/setup
@@ -585,6 +694,47 @@
 	return result, nil
 }
 
+// ListRetirements invokes listRetirements operation.
+//
+// GET /v1/retirements
+func (c *Client) ListRetirements(ctx context.Context) (*Retirements, error) {
+	res, err := c.sendListRetirements(ctx)
+	return res, err
+}
+
+func (c *Client) sendListRetirements(ctx context.Context) (res *Retirements, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/retirements"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListRetirementsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListWorkers invokes listWorkers operation.
 //
 // GET /v1/workers
@@ -714,6 +864,50 @@
 	return result, nil
 }
 
+// PlanRetirement invokes planRetirement operation.
+//
+// POST /v1/retirements
+func (c *Client) PlanRetirement(ctx context.Context, request *NewRetirement) (*Changed, error) {
+	res, err := c.sendPlanRetirement(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendPlanRetirement(ctx context.Context, request *NewRetirement) (res *Changed, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/retirements"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodePlanRetirementRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodePlanRetirementResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // RevokeKey invokes revokeKey operation.
 //
 // POST /v1/keys/revoke
--- a/api/operator/oas_defaults_gen.go
+++ b/api/operator/oas_defaults_gen.go
@@ -10,6 +10,14 @@
 	}
 }
 
+// setDefaults set default value of fields.
+func (s *NewRetirement) setDefaults() {
+	{
+		val := bool(false)
+		s.Dry.SetTo(val)
+	}
+}
+
 // setDefaults set default value of fields.
 func (s *SetupChange) setDefaults() {
 	{
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -129,6 +129,107 @@
 	}
 }
 
+// handleAskRetirementRequest handles askRetirement operation.
+//
+// POST /v1/retirements/{service}/{name}/{verb}
+func (s *Server) handleAskRetirementRequest(args [3]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: AskRetirementOperation,
+			ID:   "askRetirement",
+		}
+	)
+	params, err := decodeAskRetirementParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Changed
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    AskRetirementOperation,
+			OperationSummary: "",
+			OperationID:      "askRetirement",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "service",
+					In:   "path",
+				}: params.Service,
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+				{
+					Name: "verb",
+					In:   "path",
+				}: params.Verb,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = AskRetirementParams
+			Response = *Changed
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackAskRetirementParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.AskRetirement(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.AskRetirement(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeAskRetirementResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleChangeSetupRequest handles changeSetup operation.
 //
 // POST /v1/setup
@@ -797,6 +898,80 @@
 	}
 }
 
+// handleListRetirementsRequest handles listRetirements operation.
+//
+// GET /v1/retirements
+func (s *Server) handleListRetirementsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *Retirements
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListRetirementsOperation,
+			OperationSummary: "",
+			OperationID:      "listRetirements",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Retirements
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListRetirements(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListRetirements(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListRetirementsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListWorkersRequest handles listWorkers operation.
 //
 // GET /v1/workers
@@ -1057,6 +1232,99 @@
 	}
 }
 
+// handlePlanRetirementRequest handles planRetirement operation.
+//
+// POST /v1/retirements
+func (s *Server) handlePlanRetirementRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: PlanRetirementOperation,
+			ID:   "planRetirement",
+		}
+	)
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodePlanRetirementRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *Changed
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    PlanRetirementOperation,
+			OperationSummary: "",
+			OperationID:      "planRetirement",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = *NewRetirement
+			Params   = struct{}
+			Response = *Changed
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.PlanRetirement(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.PlanRetirement(ctx, request)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodePlanRetirementResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleRevokeKeyRequest handles revokeKey operation.
 //
 // POST /v1/keys/revoke
--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -1127,6 +1127,122 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *NewRetirement) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *NewRetirement) encodeFields(e *jx.Encoder) {
+	{
+		if len(s.Retirement) != 0 {
+			e.FieldStart("retirement")
+			e.Raw(s.Retirement)
+		}
+	}
+	{
+		if s.Dry.Set {
+			e.FieldStart("dry")
+			s.Dry.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfNewRetirement = [2]string{
+	0: "retirement",
+	1: "dry",
+}
+
+// Decode decodes NewRetirement from json.
+func (s *NewRetirement) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode NewRetirement to nil")
+	}
+	var requiredBitSet [1]uint8
+	s.setDefaults()
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "retirement":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.RawAppend(nil)
+				s.Retirement = jx.Raw(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"retirement\"")
+			}
+		case "dry":
+			if err := func() error {
+				s.Dry.Reset()
+				if err := s.Dry.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"dry\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode NewRetirement")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfNewRetirement) {
+					name = jsonFieldsNameOfNewRetirement[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *NewRetirement) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *NewRetirement) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *NodeList) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1668,6 +1784,116 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Retirements) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Retirements) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("retirements")
+		e.ArrStart()
+		for _, elem := range s.Retirements {
+			if len(elem) != 0 {
+				e.Raw(elem)
+			}
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfRetirements = [1]string{
+	0: "retirements",
+}
+
+// Decode decodes Retirements from json.
+func (s *Retirements) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Retirements to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "retirements":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Retirements = make([]jx.Raw, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem jx.Raw
+					v, err := d.RawAppend(nil)
+					elem = jx.Raw(v)
+					if err != nil {
+						return err
+					}
+					s.Retirements = append(s.Retirements, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"retirements\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Retirements")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRetirements) {
+					name = jsonFieldsNameOfRetirements[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Retirements) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Retirements) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Revoke) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/operator/oas_parameters_gen.go
+++ b/api/operator/oas_parameters_gen.go
@@ -233,6 +233,225 @@
 	return params, nil
 }
 
+// AskRetirementParams is parameters of askRetirement operation.
+type AskRetirementParams struct {
+	Service string
+	Name    string
+	Verb    AskRetirementVerb
+}
+
+func unpackAskRetirementParams(packed middleware.Parameters) (params AskRetirementParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "service",
+			In:   "path",
+		}
+		params.Service = packed[key].(string)
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "name",
+			In:   "path",
+		}
+		params.Name = packed[key].(string)
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "verb",
+			In:   "path",
+		}
+		params.Verb = packed[key].(AskRetirementVerb)
+	}
+	return params
+}
+
+func decodeAskRetirementParams(args [3]string, argsEscaped bool, r *http.Request) (params AskRetirementParams, _ error) {
+	// Decode path: service.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "service",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Service = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Service)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "service",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	// Decode path: name.
+	if err := func() error {
+		param := args[1]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[1])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "name",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Name = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Name)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "name",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	// Decode path: verb.
+	if err := func() error {
+		param := args[2]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[2])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "verb",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Verb = AskRetirementVerb(c)
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := params.Verb.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "verb",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // ExplainParams is parameters of explain operation.
 type ExplainParams struct {
 	Request string
--- a/api/operator/oas_request_encoders_gen.go
+++ b/api/operator/oas_request_encoders_gen.go
@@ -66,6 +66,20 @@
 	return nil
 }
 
+func encodePlanRetirementRequest(
+	req *NewRetirement,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
+
 func encodeRevokeKeyRequest(
 	req *Revoke,
 	r *http.Request,
--- a/api/operator/oas_response_encoders_gen.go
+++ b/api/operator/oas_response_encoders_gen.go
@@ -23,6 +23,19 @@
 	return nil
 }
 
+func encodeAskRetirementResponse(response *Changed, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeChangeSetupResponse(response *Changed, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -127,6 +140,19 @@
 	return nil
 }
 
+func encodeListRetirementsResponse(response *Retirements, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListWorkersResponse(response *WorkerList, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -166,6 +192,19 @@
 	return nil
 }
 
+func encodePlanRetirementResponse(response *Changed, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeRevokeKeyResponse(response *Changed, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/operator/oas_router_gen.go
+++ b/api/operator/oas_router_gen.go
@@ -11,22 +11,25 @@
 )
 
 var (
-	rn16AllowedHeaders = map[string]string{
+	rn22AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn9AllowedHeaders = map[string]string{
+	rn15AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn19AllowedHeaders = map[string]string{
+	rn26AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn22AllowedHeaders = map[string]string{
+	rn29AllowedHeaders = map[string]string{
+		"POST": "Content-Type",
+	}
+	rn24AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn8AllowedHeaders = map[string]string{
+	rn14AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn21AllowedHeaders = map[string]string{
+	rn28AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -99,7 +102,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET,POST",
-							allowedHeaders: rn16AllowedHeaders,
+							allowedHeaders: rn22AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -210,7 +213,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn9AllowedHeaders,
+							allowedHeaders: rn15AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -271,7 +274,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn19AllowedHeaders,
+							allowedHeaders: rn26AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -296,7 +299,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn22AllowedHeaders,
+							allowedHeaders: rn29AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -366,6 +369,118 @@
 					return
 				}
 
+			case 'r': // Prefix: "retirements"
+
+				if l := len("retirements"); len(elem) >= l && elem[0:l] == "retirements" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch r.Method {
+					case "GET":
+						s.handleListRetirementsRequest([0]string{}, elemIsEscaped, w, r)
+					case "POST":
+						s.handlePlanRetirementRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET,POST",
+							allowedHeaders: rn24AllowedHeaders,
+							acceptPost:     "application/json",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "service"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "name"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[1] = elem[:idx]
+						elem = elem[idx:]
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case '/': // Prefix: "/"
+
+							if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							// Param: "verb"
+							// Leaf parameter, slashes are prohibited
+							idx := strings.IndexByte(elem, '/')
+							if idx >= 0 {
+								break
+							}
+							args[2] = elem
+							elem = ""
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "POST":
+									s.handleAskRetirementRequest([3]string{
+										args[0],
+										args[1],
+										args[2],
+									}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "POST",
+										allowedHeaders: nil,
+										acceptPost:     "",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						}
+
+					}
+
+				}
+
 			case 's': // Prefix: "s"
 
 				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
@@ -396,7 +511,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "GET,POST",
-								allowedHeaders: rn8AllowedHeaders,
+								allowedHeaders: rn14AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -460,7 +575,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn21AllowedHeaders,
+								allowedHeaders: rn28AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -879,6 +994,121 @@
 					}
 				}
 
+			case 'r': // Prefix: "retirements"
+
+				if l := len("retirements"); len(elem) >= l && elem[0:l] == "retirements" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					switch method {
+					case "GET":
+						r.name = ListRetirementsOperation
+						r.summary = ""
+						r.operationID = "listRetirements"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/retirements"
+						r.args = args
+						r.count = 0
+						return r, true
+					case "POST":
+						r.name = PlanRetirementOperation
+						r.summary = ""
+						r.operationID = "planRetirement"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/retirements"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/"
+
+					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "service"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "name"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[1] = elem[:idx]
+						elem = elem[idx:]
+
+						if len(elem) == 0 {
+							break
+						}
+						switch elem[0] {
+						case '/': // Prefix: "/"
+
+							if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							// Param: "verb"
+							// Leaf parameter, slashes are prohibited
+							idx := strings.IndexByte(elem, '/')
+							if idx >= 0 {
+								break
+							}
+							args[2] = elem
+							elem = ""
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "POST":
+									r.name = AskRetirementOperation
+									r.summary = ""
+									r.operationID = "askRetirement"
+									r.operationGroup = ""
+									r.pathPattern = "/v1/retirements/{service}/{name}/{verb}"
+									r.args = args
+									r.count = 3
+									return r, true
+								default:
+									return
+								}
+							}
+
+						}
+
+					}
+
+				}
+
 			case 's': // Prefix: "s"
 
 				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -68,6 +68,61 @@
 	}
 }
 
+type AskRetirementVerb string
+
+const (
+	AskRetirementVerbStart  AskRetirementVerb = "start"
+	AskRetirementVerbPause  AskRetirementVerb = "pause"
+	AskRetirementVerbResume AskRetirementVerb = "resume"
+	AskRetirementVerbAbort  AskRetirementVerb = "abort"
+)
+
+// AllValues returns all AskRetirementVerb values.
+func (AskRetirementVerb) AllValues() []AskRetirementVerb {
+	return []AskRetirementVerb{
+		AskRetirementVerbStart,
+		AskRetirementVerbPause,
+		AskRetirementVerbResume,
+		AskRetirementVerbAbort,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s AskRetirementVerb) MarshalText() ([]byte, error) {
+	switch s {
+	case AskRetirementVerbStart:
+		return []byte(s), nil
+	case AskRetirementVerbPause:
+		return []byte(s), nil
+	case AskRetirementVerbResume:
+		return []byte(s), nil
+	case AskRetirementVerbAbort:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *AskRetirementVerb) UnmarshalText(data []byte) error {
+	switch AskRetirementVerb(data) {
+	case AskRetirementVerbStart:
+		*s = AskRetirementVerbStart
+		return nil
+	case AskRetirementVerbPause:
+		*s = AskRetirementVerbPause
+		return nil
+	case AskRetirementVerbResume:
+		*s = AskRetirementVerbResume
+		return nil
+	case AskRetirementVerbAbort:
+		*s = AskRetirementVerbAbort
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/Changed
 type Changed struct {
 	Epoch   int64     `json:"epoch"`
@@ -349,6 +404,32 @@
 	s.Dry = val
 }
 
+// Ref: #/components/schemas/NewRetirement
+type NewRetirement struct {
+	Retirement jx.Raw  `json:"retirement"`
+	Dry        OptBool `json:"dry"`
+}
+
+// GetRetirement returns the value of Retirement.
+func (s *NewRetirement) GetRetirement() jx.Raw {
+	return s.Retirement
+}
+
+// GetDry returns the value of Dry.
+func (s *NewRetirement) GetDry() OptBool {
+	return s.Dry
+}
+
+// SetRetirement sets the value of Retirement.
+func (s *NewRetirement) SetRetirement(val jx.Raw) {
+	s.Retirement = val
+}
+
+// SetDry sets the value of Dry.
+func (s *NewRetirement) SetDry(val OptBool) {
+	s.Dry = val
+}
+
 // Ref: #/components/schemas/NodeList
 type NodeList struct {
 	SeenBy string              `json:"seen_by"`
@@ -619,6 +700,21 @@
 	s.Placement = val
 }
 
+// Ref: #/components/schemas/Retirements
+type Retirements struct {
+	Retirements []jx.Raw `json:"retirements"`
+}
+
+// GetRetirements returns the value of Retirements.
+func (s *Retirements) GetRetirements() []jx.Raw {
+	return s.Retirements
+}
+
+// SetRetirements sets the value of Retirements.
+func (s *Retirements) SetRetirements(val []jx.Raw) {
+	s.Retirements = val
+}
+
 // Ref: #/components/schemas/Revoke
 type Revoke struct {
 	Tenant string `json:"tenant"`
--- a/api/operator/oas_server_gen.go
+++ b/api/operator/oas_server_gen.go
@@ -12,6 +12,10 @@
 	//
 	// POST /v1/calendar/{service}/{name}/{verb}
 	AskMove(ctx context.Context, params AskMoveParams) (*Changed, error)
+	// AskRetirement implements askRetirement operation.
+	//
+	// POST /v1/retirements/{service}/{name}/{verb}
+	AskRetirement(ctx context.Context, params AskRetirementParams) (*Changed, error)
 	// ChangeSetup implements changeSetup operation.
 	//
 	// POST /v1/setup
@@ -44,6 +48,10 @@
 	//
 	// GET /v1/nodes
 	ListNodes(ctx context.Context) (*NodeList, error)
+	// ListRetirements implements listRetirements operation.
+	//
+	// GET /v1/retirements
+	ListRetirements(ctx context.Context) (*Retirements, error)
 	// ListWorkers implements listWorkers operation.
 	//
 	// GET /v1/workers
@@ -56,6 +64,10 @@
 	//
 	// POST /v1/weights
 	NameWeights(ctx context.Context, req *Weights) (*Changed, error)
+	// PlanRetirement implements planRetirement operation.
+	//
+	// POST /v1/retirements
+	PlanRetirement(ctx context.Context, req *NewRetirement) (*Changed, error)
 	// RevokeKey implements revokeKey operation.
 	//
 	// POST /v1/keys/revoke
--- a/api/operator/oas_validators_gen.go
+++ b/api/operator/oas_validators_gen.go
@@ -24,6 +24,21 @@
 	}
 }
 
+func (s AskRetirementVerb) Validate() error {
+	switch s {
+	case "start":
+		return nil
+	case "pause":
+		return nil
+	case "resume":
+		return nil
+	case "abort":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *Explained) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -198,6 +213,29 @@
 	return nil
 }
 
+func (s *Retirements) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Retirements == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "retirements",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *SetupChange) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/appraiser/appraiser.go
+++ b/internal/appraiser/appraiser.go
@@ -7,6 +7,8 @@
 	"math"
 	"net/http"
 	"reflect"
+	"slices"
+	"sync"
 	"time"
 
 	"pebbleloom/internal/calendar"
@@ -17,6 +19,7 @@
 	"pebbleloom/internal/feed"
 	"pebbleloom/internal/link"
 	"pebbleloom/internal/placement"
+	"pebbleloom/internal/retire"
 	"pebbleloom/internal/roster"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/setup"
@@ -34,6 +37,7 @@
 	holder string
 	duties map[string]*duty
 	fol    *feed.Follower
+	held   sync.Map // service -> how many nodes hold its retirement up
 }
 
 type duty struct {
@@ -46,6 +50,7 @@
 	fence uint64
 	roll  Roll
 	pacer *calendar.Pacer
+	aging *retire.Pacer
 }
 
 // Start runs the appraiser.
@@ -59,6 +64,10 @@
 	view := func() roster.View { return a.ros.View() }
 	a.ctl = link.New(l.Place.Core, view, a.calls, l.Place.Bounds)
 	a.fol = feed.Follow(l.Ctx, a.clk, l.Log, a.runner, l.Place.Bounds.Heal(1.0/12), nil, feed.Seeds(a.ros.SetSeeds))
+	l.Meter.Gauge("pebbleloom_retirement_held", "nodes that hold up a retirement which this appraiser carries on", func() (v float64) {
+		a.held.Range(func(_, n any) bool { v += float64(n.(int)); return true })
+		return v
+	})
 	mux := http.NewServeMux()
 	mux.Handle(wire.RosterPathPrefix, wire.NewRosterServer(a.ros))
 	if err := l.Serve(l.Place.Listen, mux); err != nil {
@@ -95,7 +104,7 @@
 		if a.duties[name] == nil && served[name] {
 			ctx, end := context.WithCancel(a.life.Ctx)
 			b := a.life.Place.Bounds
-			d := &duty{name: name, end: end, lease: link.NewLease(a.ctl, a.clk, "appraise/"+name, link.PartOf(name), a.holder, b.Heal(settings.LeasePart)), pacer: calendar.NewPacer()}
+			d := &duty{name: name, end: end, lease: link.NewLease(a.ctl, a.clk, "appraise/"+name, link.PartOf(name), a.holder, b.Heal(settings.LeasePart)), pacer: calendar.NewPacer(), aging: retire.NewPacer()}
 			a.duties[name] = d
 			a.again(ctx, func() {
 				if err := d.lease.Renew(ctx); err != nil {
@@ -139,12 +148,13 @@
 	}
 	if fence != d.fence {
 		a.life.Log.Info("duty taken", "service", d.name, "fence", fence)
-		d.fence, d.doc = fence, nil
+		d.fence, d.doc, d.aging = fence, nil, retire.NewPacer()
 	}
 	var b errs.Batch
 	b.Note("roll out weights", a.rollOut(d, s, d.name, svc))
 	b.Note("place", a.place(d, s, d.name, svc))
 	b.Note("calendar", a.pace(d, s, d.name))
+	b.Note("retirement", a.retire(d, s, d.name))
 	if err := b.Look(); err != nil {
 		a.life.Log.Warn("duty step failed", "service", d.name, "error", errs.Text(err))
 	}
@@ -163,7 +173,7 @@
 // rollOut moves the service to the named weights; the lease is looked at right before each
 // order, and the order carries its fence.
 func (a *Appraiser) rollOut(d *duty, s *feed.Snapshot, name string, svc setup.Service) error {
-	ws := workersOf(s, name)
+	ws := slices.DeleteFunc(workersOf(s, name), func(w *wire.Worker) bool { return w.Model != svc.Model && w.Model != "" }) // others have another base
 	seen := s.WeightsAt[svc.Model]
 	now := a.clk.Now()
 	if d.last == nil {
--- a/internal/archive/change.go
+++ b/internal/archive/change.go
@@ -184,6 +184,11 @@
 			return &wire.ChangeTell{Outcome: errs.KindOf(err).Name, Epoch: old.GetEpoch(), Faults: []string{err.Error()}}
 		}
 	}
+	if strings.HasPrefix(u.Key, "retire/") {
+		if err := p.retirement(u); err != nil {
+			return &wire.ChangeTell{Outcome: errs.KindOf(err).Name, Epoch: old.GetEpoch(), Faults: []string{err.Error()}}
+		}
+	}
 	if a.Dry {
 		return &wire.ChangeTell{Outcome: "valid", Epoch: old.GetEpoch()}
 	}
--- /dev/null
+++ b/internal/archive/retire_test.go
@@ -0,0 +1,66 @@
+package archive
+
+import (
+	"strings"
+	"testing"
+
+	"pebbleloom/internal/calendar"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/retire"
+	"pebbleloom/internal/wire"
+)
+
+// A service's part takes a retirement only beside what it can stand beside: no other one of the base, no
+// move of the service that is under way; and no move once it has begun. Both are named.
+func TestRetirementsBesideOthers(t *testing.T) {
+	p, err := open(t, newSimDisk())
+	if err != nil {
+		t.Fatal(err)
+	}
+	have := func(key string, body []byte, err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.st.docs[key] = &wire.Doc{Key: key, Body: body, Epoch: 1}
+	}
+	ret := func(name, state string) *retire.Retirement {
+		return &retire.Retirement{Name: name, Service: "s", From: "a", To: "b", State: state}
+	}
+	try := func(r *retire.Retirement) error {
+		b, err := r.Write()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p.retirement(&wire.Put{Key: retire.Key("s", r.Name), Body: b})
+	}
+	move := &calendar.Entry{Name: "night", Service: "s", Kind: calendar.Release, State: calendar.Planned}
+	if err := try(ret("spring", retire.Planned)); err != nil {
+		t.Errorf("alone: %v", err)
+	}
+	b, err := ret("spring", retire.Planned).Write()
+	have(retire.Key("s", "spring"), b, err)
+	if err := try(ret("summer", retire.Planned)); errs.KindOf(err) != errs.Conflict || !strings.Contains(err.Error(), `"spring"`) {
+		t.Errorf("two of one base: %v", err)
+	}
+	if err := p.retirement(&wire.Put{Key: retire.Key("other", "spring"), Body: b}); errs.KindOf(err) != errs.BadInput {
+		t.Errorf("under another key: %v", err)
+	}
+	if err := p.retirement(&wire.Put{Key: retire.Key("s", "spring"), Body: []byte(`{"odd":1}`)}); errs.KindOf(err) != errs.BadInput {
+		t.Errorf("what can't be read: %v", err)
+	}
+	m, err := move.Write()
+	have(calendar.Key("s", "night"), m, err)
+	if err := try(ret("spring", retire.Running)); errs.KindOf(err) != errs.Conflict || !strings.Contains(err.Error(), `"night"`) {
+		t.Errorf("begun beside a planned move: %v", err)
+	}
+	delete(p.st.docs, calendar.Key("s", "night"))
+	if err := try(ret("spring", retire.Running)); err != nil {
+		t.Errorf("begun: %v", err)
+	}
+	b, err = ret("spring", retire.Running).Write()
+	have(retire.Key("s", "spring"), b, err)
+	if err := p.entry(&wire.Put{Key: calendar.Key("s", "night"), Body: m}); errs.KindOf(err) != errs.Conflict || !strings.Contains(err.Error(), `"spring"`) {
+		t.Errorf("a move beside one that runs: %v", err)
+	}
+}
--- a/internal/cab/cab.go
+++ b/internal/cab/cab.go
@@ -44,7 +44,11 @@
 	Hit       int    `json:"hit"`
 	Fetched   int    `json:"fetched"`
 	Prefilled int    `json:"prefilled"`
+	Model     string `json:"model,omitempty"`
+	Adapter   string `json:"adapter,omitempty"`
+	Build     uint64 `json:"build,omitempty"`
 	Fence     uint64 `json:"fence,omitempty"` // of an order that was obeyed; a line of its own
+	Kind      string `json:"kind,omitempty"`  // of the order
 	Holder    string `json:"holder,omitempty"`
 }
 
@@ -64,17 +68,19 @@
 	waiting int
 	room    int
 	mu      sync.Mutex
+	model   string // the base that requests without another name get
 	weights uint64
-	fence   uint64
-	drain   bool
-	runs    []*Run
-	rnd     *rand.Rand
-	drop    float64
-	mute    bool
-	late    time.Duration // how long after reports are shown
-	lie     string        // a planted fault, see lies.go
-	h       *http.Client
-	file    io.Writer // the journal, where one is named: it outlives a kill
+	memory
+	fence uint64
+	drain bool
+	runs  []*Run
+	rnd   *rand.Rand
+	drop  float64
+	mute  bool
+	late  time.Duration // how long after reports are shown
+	lie   string        // a planted fault, see lies.go
+	h     *http.Client
+	file  io.Writer // the journal, where one is named: it outlives a kill
 }
 
 func num(l *daemon.Life, key string, or float64) float64 {
@@ -121,10 +127,13 @@
 		sp: Speed{num(l, "fixed_us", 2000), num(l, "token_us", 40), num(l, "square_us", 0.004), num(l, "piece_us", 3000),
 			num(l, "link", 100000), num(l, "far", 60000)},
 		slots: make(chan struct{}, int(num(l, "slots", 4))), prefill: make(chan struct{}, 1), room: int(num(l, "room", 12)),
-		weights: uint64(num(l, "weights", 1)), drop: num(l, "drop", 0), mute: l.Place.Word("mute", "") == "yes", late: time.Duration(num(l, "late_ms", 0)) * time.Millisecond, lie: l.Place.Word("lie", ""),
+		model: l.Place.Word("model", ""), weights: uint64(num(l, "weights", 1)), drop: num(l, "drop", 0), mute: l.Place.Word("mute", "") == "yes", late: time.Duration(num(l, "late_ms", 0)) * time.Millisecond, lie: l.Place.Word("lie", ""),
 		rnd: rand.New(rand.NewPCG(seed, 7)), h: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4,
 			DialContext: l.Dial}}}
 	l.Until(c.h.CloseIdleConnections)
+	if err := c.fill(); err != nil {
+		return nil, err
+	}
 	if f := l.Place.Word("journal", ""); f != "" {
 		var err error
 		if c.file, err = l.Journal(f); err != nil {
@@ -147,7 +156,7 @@
 	defer c.mu.Unlock()
 	used, room := c.kv.Used()
 	return contract.State{Name: c.life.Place.Name, Incarnation: c.inc, Service: c.life.Place.Word("service", ""),
-		Model: c.life.Place.Word("model", ""), District: c.life.Place.District, Weights: c.weights, Slots: cap(c.slots),
+		Loaded: c.holds(), Loading: c.loading, Room: c.total, Free: c.free(), Model: c.model, District: c.life.Place.District, Weights: c.weights, Slots: cap(c.slots),
 		Busy: len(c.slots), Queued: c.waiting, Draining: c.drain, Fence: c.fence, ClockUs: c.life.Clock.Now().Microseconds(), KvTokens: used, KvRoom: room}
 }
 
@@ -193,8 +202,18 @@
 		return
 	}
 	c.fence = o.Fence
-	_ = c.write(&Run{Weights: o.Weights, AtMs: c.life.Wall().UnixMilli(), Fence: o.Fence, Holder: o.Holder}) // logged there; the order is obeyed all the same
-	if o.Kind == "weights" && o.Weights > c.weights && c.lie != "deaf" {
+	if why := c.stale(&o); why != "" {
+		c.mu.Unlock()
+		contract.Tell(w, 409, contract.Denial{NotRun: true, Reason: why, Fence: o.Fence})
+		return
+	}
+	_ = c.write(&Run{Weights: o.Weights, AtMs: c.life.Wall().UnixMilli(), Fence: o.Fence, Holder: o.Holder, Kind: o.Kind, Model: o.Model, Adapter: o.Adapter, Build: o.Build}) // logged there; the order is obeyed all the same
+	if why := c.remember(&o); why != "" {
+		c.mu.Unlock()
+		contract.Tell(w, 409, contract.Denial{NotRun: true, Reason: why, Fence: o.Fence})
+		return
+	}
+	if o.Kind == "weights" && (o.Model == "" || o.Model == c.model) && o.Weights > c.weights && c.lie != "deaf" {
 		c.weights = o.Weights
 		c.kv.Clear()
 		c.life.Log.Info("weights loaded", "weights", o.Weights)
@@ -236,13 +255,10 @@
 		c.mu.Unlock()
 		deny(409, "draining")
 		return
-	case s.Model != c.life.Place.Word("model", ""):
+	case c.lacks(&s) != "":
+		why := c.lacks(&s)
 		c.mu.Unlock()
-		deny(409, "model")
-		return
-	case s.Weights != c.weights:
-		c.mu.Unlock()
-		deny(409, "weights")
+		deny(409, why)
 		return
 	case c.waiting >= c.room:
 		c.mu.Unlock()
@@ -250,7 +266,9 @@
 		return
 	}
 	c.waiting++
+	c.busy[s.Model]++
 	c.mu.Unlock()
+	defer func() { c.mu.Lock(); c.busy[s.Model]--; c.mu.Unlock() }()
 	left := time.Duration(s.WaitMs) * time.Millisecond
 	if s.BeginByUs > 0 {
 		left = min(left, time.Duration(s.BeginByUs)*time.Microsecond-c.life.Clock.Now())
@@ -286,13 +304,13 @@
 func (c *Cab) begin(s *contract.Start) (*Run, string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s.Weights != c.weights {
-		return nil, "weights"
+	if why := c.lacks(s); why != "" {
+		return nil, why
 	}
 	if why := s.Late(c.inc, c.life.Clock.Now()); why != "" {
 		return nil, why
 	}
-	run := &Run{RequestID: s.RequestID, Once: s.Once, Weights: s.Weights, AtMs: c.life.Wall().UnixMilli()}
+	run := &Run{RequestID: s.RequestID, Once: s.Once, Model: s.Model, Adapter: s.Adapter, Build: s.Build, Weights: s.Weights, AtMs: c.life.Wall().UnixMilli()}
 	if c.write(run) != nil {
 		return nil, "full" // what can't be written down isn't begun
 	}
--- a/internal/cab/run.go
+++ b/internal/cab/run.go
@@ -20,8 +20,8 @@
 	if c.lie == "walls" {
 		s.Domain = "shared"
 	}
-	es := prefix.Chain(s.Domain, s.Model, s.Weights, s.Parts)
-	last := contract.Piece{R: s.RequestID, Worker: c.life.Place.Name, Weights: s.Weights}
+	es := prefix.Chain(s.Domain, prefix.Under(s.Model, s.Adapter, s.Build), s.Weights, s.Parts)
+	last := contract.Piece{R: s.RequestID, Worker: c.life.Place.Name, Weights: s.Weights, Model: s.Model, Adapter: s.Adapter, Build: s.Build}
 	hints := contract.Hints(r.Header.Get(contract.FetchFrom))
 	i, t0 := 0, time.Now()
 	for ; i < len(es); i++ {
@@ -63,7 +63,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.mu.Lock()
-	same := c.weights == s.Weights // KV made under other weights than the cache's isn't kept
+	same := c.lacks(s) == "" // KV made under other weights than the cache's isn't kept
 	run.Hit, run.Fetched, run.Prefilled = last.Hit, last.Fetched, last.Prefilled
 	if same {
 		for _, e := range es {
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -34,6 +34,8 @@
 	Pieces    int      `json:"pieces"`
 	WaitMs    int      `json:"wait_ms"`
 	Once      bool     `json:"once"`
+	Adapter   string   `json:"adapter,omitempty"` // on the model; empty: the model alone
+	Build     uint64   `json:"build,omitempty"`   // of the adapter
 	// It may begin as long as this life's own clock is before this; zero: while it may wait.
 	Incarnation string `json:"incarnation,omitempty"`
 	BeginByUs   int64  `json:"begin_by_us,omitempty"`
@@ -67,31 +69,56 @@
 	FetchUs   int64  `json:"fetch_us,omitempty"`
 	PrefillUs int64  `json:"prefill_us,omitempty"`
 	FetchAddr string `json:"fetch_addr,omitempty"`
+	Model     string `json:"model,omitempty"`   // what answered, with the seal
+	Adapter   string `json:"adapter,omitempty"` // and the adapter on it
+	Build     uint64 `json:"build,omitempty"`
 }
 
 // Denial is a worker's proof that a go never started.
 type Denial struct {
 	NotRun bool   `json:"not_run"`
-	Reason string `json:"reason"` // weights, draining, full, model, late, incarnation, bad
+	Reason string `json:"reason"` // weights, draining, full, model, adapter, late, incarnation, bad; of an order: fence, stale, room, busy
 	Fence  uint64 `json:"fence,omitempty"`
 }
 
 // State is what a worker says of itself.
 type State struct {
-	Name        string `json:"name"`
-	Incarnation string `json:"incarnation"`
-	Service     string `json:"service"`
-	Model       string `json:"model"`
-	District    string `json:"district"`
-	Weights     uint64 `json:"weights"`
-	Slots       int    `json:"slots"`
-	Busy        int    `json:"busy"`
-	Queued      int    `json:"queued"`
-	Draining    bool   `json:"draining"`
-	Fence       uint64 `json:"fence"`
-	ClockUs     int64  `json:"clock_us"` // a clock of its machine that counts sleep and never jumps
-	KvTokens    int    `json:"kv_tokens"`
-	KvRoom      int    `json:"kv_room"`
+	Name        string   `json:"name"`
+	Incarnation string   `json:"incarnation"`
+	Service     string   `json:"service"`
+	Model       string   `json:"model"`
+	District    string   `json:"district"`
+	Weights     uint64   `json:"weights"`
+	Slots       int      `json:"slots"`
+	Busy        int      `json:"busy"`
+	Queued      int      `json:"queued"`
+	Draining    bool     `json:"draining"`
+	Fence       uint64   `json:"fence"`
+	ClockUs     int64    `json:"clock_us"` // a clock of its machine that counts sleep and never jumps
+	KvTokens    int      `json:"kv_tokens"`
+	KvRoom      int      `json:"kv_room"`
+	Loaded      []Loaded `json:"loaded,omitempty"`  // none: the model and weights above are all it has
+	Loading     string   `json:"loading,omitempty"` // what it is loading now
+	Room        int      `json:"room,omitempty"`    // its memory for weights in MB; 0: it doesn't say
+	Free        int      `json:"free,omitempty"`    // what is left of it
+}
+
+// Loaded is a base model that a worker has in memory, with the adapters on it.
+type Loaded struct {
+	Model    string            `json:"model"`
+	Weights  uint64            `json:"weights"`
+	Adapters map[string]uint64 `json:"adapters,omitempty"` // name -> build
+	Busy     int               `json:"busy,omitempty"`     // requests that run or wait under it
+}
+
+// Holds is what a worker has in memory, also where it tells of one model alone.
+//
+// Example: for _, l := range s.Holds() { fmt.Println(l.Model) }
+func (s State) Holds() []Loaded {
+	if len(s.Loaded) > 0 || s.Model == "" {
+		return s.Loaded
+	}
+	return []Loaded{{Model: s.Model, Weights: s.Weights, Busy: s.Busy + s.Queued}}
 }
 
 // Kept is one prefix that a worker holds.
@@ -120,8 +147,17 @@
 type Order struct {
 	Fence   uint64 `json:"fence"`
 	Holder  string `json:"holder,omitempty"` // who holds the lease; for whoever looks into it later
-	Kind    string `json:"kind"`             // weights
+	Kind    string `json:"kind"`             // weights, load, unload
 	Weights uint64 `json:"weights,omitempty"`
+	// Of load and unload: a base model, or an adapter on it. An order for another life, or one that was
+	// thought out before one that was obeyed already (plan, step), is denied.
+	Model       string `json:"model,omitempty"`
+	Adapter     string `json:"adapter,omitempty"`
+	Build       uint64 `json:"build,omitempty"`
+	Room        int    `json:"room,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Plan        string `json:"plan,omitempty"`
+	Step        uint64 `json:"step,omitempty"`
 }
 
 // Listed is one back end in the platform's list.
--- a/internal/desk/commands.go
+++ b/internal/desk/commands.go
@@ -208,6 +208,8 @@
 		plainBooks(w, x)
 	case *Ran:
 		fmt.Fprintf(w, "run %s is through; record: %s\n", x.Run, x.Record)
+	case *Retired:
+		plainRetired(w, x)
 	case *operator.Moves:
 		plainMoves(w, x)
 	case *operator.Explained:
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -40,12 +40,16 @@
   desk calendar write --file move.json     (check: without writing it)
   desk calendar list
   desk calendar pause --service lector-main --name spring     (resume, cancel, undo)
+  desk retire plan --file retirement.json  (--dry-run: without writing it)
+  desk retire start --service lector-main --name spring       (pause, resume, abort)
+  desk retire status                       exit code 1 when one waits for people
+  desk retire history
   desk runbook list
   desk runbook run --name worker-gone --set worker=cab-3      (--dry-run, --resume RECORD, --yes)
   desk explain --request r1
   desk index lookup --model lector --tenant hotline --part "opening" --part "question"
 
-exit codes: 0 done, 1 something is wrong (status, runbook), 2 bad input, 3 bad key, 4 not found, 5 epoch conflict, 6 denied for now,
+exit codes: 0 done, 1 something is wrong (status, retire status, runbook), 2 bad input, 3 bad key, 4 not found, 5 epoch conflict, 6 denied for now,
 7 may have taken effect, 8 can't say, 9 an error inside`
 
 // request is one command line, read.
@@ -86,6 +90,13 @@
 		{"calendar resume", "let it go on", askMove("resume")},
 		{"calendar cancel", "take out a move that hasn't begun", askMove("cancel")},
 		{"calendar undo", "take back what a move has done", askMove("undo")},
+		{"retire plan", "write a planned retirement of a base model (--dry-run: check it)", planRetirement},
+		{"retire start", "let a planned retirement begin", askRetirement("start")},
+		{"retire status", "say how far retirements have come and who holds them up", listRetirements(false)},
+		{"retire pause", "hold a retirement where it is", askRetirement("pause")},
+		{"retire resume", "let it go on", askRetirement("resume")},
+		{"retire abort", "go back to the old base, at any point before the barrier", askRetirement("abort")},
+		{"retire history", "show the states and phases that retirements went through", listRetirements(true)},
 		{"runbook list", "list the runbooks that come with the programs", listBooks},
 		{"runbook check", "check a runbook, shipped or a .json file", checkBook},
 		{"runbook run", "carry a runbook out, step by step", runBook},
@@ -183,6 +194,9 @@
 	if s, ok := v.(*operator.Status); ok && !s.Ok {
 		return 1
 	}
+	if x, ok := v.(*Retired); ok && x.Wrong() {
+		return 1
+	}
 	return 0
 }
 
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -60,6 +60,17 @@
 		"workers":       8,
 		"status":        8,
 		"calendar list": 8,
+
+		"retire":                            2,
+		"retire plan":                       2,
+		"retire plan --file /none":          2,
+		"retire start":                      2,
+		"retire pause --service s":          2,
+		"retire resume --name n":            2,
+		"retire abort":                      2,
+		"retire status":                     8,
+		"retire history":                    8,
+		"retire start --service s --name n": 8,
 	} {
 		a := append([]string{"--node", "127.0.0.1:1"}, strings.Fields(args)...)
 		got, out, bad := run("{not json", a...)
--- a/internal/desk/runbook.go
+++ b/internal/desk/runbook.go
@@ -205,6 +205,8 @@
 			}
 			l = append(l, map[string]string{"name": e.Name, "service": e.Service, "kind": e.Kind, "state": e.State})
 		}
+	case "retirements":
+		return w.retirements(ctx)
 	case "setup":
 		s, err := w.c.GetSetup(ctx)
 		if err != nil {
@@ -250,6 +252,8 @@
 		_, err = writeMove(false)(ctx, w.c, r, nil)
 	case "ask-move":
 		_, err = askMove(operator.AskMoveVerb(a["verb"]))(ctx, w.c, r, nil)
+	case "ask-retirement":
+		_, err = askRetirement(operator.AskRetirementVerb(a["verb"]))(ctx, w.c, r, nil)
 	default:
 		err = errs.New(errs.BadInput, "action %q", action)
 	}
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -109,6 +109,9 @@
 		if !ok {
 			return give(deny(errs.NoModel, q.RequestID, 0, "no way leads to model %q", q.Model))
 		}
+		if on := target(s, q); !s.Setup.Lets(on.Adapter, tenant) {
+			return give(deny(errs.NoModel, q.RequestID, 0, "adapter %q isn't for tenant %s", on.Adapter, tenant))
+		}
 		service := way.For(q.RequestID)
 		c, err := d.pickWorker(s, q, tenant, service, es, found, tried)
 		if err != nil {
@@ -200,10 +203,17 @@
 // again, since hashing a long prompt takes its time.
 func (d *Dispatcher) entries(s *feed.Snapshot, q *caller.Ask, tenant string, have map[uint64][]prefix.Entry) map[uint64][]prefix.Entry {
 	m := map[uint64][]prefix.Entry{}
-	w := s.WeightsAt[q.Model]
+	on := target(s, q)
+	w := s.WeightsAt[on.Model]
 	service := s.Setup.Ways[q.Model].For(q.RequestID)
 	for _, x := range s.Workers {
-		if _, ok := m[x.Weights]; ok || x.Service != service || x.State == feed.WorkerGone {
+		if x.Service != service || x.State == feed.WorkerGone {
+			continue
+		}
+		if x = under(x, on); x == nil {
+			continue
+		}
+		if _, ok := m[x.Weights]; ok {
 			continue
 		}
 		if x.Weights == w.Weights || d.older(w, x.Weights) > 0 {
@@ -211,7 +221,7 @@
 				m[x.Weights] = es
 				continue
 			}
-			m[x.Weights] = prefix.Chain(s.Setup.Domain(tenant), q.Model, x.Weights, q.Parts)
+			m[x.Weights] = chain(s, on, tenant, x.Weights, q.Parts)
 		}
 	}
 	return m
@@ -222,7 +232,7 @@
 // little later; a worker that isn't told apart by its clock is held to them by the wait alone.
 func (d *Dispatcher) until(s *feed.Snapshot, q *caller.Ask, w *wire.Worker) time.Duration {
 	t := s.ProofAt + d.b.Setup(0.95)
-	if not, _, ok := s.WeightsAt[q.Model].Since(w.Weights); ok {
+	if not, _, ok := s.WeightsAt[target(s, q).Model].Since(w.Weights); ok {
 		t = min(t, not+d.b.Weights(0.95))
 	}
 	return t
@@ -259,9 +269,9 @@
 
 // pickWorker picks the worker of the next go.
 func (d *Dispatcher) pickWorker(s *feed.Snapshot, q *caller.Ask, tenant, service string, es map[uint64][]prefix.Entry, found map[prefix.Key]*wire.Found, tried map[string]bool) (Choice, error) {
-	p := s.Placements[service]
+	p, on := s.Placements[service], target(s, q)
 	u := Query{ID: q.RequestID, Mode: modeOf(s.Setup, service), District: d.life.Place.District, Entries: d.entries(s, q, tenant, es), Found: found,
-		Tried: tried, Newest: s.WeightsAt[q.Model].Weights, Placement: p, Curve: d.curve, NearB: d.near.Load(), FarB: d.far.Load(), StoreB: d.storeB.Load(), Stores: map[string]string{}}
+		Tried: tried, Newest: s.WeightsAt[on.Model].Weights, Placement: p, Curve: d.curve, NearB: d.near.Load(), FarB: d.far.Load(), StoreB: d.storeB.Load(), Stores: map[string]string{}}
 	if p != nil {
 		u.Curve = p.Prefill
 	}
@@ -270,8 +280,8 @@
 		if w.Kind == "store" && w.State == feed.WorkerUp {
 			u.Stores[w.Name] = w.Addr
 		}
-		if w.Service == service && w.State <= feed.WorkerUnsure {
-			u.Workers = append(u.Workers, w)
+		if x := under(w, on); x != nil && w.Service == service && w.State <= feed.WorkerUnsure {
+			u.Workers = append(u.Workers, x)
 		}
 	}
 	var c Choice
@@ -326,7 +336,8 @@
 	if c.Saves != "" {
 		hints[contract.SaveTo], hints[contract.SaveUpto] = c.Saves, fmt.Sprint(c.SaveUpto)
 	}
-	g := d.be.Begin(ctx, w.Addr, contract.Start{RequestID: q.RequestID, Tenant: tenant, Domain: s.Setup.Domain(tenant), Model: q.Model,
+	on := target(s, q)
+	g := d.be.Begin(ctx, w.Addr, contract.Start{RequestID: q.RequestID, Tenant: tenant, Domain: s.Setup.Domain(tenant), Model: on.Model, Adapter: on.Adapter, Build: on.Build,
 		Weights: w.Weights, Parts: q.Parts, Pieces: q.Pieces.Or(16), WaitMs: int(min(left, until-d.clk.Now()).Milliseconds()), Once: q.Once.Or(false),
 		Incarnation: w.Incarnation, BeginByUs: beginBy(w, until)}, hints)
 	if g.Err != nil {
--- /dev/null
+++ b/internal/dispatcher/target.go
@@ -0,0 +1,46 @@
+package dispatcher
+
+import (
+	"pebbleloom/api/caller"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+// target is the set of weights that answers a request under a setup; where no route leads there,
+// what was asked for.
+func target(s *feed.Snapshot, q *caller.Ask) setup.Target {
+	if t, ok := s.Setup.Target(q.Model, q.RequestID); ok {
+		return t
+	}
+	return setup.Target{Model: q.Model}
+}
+
+// under shows a worker as it stands to a set of weights: with the version that it has of the base.
+// Nil: it hasn't the base, or not that build of the adapter, so it gets no such request.
+func under(w *wire.Worker, t setup.Target) *wire.Worker {
+	if len(w.Loaded) == 0 {
+		if t.Adapter != "" || w.Model != "" && w.Model != t.Model {
+			return nil
+		}
+		return w
+	}
+	for _, l := range w.Loaded {
+		if l.Model != t.Model || t.Adapter != "" && (t.Build == 0 || l.Adapters[t.Adapter] != t.Build) {
+			continue
+		}
+		if l.Model == w.Model && l.Weights == w.Weights {
+			return w
+		}
+		return &wire.Worker{Name: w.Name, Addr: w.Addr, Service: w.Service, Model: l.Model, District: w.District, Incarnation: w.Incarnation,
+			State: w.State, Weights: l.Weights, Slots: w.Slots, Busy: w.Busy, Queued: w.Queued, Kind: w.Kind, KvRoom: w.KvRoom, Ok: w.Ok, Bad: w.Bad,
+			ClockNs: w.ClockNs, ClockAt: w.ClockAt, Loaded: w.Loaded}
+	}
+	return nil
+}
+
+// chain names a prompt's prefixes under one set of weights.
+func chain(s *feed.Snapshot, t setup.Target, tenant string, weights uint64, parts []string) []prefix.Entry {
+	return prefix.Chain(s.Setup.Domain(tenant), prefix.Under(t.Model, t.Adapter, t.Build), weights, parts)
+}
--- /dev/null
+++ b/internal/dispatcher/target_test.go
@@ -0,0 +1,82 @@
+package dispatcher
+
+import (
+	"testing"
+
+	"pebbleloom/api/caller"
+	"pebbleloom/internal/feed"
+	"pebbleloom/internal/setup"
+	"pebbleloom/internal/wire"
+)
+
+// A worker gets a request only if it has what answers it: the base in memory, the adapter in that build.
+// What has old weights alone, or says nothing of an adapter, gets none of the adapter's requests.
+func TestUnderWhichWeightsAWorkerStands(t *testing.T) {
+	old := &wire.Worker{Name: "old", Model: "lector", Weights: 4}
+	both := &wire.Worker{Name: "both", Model: "lector", Weights: 4, Slots: 4, Loaded: []*wire.Loaded{
+		{Model: "lector", Weights: 4, Adapters: map[string]uint64{"rare": 1}}, {Model: "lector-2", Weights: 2, Adapters: map[string]uint64{"rare-2": 7}}}}
+	for name, x := range map[string]struct {
+		w    *wire.Worker
+		t    setup.Target
+		want uint64 // the weights it stands on; 0: not at all
+	}{
+		"its one model":                   {old, setup.Target{Model: "lector"}, 4},
+		"another model":                   {old, setup.Target{Model: "lector-2"}, 0},
+		"an adapter it says nothing of":   {old, setup.Target{Model: "lector", Adapter: "rare", Build: 1}, 0},
+		"the first of two":                {both, setup.Target{Model: "lector"}, 4},
+		"the second of two":               {both, setup.Target{Model: "lector-2"}, 2},
+		"an adapter on the first":         {both, setup.Target{Model: "lector", Adapter: "rare", Build: 1}, 4},
+		"an adapter on the second":        {both, setup.Target{Model: "lector-2", Adapter: "rare-2", Build: 7}, 2},
+		"another build of it":             {both, setup.Target{Model: "lector-2", Adapter: "rare-2", Build: 8}, 0},
+		"an adapter on the other base":    {both, setup.Target{Model: "lector", Adapter: "rare-2", Build: 7}, 0},
+		"no build at all":                 {both, setup.Target{Model: "lector", Adapter: "none"}, 0},
+		"a worker that isn't known yet":   {&wire.Worker{}, setup.Target{Model: "lector"}, 0},
+		"an adapter on an unknown worker": {&wire.Worker{}, setup.Target{Model: "lector", Adapter: "rare", Build: 1}, 0},
+	} {
+		got := uint64(0)
+		if y := under(x.w, x.t); y != nil {
+			if got = y.Weights; y.Name != x.w.Name || y.Slots != x.w.Slots || x.w.Model != "" && y.Model != x.t.Model {
+				t.Errorf("%s: %+v", name, y)
+			}
+		}
+		if got != x.want {
+			t.Errorf("%s: weights %d, want %d", name, got, x.want)
+		}
+	}
+	if both.Weights != 4 || both.Model != "lector" {
+		t.Error("a row that others share was changed")
+	}
+}
+
+// A route's requests are moved by share, each id always the same way, and the keys of what one set of
+// weights has made are no other's.
+func TestRequestsAreMovedByShare(t *testing.T) {
+	s := &feed.Snapshot{Setup: (&setup.Setup{Models: map[string]setup.Model{"a": {Weights: 1}, "b": {Weights: 1}},
+		Adapters: map[string]setup.Adapter{"r": {Base: "a", Build: 1}, "r2": {Base: "b", Build: 1}},
+		Ways:     map[string]setup.Way{"r": {Service: "s", Move: "r2", Moved: 30}}}).Ready()}
+	moved := 0
+	for i := range 1000 {
+		q := &caller.Ask{Model: "r", RequestID: string(rune(i + 32))}
+		a, b := target(s, q), target(s, q)
+		if a != b {
+			t.Fatalf("%+v and %+v", a, b)
+		}
+		if a.Model == "b" {
+			moved++
+		}
+	}
+	if moved < 250 || moved > 350 {
+		t.Errorf("%d of 1000 moved, 300 are due", moved)
+	}
+	seen := map[string]bool{}
+	for _, x := range []setup.Target{{Model: "a"}, {Model: "b"}, {Model: "a", Adapter: "r", Build: 1}, {Model: "a", Adapter: "r", Build: 2}, {Model: "b", Adapter: "r", Build: 1}} {
+		k := chain(s, x, "t", 1, []string{"p"})[0].Key.String()
+		if seen[k] {
+			t.Errorf("%+v has another's key", x)
+		}
+		seen[k] = true
+	}
+	if x := target(s, &caller.Ask{Model: "none"}); x.Model != "none" {
+		t.Errorf("%+v", x)
+	}
+}
--- a/internal/fares/check.go
+++ b/internal/fares/check.go
@@ -31,8 +31,9 @@
 	Pieces int
 	WaitMs int
 	Once   bool
-	Twin   bool // the second copy of a once-only request
-	App    bool // answered by the application service, which keeps no prefixes
+	Twin   bool     // the second copy of a once-only request
+	App    bool     // answered by the application service, which keeps no prefixes
+	Under  []string // what may answer it, base/adapter@build; none: the model that it names
 }
 
 // Outcome is what the caller learnt.
@@ -97,7 +98,14 @@
 	}
 	key := q.ID
 	if !q.App {
-		es := prefix.Chain(q.Domain, q.Model, o.Last.Weights, q.Parts)
+		l, model := o.Last, q.Model
+		if l.Model != "" {
+			model = prefix.Under(l.Model, l.Adapter, l.Build)
+		}
+		if u := under(l.Model, l.Adapter, l.Build); len(q.Under) > 0 && !slices.Contains(q.Under, u) || len(q.Under) == 0 && l.Model != "" && u != q.Model {
+			o.Faults = append(o.Faults, "answered by "+u+", which isn't what "+q.Model+" stands for")
+		}
+		es := prefix.Chain(q.Domain, model, l.Weights, q.Parts)
 		key = es[len(es)-1].Key.String()
 	}
 	for n, t := range texts {
@@ -109,6 +117,14 @@
 	return o
 }
 
+// under names what answered: the base, or an adapter on it.
+func under(model, adapter string, build uint64) string {
+	if adapter == "" {
+		return model
+	}
+	return fmt.Sprintf("%s/%s@%d", model, adapter, build)
+}
+
 // Book keeps all outcomes.
 type Book struct {
 	mu  sync.Mutex
--- a/internal/fares/fares.go
+++ b/internal/fares/fares.go
@@ -39,6 +39,8 @@
 	Sessions int     // how many of these there are
 	Tail     int     // tokens of the question
 	Pieces   int
+	Model    string   // what they name; empty: the traffic's
+	Under    []string // what may answer them, base/adapter@build; none: the model named
 }
 
 // Traffic is what a site's callers send.
@@ -122,7 +124,10 @@
 			for s.cdf[i][o] < y {
 				o++
 			}
-			q.Kind, q.Pieces = k.Name, k.Pieces
+			q.Kind, q.Pieces, q.Under = k.Name, k.Pieces, k.Under
+			if k.Model != "" {
+				q.Model = k.Model
+			}
 			q.Parts = []string{text(fmt.Sprintf("%s-opening-%d", k.Name, o), k.Tokens)}
 			if k.Session > 0 {
 				q.Parts = append(q.Parts, text(fmt.Sprintf("%s-session-%d", k.Name, s.r.IntN(k.Sessions)), k.Session))
--- a/internal/frontdesk/frontdesk.go
+++ b/internal/frontdesk/frontdesk.go
@@ -332,11 +332,11 @@
 	if err != nil {
 		return nil, err
 	}
-	m, ok := s.Models[q.Model]
+	t, ok := s.Named(s.Ways[q.Model].Answers(q.Model))
 	if !ok {
 		return nil, errs.New(errs.NoModel, "model %q", q.Model)
 	}
-	es := prefix.Chain(s.Domain(q.Tenant), q.Model, m.Weights, q.Parts)
+	es := prefix.Chain(s.Domain(q.Tenant), prefix.Under(t.Model, t.Adapter, t.Build), t.Weights, q.Parts)
 	var ks []prefix.Key
 	for _, e := range es {
 		ks = append(ks, e.Key)
--- /dev/null
+++ b/internal/frontdesk/retire.go
@@ -0,0 +1,169 @@
+package frontdesk
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-faster/jx"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/link"
+	"pebbleloom/internal/retire"
+	"pebbleloom/internal/wire"
+)
+
+// retirements reads all retirements, part by part, each by majority.
+func (d *Desk) retirements(ctx context.Context) ([]*wire.Doc, error) {
+	var l []*wire.Doc
+	for p := range uint32(link.Parts) {
+		t, err := d.ctl.Read(ctx, &wire.ReadAsk{Part: p, Key: "retire/", Prefix: true})
+		if err != nil {
+			return nil, errs.Wrap(err, "read retirements")
+		}
+		l = append(l, t.Docs...)
+	}
+	return l, nil
+}
+
+// ListRetirements lists all retirements.
+//
+// Example: GET /v1/retirements
+func (d *Desk) ListRetirements(ctx context.Context) (*operator.Retirements, error) {
+	ds, err := d.retirements(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l := &operator.Retirements{Retirements: []jx.Raw{}}
+	for _, x := range ds {
+		l.Retirements = append(l.Retirements, jx.Raw(x.Body))
+	}
+	return l, nil
+}
+
+// PlanRetirement writes a planned retirement, checked against the setup in force and against all
+// others; nothing moves until it is started.
+//
+// Example: POST /v1/retirements {"retirement": {"name": "spring", "service": "lector-main", "from": "lector", "to": "lector-2", "replace": {"rare": "rare-2"}}}
+func (d *Desk) PlanRetirement(ctx context.Context, q *operator.NewRetirement) (*operator.Changed, error) {
+	r, err := retire.Read(q.Retirement)
+	if err != nil {
+		return nil, err
+	}
+	x := &retire.Retirement{Name: r.Name, Service: r.Service, From: r.From, To: r.To, Replace: r.Replace, Shares: r.Shares, SoakS: r.SoakS,
+		AtOnce: r.AtOnce, AbortAt: r.AbortAt, State: retire.Planned}
+	ds, err := d.retirements(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var b errs.Batch
+	x.Check(&b)
+	var others []*retire.Retirement
+	old := uint64(0)
+	for _, y := range ds {
+		o, err := retire.Read(y.Body)
+		if b.Note(y.Key, err); err != nil {
+			continue
+		}
+		if o.Name == x.Name && o.Service == x.Service {
+			if old = y.Epoch; o.Active() {
+				b.Fault(errs.Conflict, "retirement %q of %s is %s: give another name, or end it first", o.Name, o.Service, o.State)
+			}
+			continue
+		}
+		others = append(others, o)
+	}
+	b.Note("retirement", x.Clash(others))
+	b.Note("retirement", d.fits(ctx, x))
+	if err := b.Look(); err != nil {
+		return nil, err
+	}
+	return d.putRetirement(ctx, x, old, q.Dry.Or(false))
+}
+
+// fits checks a retirement against the setup in force.
+func (d *Desk) fits(ctx context.Context, r *retire.Retirement) error {
+	_, s, err := d.setup(ctx)
+	if err != nil {
+		return err
+	}
+	var b errs.Batch
+	r.CheckSetup(s, &b)
+	return b.Look()
+}
+
+func (d *Desk) putRetirement(ctx context.Context, r *retire.Retirement, version uint64, dry bool) (*operator.Changed, error) {
+	body, err := r.Write()
+	if err != nil {
+		return nil, err
+	}
+	p := &wire.Put{Key: retire.Key(r.Service, r.Name), Body: body, IfEpoch: version}
+	t, err := d.ctl.Change(ctx, &wire.ChangeAsk{Part: link.PartOf(r.Service), Command: &wire.Command{Kind: &wire.Command_Put{Put: p}}, Dry: dry})
+	if err != nil {
+		return nil, errs.Wrap(err, "write retirement")
+	}
+	return &operator.Changed{Epoch: int64(t.Epoch), Outcome: t.Outcome, Note: operator.NewOptString(r.State)}, nil
+}
+
+// AskRetirement starts, pauses, resumes or aborts a retirement; asked again it changes nothing. The
+// system writes the same document as it goes on, so a change that crosses with a step is made again on
+// what is then there.
+//
+// Example: POST /v1/retirements/lector-main/spring/pause
+func (d *Desk) AskRetirement(ctx context.Context, q operator.AskRetirementParams) (*operator.Changed, error) {
+	var last error
+	for range 8 {
+		t, err := d.ctl.Read(ctx, &wire.ReadAsk{Part: link.PartOf(q.Service), Key: retire.Key(q.Service, q.Name)})
+		if err != nil {
+			return nil, errs.Wrap(err, "read retirement")
+		}
+		if len(t.Docs) == 0 {
+			return nil, errs.New(errs.NotFound, "service %q has no retirement %q", q.Service, q.Name)
+		}
+		r, err := retire.Read(t.Docs[0].Body)
+		if err != nil {
+			return nil, err
+		}
+		was := r.State
+		if err := r.Ask(string(q.Verb)); err != nil {
+			return nil, err
+		}
+		if r.State == was {
+			return &operator.Changed{Epoch: int64(t.Docs[0].Epoch), Outcome: "done", Note: operator.NewOptString(r.State)}, nil
+		}
+		if was == retire.Planned && r.State == retire.Running {
+			if err := d.fits(ctx, r); err != nil {
+				return nil, err
+			}
+		}
+		c, err := d.putRetirement(ctx, r, t.Docs[0].Epoch, false)
+		if errs.KindOf(err) != errs.Conflict || err == nil || was == retire.Planned {
+			return c, err
+		}
+		last = err
+	}
+	return nil, errs.As(last, errs.Conflict, fmt.Sprintf("retirement %q keeps changing", q.Name))
+}
+
+// held finds retirements that wait for people, and who holds them up.
+func (d *Desk) held(ctx context.Context, f *finder) {
+	ds, err := d.retirements(ctx)
+	if err != nil {
+		f.add("retirements-unknown", "site", err.Error(), errs.KindOf(err).Remedy, "core-gone")
+		return
+	}
+	for _, x := range ds {
+		r, err := retire.Read(x.Body)
+		if err != nil || !r.Active() {
+			continue
+		}
+		if r.State == retire.Paused {
+			f.add("retirement-paused", r.Service+"/"+r.Name, r.Why, "find out why, then resume or abort it", "retirement-held")
+		}
+		for _, h := range r.Holds {
+			if h.Stuck {
+				f.add("retirement-held", r.Service+"/"+r.Name, h.Node+": "+h.Why, h.Remedy, "retirement-held")
+			}
+		}
+	}
+}
--- a/internal/frontdesk/status.go
+++ b/internal/frontdesk/status.go
@@ -54,6 +54,7 @@
 			}
 		}
 	}
+	d.held(ctx, f)
 	s.Problems, s.Ok = f.list, len(f.list) == 0
 	return s, nil
 }
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strconv"
 )
 
 // Key names one entry. Wall domain, model and weights epoch are hashed into it, so an
@@ -41,6 +42,17 @@
 // Example: prefix.Tokens("una primera edición") == 5
 func Tokens(part string) int { return (len(part) + 3) / 4 }
 
+// Under is the model's name in the keys: what one base or adapter, or another build of it, has
+// made is nobody else's.
+//
+// Example: es := prefix.Chain("shared", prefix.Under("lector", "rare", 2), 3, parts)
+func Under(model, adapter string, build uint64) string {
+	if adapter == "" {
+		return model
+	}
+	return model + "\x00" + adapter + "\x00" + strconv.FormatUint(build, 10)
+}
+
 // Chain names every prefix of a prompt, the shortest first.
 //
 // Example: es := prefix.Chain("shared", "lector", 3, parts)
--- /dev/null
+++ b/internal/retire/check.go
@@ -0,0 +1,215 @@
+package retire
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/queue"
+	"pebbleloom/internal/setup"
+)
+
+// Load is one adapter of a set.
+type Load struct {
+	Name  string
+	Build uint64
+	Room  int
+}
+
+// Set is a base model with the adapters that a service's workers hold on it.
+type Set struct {
+	Base     string
+	Weights  uint64
+	Room     int
+	Adapters []Load // by name
+}
+
+// SetOf is what the setup says about a base and some adapters on it.
+//
+// Example: set := retire.SetOf(s, "lector-2", []string{"rare-2"})
+func SetOf(s *setup.Setup, base string, adapters []string) Set {
+	x := Set{Base: base, Weights: s.Models[base].Weights, Room: s.Models[base].Room}
+	adapters = slices.Clone(adapters)
+	slices.Sort(adapters)
+	for _, n := range slices.Compact(adapters) {
+		x.Adapters = append(x.Adapters, Load{n, s.Adapters[n].Build, s.Adapters[n].Room})
+	}
+	return x
+}
+
+// Total is what a set takes of a worker's memory.
+//
+// Example: mb := set.Total()
+func (x Set) Total() int {
+	n := x.Room
+	for _, a := range x.Adapters {
+		n += a.Room
+	}
+	return n
+}
+
+// Sum tells sets apart: another version of the base or another build of an adapter is another set.
+//
+// Example: if proof.Set != set.Sum() { proveAgain() }
+func (x Set) Sum() string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%q %d", x.Base, x.Weights)
+	for _, a := range x.Adapters {
+		fmt.Fprintf(h, " %q %d", a.Name, a.Build)
+	}
+	return fmt.Sprintf("%x", h.Sum(nil)[:8])
+}
+
+// held tells what a node holds of the set's base; nil: nothing, or another version of it.
+func (x Set) held(l []contract.Loaded) *contract.Loaded {
+	for i := range l {
+		if l[i].Model == x.Base && l[i].Weights == x.Weights {
+			return &l[i]
+		}
+	}
+	return nil
+}
+
+// lacking is the first adapter that a node hasn't got in the build that is due.
+func (x Set) lacking(l *contract.Loaded) *Load {
+	for i, a := range x.Adapters {
+		if l.Adapters[a.Name] != a.Build {
+			return &x.Adapters[i]
+		}
+	}
+	return nil
+}
+
+// depending names a service's adapters on a base.
+func depending(s *setup.Setup, service, base string) []string {
+	var l []string
+	for _, n := range queue.Keys(s.Adapters) {
+		if a := s.Adapters[n]; a.Base == base && slices.Contains(a.Services, service) {
+			l = append(l, n)
+		}
+	}
+	return l
+}
+
+// sets are the old one and the new one of a retirement.
+func (r *Retirement) sets(s *setup.Setup) (was, next Set) {
+	var l []string
+	for _, n := range r.Replace {
+		l = append(l, n)
+	}
+	return SetOf(s, r.From, depending(s, r.Service, r.From)), SetOf(s, r.To, l)
+}
+
+// moves says where each of the service's routes that is answered on the old base is to go.
+func (r *Retirement) moves(s *setup.Setup) map[string]string {
+	m := map[string]string{}
+	for n, v := range s.Ways {
+		if v.Service != r.Service {
+			continue
+		}
+		use := v.Answers(n)
+		if t, ok := s.Named(use); ok && t.Model == r.From {
+			if m[n] = r.To; t.Adapter != "" {
+				m[n] = r.Replace[t.Adapter]
+			}
+		}
+	}
+	return m
+}
+
+// CheckSetup notes every fault that a retirement shows against the setup; each names the item and
+// what to do, before anything moves.
+//
+// Example: r.CheckSetup(s, &b)
+func (r *Retirement) CheckSetup(s *setup.Setup, b *errs.Batch) {
+	bad := func(f, format string, a ...any) { b.Fault(errs.BadInput, "%s: %s", f, fmt.Sprintf(format, a...)) }
+	v, ok := s.Services[r.Service]
+	if !ok {
+		bad("service", "%q is not among services: name one that is", r.Service)
+		return
+	}
+	for _, x := range [][2]string{{"from", r.From}, {"to", r.To}} {
+		if _, ok := s.Models[x[1]]; !ok {
+			bad(x[0], "%q is not among models: add it there or name another", x[1])
+		}
+	}
+	if v.Model != r.From {
+		bad("from", "service %s has base model %s: name that one", r.Service, v.Model)
+	}
+	for _, n := range queue.Keys(s.Services) {
+		if x := s.Services[n]; n != r.Service && (x.Model == r.From || x.Model == r.To) {
+			bad("service", "service %s has base model %s as well: hand it over first, so that one retirement holds for all its nodes", n, x.Model)
+		}
+	}
+	for _, n := range depending(s, r.Service, r.From) {
+		if r.Replace[n] == "" {
+			bad("replace."+n, "adapter %s stands on %s and has no replacement: name the adapter that was built for %s", n, r.From, r.To)
+		}
+	}
+	for _, n := range queue.Keys(s.Adapters) {
+		if a := s.Adapters[n]; a.Base == r.From && !slices.Contains(a.Services, r.Service) {
+			bad("replace."+n, "adapter %s stands on %s and is held by no worker of %s: add the service to adapters.%s.services, or take the adapter out", n, r.From, r.Service, n)
+		}
+	}
+	taken := map[string]string{}
+	for _, n := range queue.Keys(r.Replace) {
+		f := "replace." + n
+		old, ok := s.Adapters[n]
+		if !ok || old.Base != r.From {
+			bad(f, "%s is no adapter on %s: leave it out", n, r.From)
+		}
+		x, ok := s.Adapters[r.Replace[n]]
+		switch {
+		case r.Replace[n] == "":
+		case !ok:
+			bad(f, "%q is not among adapters: add it there or name another", r.Replace[n])
+		case x.Base != r.To:
+			bad(f, "%s was built for %s: name one that was built for %s", r.Replace[n], x.Base, r.To)
+		case !slices.Contains(x.Services, r.Service):
+			bad(f, "%s isn't held by service %s: add it to adapters.%s.services", r.Replace[n], r.Service, r.Replace[n])
+		case taken[r.Replace[n]] != "":
+			bad(f, "%s replaces %s already: name one for each", r.Replace[n], taken[r.Replace[n]])
+		}
+		for _, t := range queue.Keys(s.Tenants) {
+			if ok && s.Lets(n, t) && !s.Lets(r.Replace[n], t) {
+				bad(f, "%s isn't for tenant %s, which %s is for: add the tenant to adapters.%s.tenants", r.Replace[n], t, n, r.Replace[n])
+			}
+		}
+		taken[r.Replace[n]] = n
+	}
+	r.checkRoutes(s, bad)
+	was, next := r.sets(s)
+	for _, x := range []Set{was, next} {
+		if x.Room == 0 {
+			bad("models."+x.Base+".room", "missing: say what it takes of a worker's memory, in MB")
+		}
+		for _, a := range x.Adapters {
+			if a.Room == 0 && a.Name != "" {
+				bad("adapters."+a.Name+".room", "missing: say what it takes of a worker's memory, in MB")
+			}
+		}
+	}
+	if need := was.Total() + next.Total(); v.Room < need {
+		bad("services."+r.Service+".room", "%d MB a worker, and both sets take %d: give workers with that room, then say so there", v.Room, need)
+	}
+}
+
+// checkRoutes sees that no route is left with no model, also those of other services.
+func (r *Retirement) checkRoutes(s *setup.Setup, bad func(f, format string, a ...any)) {
+	m := r.moves(s)
+	for _, n := range queue.Keys(s.Ways) {
+		v := s.Ways[n]
+		if to, ok := m[n]; ok && to == "" {
+			bad("ways."+n, "it would be left with no model: %s answers it and has no replacement", v.Answers(n))
+		}
+		t, ok := s.Named(v.Answers(n))
+		if ok && t.Model == r.From && v.Service != r.Service {
+			bad("ways."+n, "it is answered by %s at service %s: lead it elsewhere first", v.Answers(n), v.Service)
+		}
+		if _, mine := m[n]; mine && v.Next != "" {
+			bad("ways."+n, "it is being handed over to service %s: let that end first", v.Next)
+		}
+	}
+}
--- /dev/null
+++ b/internal/retire/retire_test.go
@@ -0,0 +1,362 @@
+package retire
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/contract"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/setup"
+)
+
+// Each fault of a plan is a typed error that names the item and the remedy.
+func TestEachFaultOfAPlanIsNamed(t *testing.T) {
+	for name, x := range map[string]struct {
+		patch  string
+		change func(*Retirement)
+		want   string
+	}{
+		"nothing wrong":                     {`{}`, nil, ""},
+		"an adapter without a replacement":  {`{}`, func(r *Retirement) { delete(r.Replace, "rare") }, `replace.rare: adapter rare stands on old and has no replacement: name the adapter that was built for new`},
+		"a replacement that isn't there":    {`{}`, func(r *Retirement) { r.Replace["rare"] = "gone" }, `replace.rare: "gone" is not among adapters`},
+		"a replacement for another base":    {`{"models":{"third":{"weights":1}},"adapters":{"rare-2":{"base":"third"}}}`, nil, `rare-2 was built for third: name one that was built for new`},
+		"one replacement for two":           {`{}`, func(r *Retirement) { r.Replace["fare"] = "rare-2" }, `replaces`},
+		"a replacement not held there":      {`{"adapters":{"rare-2":{"services":null}}}`, nil, `rare-2 isn't held by service s`},
+		"a replacement for fewer tenants":   {`{"tenants":{"t":{},"u":{}},"adapters":{"rare-2":{"tenants":["u"]}}}`, nil, `rare-2 isn't for tenant t`},
+		"no room told":                      {`{"services":{"s":{"room":null}}}`, nil, `services.s.room: 0 MB a worker, and both sets take 120`},
+		"no room for both sets":             {`{"services":{"s":{"room":119}}}`, nil, `119 MB a worker, and both sets take 120: give workers with that room`},
+		"a base's room not told":            {`{"models":{"new":{"room":null}}}`, nil, `models.new.room: missing`},
+		"an adapter's room not told":        {`{"adapters":{"rare-2":{"room":null}}}`, nil, `adapters.rare-2.room: missing`},
+		"another base than the service's":   {`{}`, func(r *Retirement) { r.From, r.To = "new", "old" }, `from: service s has base model old`},
+		"an unknown base":                   {`{}`, func(r *Retirement) { r.To = "newest" }, `to: "newest" is not among models`},
+		"an unknown service":                {`{}`, func(r *Retirement) { r.Service = "x" }, `service: "x" is not among services`},
+		"a base that serves elsewhere":      {`{"services":{"s2":{"model":"old"}}}`, nil, `service s2 has base model old as well: hand it over first`},
+		"an adapter that nobody holds":      {`{"adapters":{"odd":{"base":"old","build":1,"room":1}}}`, nil, `adapter odd stands on old and is held by no worker of s`},
+		"a route left with no model":        {`{"adapters":{"last":{"base":"old","build":1,"room":1,"services":["s"]}},"ways":{"last":{"service":"s"}}}`, nil, `ways.last: it would be left with no model`},
+		"a route of another service":        {`{"models":{"x":{"weights":1}},"services":{"s2":{"model":"x"}},"adapters":{"fare":{"services":["s","s2"]}},"ways":{"far":{"service":"s2","use":"fare"}}}`, nil, `ways.far: it is answered by fare at service s2`},
+		"a route that is being handed over": {`{"services":{"s2":{"model":"old"}},"ways":{"old":{"next":"s2","share":10}}}`, nil, `ways.old: it is being handed over to service s2`},
+	} {
+		body, err := setup.Merge(first, []byte(x.patch))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		s, err := setup.Read(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := plan()
+		if x.change != nil {
+			x.change(r)
+		}
+		var b errs.Batch
+		r.Check(&b)
+		r.CheckSetup(s, &b)
+		err = b.Look()
+		if (err == nil) != (x.want == "") || err != nil && (!strings.Contains(err.Error(), x.want) || errs.KindOf(err) != errs.BadInput) {
+			t.Errorf("%s: %v\nwant %q", name, err, x.want)
+		}
+	}
+	var b errs.Batch
+	(&Retirement{Name: "a b", Service: "s", From: "x", To: "x", Shares: []int{5, 4}, SoakS: -1, AtOnce: -1, AbortAt: 2}).Check(&b)
+	if n := len(b.Lines()); n != 7 {
+		t.Errorf("%d faults: %v", n, b.Lines())
+	}
+	a, o := plan(), plan()
+	o.Name, o.Service, o.State = "other", "s9", Running
+	if err := a.Clash([]*Retirement{o}); errs.KindOf(err) != errs.Conflict || !strings.Contains(err.Error(), `"spring"`) || !strings.Contains(err.Error(), `"other"`) {
+		t.Errorf("two retirements of one base: %v", err)
+	}
+	if o.State = Done; a.Clash([]*Retirement{o}) != nil {
+		t.Error("clashes with one that is over")
+	}
+}
+
+// All orders of a few messages of two operators: each verb asked twice changes nothing more than
+// asked once, nothing is undone after the barrier, and whatever ended stays ended.
+func TestEveryOrderOfMessages(t *testing.T) {
+	verbs := []string{"start", "pause", "resume", "abort", "barrier"}
+	var l [][]string
+	var grow func([]string)
+	grow = func(p []string) {
+		if l = append(l, slices.Clone(p)); len(p) < 5 {
+			for _, v := range verbs {
+				grow(append(p, v))
+			}
+		}
+	}
+	grow(nil)
+	for _, p := range l {
+		r, past, over := plan(), false, ""
+		for _, v := range p {
+			if v == "barrier" {
+				if r.State == Running {
+					r.note(Running, Drop, "")
+					past = true
+				}
+				continue
+			}
+			was := r.clone()
+			err := r.Ask(v)
+			if err != nil && (r.State != was.State || r.Phase != was.Phase) {
+				t.Fatalf("%v: denied, yet it went from %s to %s", p, was.State, r.State)
+			}
+			once := r.clone()
+			if err == nil {
+				if err := r.Ask(v); err != nil || r.State != once.State || r.Phase != once.Phase || len(r.Log) != len(once.Log) {
+					t.Fatalf("%v: %s again: %v, %s after %s", p, v, err, r.State, once.State)
+				}
+			}
+			if past && (r.State == Aborting || r.State == Aborted) {
+				t.Fatalf("%v: aborted after the barrier", p)
+			}
+			if over != "" && r.State != over {
+				t.Fatalf("%v: %s after it was %s", p, r.State, over)
+			}
+			if !r.Active() || r.State == Aborting {
+				over = r.State
+			}
+		}
+	}
+	if len(l) != 3906 {
+		t.Errorf("%d orders", len(l))
+	}
+}
+
+// calm is a fleet without troubles.
+func calm(t *testing.T) *fleet {
+	f := newFleet(t, 1, 0)
+	f.quiet, f.trouble = true, false
+	return f
+}
+
+// step makes one turn of a holder in the calm fleet; stop says after which of its effects it dies.
+func (f *fleet) step(p *Pacer, stop int) (effects int) {
+	r, s, version, at := f.doc.clone(), f.setup(), f.version, f.docAt
+	w := World{Clock: time.Duration(f.now) * time.Second, Version: at, Setup: s, Listed: true, Follow: time.Second}
+	for _, n := range f.nodes {
+		w.Nodes = append(w.Nodes, Node{Name: n.name, Life: n.life, Answers: n.up, Holds: n.says(), Loading: n.loading, Room: 130, Free: 130 - 60*len(n.holds)})
+	}
+	next, acts, changed := p.Next(r, w)
+	for _, x := range acts {
+		var n *node
+		for _, y := range f.nodes {
+			if y.name == x.Node {
+				n = y
+			}
+		}
+		switch {
+		case x.Patch != nil:
+			if f.patch(x.Patch, version) {
+				next.Patched()
+			}
+		case x.Order != nil:
+			if f.order(n, *x.Order, 1) && x.Order.Kind == "unload" {
+				next.Told(x.Node, x.Order.Incarnation)
+			}
+		default:
+			if f.prove(n, x) {
+				next.Proved(x.Node, x.Life, *x.Prove)
+			}
+		}
+		changed = true
+		if effects++; effects == stop {
+			return effects
+		}
+	}
+	if changed {
+		f.put(next, at, 0)
+		effects++
+	}
+	return effects
+}
+
+func (f *fleet) pass() {
+	for _, do := range f.mail[f.now] {
+		do()
+	}
+	delete(f.mail, f.now)
+	f.now++
+}
+
+// A holder dies after any one effect of a whole retirement, or of one that is aborted late; the next one
+// goes on from what is written, ends it, and no invariant is hurt.
+func TestHoldersDieBetweenAnyTwoEffects(t *testing.T) {
+	for _, abort := range []bool{false, true} {
+		whole := 0
+		for die := 1; ; die++ {
+			f, p, done := calm(t), NewPacer(), 0
+			if err := f.doc.Ask("start"); err != nil {
+				t.Fatal(err)
+			}
+			for f.now < 3000 && f.doc.Active() {
+				stop := 0
+				if die > done {
+					stop = die - done
+				}
+				n := f.step(p, stop)
+				if done += n; stop > 0 && n == stop {
+					p = NewPacer() // it died; another one takes over
+				}
+				if abort && f.doc.Phase == Drain {
+					if err := f.doc.Ask("abort"); err != nil {
+						t.Fatal(err)
+					}
+					f.docAt++
+				}
+				f.pass()
+			}
+			f.asBeforeIf(abort)
+			want := map[bool]string{false: Done, true: Aborted}[abort]
+			if f.doc.State != want || len(f.faults) > 0 {
+				t.Fatalf("abort %v, death after effect %d: %s %s, %v\n%s", abort, die, f.doc.State, f.doc.Phase, f.faults, strings.Join(f.doc.Log, "\n"))
+			}
+			for _, n := range f.nodes {
+				if _, old := n.holds["old"]; old != abort {
+					t.Fatalf("abort %v, death after effect %d: %s holds %v", abort, die, n.name, n.holds)
+				}
+			}
+			if whole = done; die > whole {
+				break
+			}
+		}
+		if whole < 60 {
+			t.Errorf("only %d effects: the test sees too little", whole)
+		}
+	}
+}
+
+func (f *fleet) asBeforeIf(abort bool) {
+	if abort {
+		f.abortedAt = f.now
+		f.asBefore()
+	}
+}
+
+// held runs a calm retirement until it stands still, and gives who holds it up.
+func held(f *fleet, p *Pacer, n int) []Hold {
+	for range n {
+		f.step(p, 0)
+		f.pass()
+	}
+	return f.doc.Holds
+}
+
+// Who holds the barrier is named, with what to do; a node that the platform takes out of its list holds
+// it no more, and one that comes in late with old weights alone is caught up first.
+func TestWhoHoldsTheBarrierIsNamed(t *testing.T) {
+	f, p := calm(t), NewPacer()
+	if err := f.doc.Ask("start"); err != nil {
+		t.Fatal(err)
+	}
+	f.nodes[3].up = false
+	if l := held(f, p, 200); len(l) != 1 || l[0].Node != "w3" || !l[0].Stuck || !strings.Contains(l[0].Remedy, "take it out of its list") || f.doc.Phase != LoadBase {
+		t.Fatalf("a silent node: %s, %+v", f.doc.Phase, l)
+	}
+	if !f.doc.Stuck() || !strings.Contains(f.doc.Progress(), "5 of 6 nodes ready") {
+		t.Errorf("%s", f.doc.Progress())
+	}
+	f.nodes[3].start(true)
+	f.nodes[3].boasts = true
+	held(f, p, 200)
+	if l := f.doc.Holds; f.doc.Phase != Prove || len(l) != 1 || l[0].Node != "w3" {
+		t.Fatalf("a boasting node: %s, %+v", f.doc.Phase, l)
+	}
+	f.nodes[3].start(true)
+	f.nodes[3].boasts = false
+	for f.doc.Phase != Drop && f.now < 2000 {
+		held(f, p, 1)
+	}
+	f.nodes[5].start(true) // it is replaced right after the barrier: old weights alone
+	if l := held(f, p, 2); f.doc.Phase != Drop || len(l) == 0 {
+		t.Fatalf("%s %+v", f.doc.Phase, l)
+	}
+	for f.doc.Active() && f.now < 3000 {
+		if _, both := f.nodes[5].holds["old"]; both && f.nodes[5].loading != "" {
+			for _, n := range f.doc.Going {
+				if n == "w5" {
+					t.Fatal("a node that isn't caught up is told to drop the old base")
+				}
+			}
+		}
+		held(f, p, 1)
+	}
+	if f.doc.State != Done || len(f.faults) > 0 {
+		t.Fatalf("%s %s %+v %v", f.doc.State, f.doc.Phase, f.doc.Holds, f.faults)
+	}
+}
+
+// The abort line: where more attempts fail than it allows, it goes back before the barrier and stops after it.
+func TestAbortLine(t *testing.T) {
+	f, p := calm(t), NewPacer()
+	r := plan()
+	if err := r.Ask("start"); err != nil {
+		t.Fatal(err)
+	}
+	w := World{Setup: f.setup(), Listed: true, Nodes: []Node{{Name: "w"}}, Ok: 70, Bad: 30}
+	if x, _, ch := p.Next(r, w); !ch || x.State != Aborting || x.Phase != Settle || !strings.Contains(x.Why, "30 of 100 attempts failed") {
+		t.Errorf("%+v", x)
+	}
+	r.note(Running, Move, "")
+	if x, _, _ := p.Next(r, w); x.State != Aborting || x.Phase != Return {
+		t.Errorf("%+v", x)
+	}
+	r.note(Running, Drop, "")
+	if x, _, _ := p.Next(r, w); x.State != Paused || x.Phase != Drop {
+		t.Errorf("%+v", x)
+	}
+	w.Ok, w.Bad = 99, 1
+	w.Listed = false
+	r.note(Running, Prove, "")
+	if x, acts, _ := p.Next(r, w); len(acts) > 0 || len(x.Holds) != 1 || x.Holds[0].Node != "platform" {
+		t.Errorf("without the platform's list: %+v %v", x, acts)
+	}
+	w.Listed, w.Nodes = true, nil
+	if x, acts, _ := p.Next(r, w); len(acts) > 0 || len(x.Holds) != 1 {
+		t.Errorf("without a node: %+v %v", x, acts)
+	}
+}
+
+// While nothing is retired a worker that came back empty, or with what was retired long ago, gets what
+// the setup names; a service without adapters is left alone.
+func TestKeep(t *testing.T) {
+	s, err := setup.Read(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := contract.Loaded{Model: "old", Weights: 3, Adapters: map[string]uint64{"rare": 1, "fare": 4}}
+	nodes := []Node{{Name: "a", Answers: true, Holds: []contract.Loaded{full}}, {Name: "b", Answers: true, Life: "b/2"},
+		{Name: "c", Answers: true, Holds: []contract.Loaded{{Model: "old", Weights: 3, Adapters: map[string]uint64{"rare": 1}}}}, {Name: "d"}, {Name: "e", Answers: true, Loading: "old"}}
+	got := ""
+	for _, x := range Keep(s, "s", nodes) {
+		got += fmt.Sprintf("%s %s%s@%d ", x.Node, x.Order.Model, x.Order.Adapter, x.Order.Build)
+	}
+	if got != "b old@0 c oldfare@4 " {
+		t.Errorf("%q", got)
+	}
+	s.Adapters = nil
+	if l := Keep(s, "s", nodes); l != nil {
+		t.Errorf("%v", l)
+	}
+}
+
+// A document reads back as it was written, and what it doesn't know is denied.
+func TestDocument(t *testing.T) {
+	r := plan()
+	r.Proved("w1", "life", SetOf(&setup.Setup{}, "new", nil))
+	b, err := r.Write()
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := Read(b)
+	c, _ := json.Marshal(x) // plain fields: can't fail
+	if err != nil || string(b) != string(c) {
+		t.Errorf("%s %v", c, err)
+	}
+	if _, err := Read([]byte(`{"pace":3}`)); errs.KindOf(err) != errs.BadInput {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/runbook/book.go
+++ b/internal/runbook/book.go
@@ -25,7 +25,7 @@
 type Step struct {
 	Type    string            `json:"type"`            // check, wait, do, confirm
 	Text    string            `json:"text"`            // for people
-	Of      string            `json:"of,omitempty"`    // check, wait: nodes, workers, parts, problems, setup, moves
+	Of      string            `json:"of,omitempty"`    // check, wait: nodes, workers, parts, problems, setup, moves, retirements
 	Match   map[string]string `json:"match,omitempty"` // rows whose fields are these; "!x" is: not x; "x*": begins with x
 	AtLeast *int              `json:"at_least,omitempty"`
 	AtMost  *int              `json:"at_most,omitempty"`
@@ -37,14 +37,14 @@
 // Views are what steps can look at.
 //
 // Example: slices.Contains(runbook.Views(), "nodes")
-func Views() []string { return []string{"nodes", "workers", "parts", "problems", "setup", "moves"} }
+func Views() []string { return []string{"nodes", "workers", "parts", "problems", "setup", "moves", "retirements"} }
 
 // Actions are what steps can do, with the arguments each needs.
 //
 // Example: need := runbook.Actions()["drain"]
 func Actions() map[string][]string {
 	return map[string][]string{"drain": {"worker"}, "undrain": {"worker"}, "name-weights": {"model", "weights"}, "revoke-key": {"tenant", "key"},
-		"patch-setup": {"file"}, "write-move": {"file"}, "ask-move": {"service", "name", "verb"}}
+		"patch-setup": {"file"}, "write-move": {"file"}, "ask-move": {"service", "name", "verb"}, "ask-retirement": {"service", "name", "verb"}}
 }
 
 //go:embed books/*.json
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -198,7 +198,7 @@
 	same := len(rows) == len(t.lastRows)
 	for i := 0; same && i < len(rows); i++ {
 		a, o := rows[i], t.lastRows[i]
-		same = a.Name == o.Name && a.Addr == o.Addr && a.State == o.State && a.Weights == o.Weights && a.Incarnation == o.Incarnation
+		same = a.Name == o.Name && a.Addr == o.Addr && a.State == o.State && a.Weights == o.Weights && a.Incarnation == o.Incarnation && a.Model == o.Model && sameLoaded(a.Loaded, o.Loaded)
 	}
 	t.lastRows = rows
 	t.lists++ // loads have moved on; that alone wakes nobody
--- a/internal/runner/workers.go
+++ b/internal/runner/workers.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pebbleloom/internal/contract"
@@ -121,7 +123,22 @@
 		l = append(l, &wire.Worker{Name: n, Addr: x.l.Addr, Service: x.l.Service, Model: x.s.Model, District: x.l.District,
 			Incarnation: x.s.Incarnation, State: st, Weights: x.s.Weights, Slots: uint32(x.s.Slots), Busy: uint32(x.s.Busy),
 			Queued: uint32(x.s.Queued), Kind: x.l.Kind, KvRoom: uint64(x.s.KvRoom),
-			ClockNs: uint64(x.s.ClockUs) * 1000, ClockAt: uint64(x.answer)})
+			ClockNs: uint64(x.s.ClockUs) * 1000, ClockAt: uint64(x.answer), Loaded: loaded(x.s)})
 	}
 	return l
 }
+
+// loaded is what a worker says it has in memory beside its one model.
+func loaded(s contract.State) []*wire.Loaded {
+	var l []*wire.Loaded
+	for _, x := range s.Loaded {
+		l = append(l, &wire.Loaded{Model: x.Model, Weights: x.Weights, Adapters: x.Adapters})
+	}
+	return l
+}
+
+func sameLoaded(a, b []*wire.Loaded) bool {
+	return slices.EqualFunc(a, b, func(x, y *wire.Loaded) bool {
+		return x.Model == y.Model && x.Weights == y.Weights && maps.Equal(x.Adapters, y.Adapters)
+	})
+}
--- /dev/null
+++ b/internal/setup/adapters.go
@@ -0,0 +1,121 @@
+package setup
+
+import (
+	"slices"
+
+	"pebbleloom/internal/queue"
+)
+
+// Target is the set of weights that answers one request.
+type Target struct {
+	Model   string // the base model
+	Weights uint64 // its epoch in force
+	Adapter string // empty: the base alone
+	Build   uint64
+}
+
+// Target names the set of weights for one request by the way it came in on. A request id always
+// gets the same answer under one setup.
+//
+// Example: t, ok := s.Target("rare", "r-17")
+func (s *Setup) Target(way, request string) (Target, bool) {
+	w, ok := s.Ways[way]
+	if !ok {
+		return Target{}, false
+	}
+	name := w.Answers(way)
+	if w.Move != "" && int(queue.Hash("move/"+request)%100) < w.Moved {
+		name = w.Move
+	}
+	return s.Named(name)
+}
+
+// Answers is the model or adapter that answers a way's requests, but for those that were moved.
+//
+// Example: s.Ways["rare"].Answers("rare")
+func (w Way) Answers(way string) string {
+	if w.Use != "" {
+		return w.Use
+	}
+	return way
+}
+
+// Named gives the set of weights that a model's or an adapter's name stands for.
+//
+// Example: t, ok := s.Named("rare")
+func (s *Setup) Named(name string) (Target, bool) {
+	if m, ok := s.Models[name]; ok {
+		return Target{Model: name, Weights: m.Weights}, true
+	}
+	a, ok := s.Adapters[name]
+	return Target{Model: a.Base, Weights: s.Models[a.Base].Weights, Adapter: name, Build: a.Build}, ok
+}
+
+// Lets tells whether a tenant may name an adapter; a model is anybody's.
+//
+// Example: if !s.Lets("rare", tenant) { deny() }
+func (s *Setup) Lets(name, tenant string) bool {
+	a, ok := s.Adapters[name]
+	return !ok || len(a.Tenants) == 0 || slices.Contains(a.Tenants, tenant)
+}
+
+func (s *Setup) checkAdapters(bad func(path, format string, a ...any), word func(path, v string)) {
+	for _, n := range queue.Keys(s.Models) {
+		if s.Models[n].Room < 0 {
+			bad("models."+n+".room", "%d: give what it takes of a worker's memory in MB", s.Models[n].Room)
+		}
+	}
+	for _, n := range queue.Keys(s.Adapters) {
+		a, p := s.Adapters[n], "adapters."+n
+		word(p, n)
+		if _, ok := s.Models[n]; ok {
+			bad(p, "a model has the same name: give each its own")
+		}
+		if _, ok := s.Models[a.Base]; !ok {
+			bad(p+".base", "%q is not among models: add it there or name another", a.Base)
+		}
+		if a.Build == 0 {
+			bad(p+".build", "missing: name the build, from 1")
+		}
+		if a.Room < 0 {
+			bad(p+".room", "%d: give what it takes of a worker's memory in MB", a.Room)
+		}
+		for i, v := range a.Services {
+			if _, ok := s.Services[v]; !ok {
+				bad(p+".services", "%q is not among services: add it there or name another", v)
+			}
+			if slices.Contains(a.Services[:i], v) {
+				bad(p+".services", "%q is named twice", v)
+			}
+		}
+		for _, v := range a.Tenants {
+			if _, ok := s.Tenants[v]; !ok {
+				bad(p+".tenants", "%q is not among tenants: add it there or name another", v)
+			}
+		}
+	}
+}
+
+// checkUse sees that whatever answers a way's requests exists, and stands on the way's workers.
+func (s *Setup) checkUse(n string, bad func(path, format string, a ...any)) {
+	w, p := s.Ways[n], "ways."+n
+	if _, ok := s.Named(n); !ok && w.Use == "" {
+		bad(p, "no such model: a way is named by the model it serves")
+	}
+	for _, x := range [][2]string{{".use", w.Use}, {".move", w.Move}} {
+		if _, ok := s.Named(x[1]); x[1] != "" && !ok {
+			bad(p+x[0], "%q is neither among models nor among adapters: add it there or name another", x[1])
+		}
+	}
+	for _, v := range []string{w.Answers(n), w.Move} {
+		if a, ok := s.Adapters[v]; ok && !slices.Contains(a.Services, w.Service) {
+			bad(p, "adapter %s isn't held by service %s: add the service to adapters.%s.services", v, w.Service, v)
+		}
+	}
+	if w.Moved < 0 || w.Moved > 100 || w.Moved > 0 && w.Move == "" {
+		bad(p+".moved", "%d: give a percent, and in move where to", w.Moved)
+	}
+	if w.Move != "" && w.Next != "" {
+		bad(p, "it is handed over and moved at once: end one first")
+	}
+}
--- a/internal/setup/model.go
+++ b/internal/setup/model.go
@@ -6,8 +6,9 @@
 type Setup struct {
 	Tenants   map[string]Tenant  `json:"tenants,omitempty"`
 	Models    map[string]Model   `json:"models,omitempty"`
+	Adapters  map[string]Adapter `json:"adapters,omitempty"`
 	Services  map[string]Service `json:"services,omitempty"`
-	Ways      map[string]Way     `json:"ways,omitempty"` // model -> the service that answers it
+	Ways      map[string]Way     `json:"ways,omitempty"` // model or adapter that requests name -> the service that answers it
 	Drains    map[string]bool    `json:"drains,omitempty"`
 	Seeds     []string           `json:"seeds,omitempty"` // three addresses that go before those of the settings
 	WaitMaxMs int                `json:"wait_max_ms,omitempty"`
@@ -26,6 +27,16 @@
 // Model is a model with the weights epoch in force.
 type Model struct {
 	Weights uint64 `json:"weights"`
+	Room    int    `json:"room,omitempty"` // what it takes of a worker's memory, in MB
+}
+
+// Adapter is a small set of weights on top of one base model. Requests may name it as they name a model.
+type Adapter struct {
+	Base     string   `json:"base"`
+	Build    uint64   `json:"build"`
+	Services []string `json:"services,omitempty"` // whose workers hold it
+	Tenants  []string `json:"tenants,omitempty"`  // who may name it; none: everybody
+	Room     int      `json:"room,omitempty"`     // what it takes of a worker's memory, in MB
 }
 
 // Service is a group of workers that answer for a model.
@@ -35,6 +46,7 @@
 	WindowS   int     `json:"window_s,omitempty"`  // hotness window
 	Placement string  `json:"placement,omitempty"` // hrcs, or a switch to compare with
 	RollOut   string  `json:"roll_out,omitempty"`  // paced, or at-once to compare with
+	Room      int     `json:"room,omitempty"`      // each worker's memory for weights, in MB
 }
 
 // Way leads a model's requests to a service.
@@ -42,6 +54,9 @@
 	Service string `json:"service"`
 	Next    string `json:"next,omitempty"`  // a handover is under way to this service
 	Share   int    `json:"share,omitempty"` // percent of requests that go there already
+	Use     string `json:"use,omitempty"`   // the model or adapter that answers; empty: the one it is named by
+	Move    string `json:"move,omitempty"`  // its requests are being moved to this model or adapter
+	Moved   int    `json:"moved,omitempty"` // percent of requests that were moved already
 }
 
 // For names the service of one request: a request id always gets the same answer under one setup.
--- a/internal/setup/model_easyjson.go
+++ b/internal/setup/model_easyjson.go
@@ -49,6 +49,24 @@
 			} else {
 				out.Share = int(in.Int())
 			}
+		case "use":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Use = string(in.String())
+			}
+		case "move":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Move = string(in.String())
+			}
+		case "moved":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Moved = int(in.Int())
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -82,6 +100,21 @@
 		out.RawString(prefix)
 		out.Int(int(in.Share))
 	}
+	if in.Use != "" {
+		const prefix string = ",\"use\":"
+		out.RawString(prefix)
+		out.String(string(in.Use))
+	}
+	if in.Move != "" {
+		const prefix string = ",\"move\":"
+		out.RawString(prefix)
+		out.String(string(in.Move))
+	}
+	if in.Moved != 0 {
+		const prefix string = ",\"moved\":"
+		out.RawString(prefix)
+		out.Int(int(in.Moved))
+	}
 	out.RawByte('}')
 }
 
@@ -318,6 +351,30 @@
 				}
 				in.Delim('}')
 			}
+		case "adapters":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				in.Delim('{')
+				if !in.IsDelim('}') {
+					out.Adapters = make(map[string]Adapter)
+				} else {
+					out.Adapters = nil
+				}
+				for !in.IsDelim('}') {
+					key := string(in.String())
+					in.WantColon()
+					var v6 Adapter
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v6).UnmarshalEasyJSON(in)
+					}
+					(out.Adapters)[key] = v6
+					in.WantComma()
+				}
+				in.Delim('}')
+			}
 		case "services":
 			if in.IsNull() {
 				in.Skip()
@@ -331,13 +388,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v6 Service
+					var v7 Service
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v6).UnmarshalEasyJSON(in)
+						(v7).UnmarshalEasyJSON(in)
 					}
-					(out.Services)[key] = v6
+					(out.Services)[key] = v7
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -355,13 +412,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v7 Way
+					var v8 Way
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v7).UnmarshalEasyJSON(in)
+						(v8).UnmarshalEasyJSON(in)
 					}
-					(out.Ways)[key] = v7
+					(out.Ways)[key] = v8
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -379,13 +436,13 @@
 				for !in.IsDelim('}') {
 					key := string(in.String())
 					in.WantColon()
-					var v8 bool
+					var v9 bool
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v8 = bool(in.Bool())
+						v9 = bool(in.Bool())
 					}
-					(out.Drains)[key] = v8
+					(out.Drains)[key] = v9
 					in.WantComma()
 				}
 				in.Delim('}')
@@ -406,13 +463,13 @@
 					out.Seeds = (out.Seeds)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v9 string
+					var v10 string
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						v9 = string(in.String())
+						v10 = string(in.String())
 					}
-					out.Seeds = append(out.Seeds, v9)
+					out.Seeds = append(out.Seeds, v10)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -447,16 +504,16 @@
 		out.RawString(prefix[1:])
 		{
 			out.RawByte('{')
-			v10First := true
-			for v10Name, v10Value := range in.Tenants {
-				if v10First {
-					v10First = false
+			v11First := true
+			for v11Name, v11Value := range in.Tenants {
+				if v11First {
+					v11First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v10Name))
+				out.String(string(v11Name))
 				out.RawByte(':')
-				(v10Value).MarshalEasyJSON(out)
+				(v11Value).MarshalEasyJSON(out)
 			}
 			out.RawByte('}')
 		}
@@ -471,16 +528,40 @@
 		}
 		{
 			out.RawByte('{')
-			v11First := true
-			for v11Name, v11Value := range in.Models {
-				if v11First {
-					v11First = false
+			v12First := true
+			for v12Name, v12Value := range in.Models {
+				if v12First {
+					v12First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v11Name))
+				out.String(string(v12Name))
 				out.RawByte(':')
-				(v11Value).MarshalEasyJSON(out)
+				(v12Value).MarshalEasyJSON(out)
+			}
+			out.RawByte('}')
+		}
+	}
+	if len(in.Adapters) != 0 {
+		const prefix string = ",\"adapters\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		{
+			out.RawByte('{')
+			v13First := true
+			for v13Name, v13Value := range in.Adapters {
+				if v13First {
+					v13First = false
+				} else {
+					out.RawByte(',')
+				}
+				out.String(string(v13Name))
+				out.RawByte(':')
+				(v13Value).MarshalEasyJSON(out)
 			}
 			out.RawByte('}')
 		}
@@ -495,16 +576,16 @@
 		}
 		{
 			out.RawByte('{')
-			v12First := true
-			for v12Name, v12Value := range in.Services {
-				if v12First {
-					v12First = false
+			v14First := true
+			for v14Name, v14Value := range in.Services {
+				if v14First {
+					v14First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v12Name))
+				out.String(string(v14Name))
 				out.RawByte(':')
-				(v12Value).MarshalEasyJSON(out)
+				(v14Value).MarshalEasyJSON(out)
 			}
 			out.RawByte('}')
 		}
@@ -519,16 +600,16 @@
 		}
 		{
 			out.RawByte('{')
-			v13First := true
-			for v13Name, v13Value := range in.Ways {
-				if v13First {
-					v13First = false
+			v15First := true
+			for v15Name, v15Value := range in.Ways {
+				if v15First {
+					v15First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v13Name))
+				out.String(string(v15Name))
 				out.RawByte(':')
-				(v13Value).MarshalEasyJSON(out)
+				(v15Value).MarshalEasyJSON(out)
 			}
 			out.RawByte('}')
 		}
@@ -543,16 +624,16 @@
 		}
 		{
 			out.RawByte('{')
-			v14First := true
-			for v14Name, v14Value := range in.Drains {
-				if v14First {
-					v14First = false
+			v16First := true
+			for v16Name, v16Value := range in.Drains {
+				if v16First {
+					v16First = false
 				} else {
 					out.RawByte(',')
 				}
-				out.String(string(v14Name))
+				out.String(string(v16Name))
 				out.RawByte(':')
-				out.Bool(bool(v14Value))
+				out.Bool(bool(v16Value))
 			}
 			out.RawByte('}')
 		}
@@ -567,11 +648,11 @@
 		}
 		{
 			out.RawByte('[')
-			for v15, v16 := range in.Seeds {
-				if v15 > 0 {
+			for v17, v18 := range in.Seeds {
+				if v17 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v16))
+				out.String(string(v18))
 			}
 			out.RawByte(']')
 		}
@@ -656,6 +737,12 @@
 			} else {
 				out.RollOut = string(in.String())
 			}
+		case "room":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Room = int(in.Int())
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -699,6 +786,11 @@
 		out.RawString(prefix)
 		out.String(string(in.RollOut))
 	}
+	if in.Room != 0 {
+		const prefix string = ",\"room\":"
+		out.RawString(prefix)
+		out.Int(int(in.Room))
+	}
 	out.RawByte('}')
 }
 
@@ -745,6 +837,12 @@
 			} else {
 				out.Weights = uint64(in.Uint64())
 			}
+		case "room":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Room = int(in.Int())
+			}
 		default:
 			in.AddError(&jlexer.LexerError{
 				Offset: in.GetPos(),
@@ -768,6 +866,11 @@
 		out.RawString(prefix[1:])
 		out.Uint64(uint64(in.Weights))
 	}
+	if in.Room != 0 {
+		const prefix string = ",\"room\":"
+		out.RawString(prefix)
+		out.Int(int(in.Room))
+	}
 	out.RawByte('}')
 }
 
@@ -794,3 +897,176 @@
 func (v *Model) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonC80ae7adDecodePebbleloomInternalSetup4(l, v)
 }
+func easyjsonC80ae7adDecodePebbleloomInternalSetup5(in *jlexer.Lexer, out *Adapter) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "base":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Base = string(in.String())
+			}
+		case "build":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Build = uint64(in.Uint64())
+			}
+		case "services":
+			if in.IsNull() {
+				in.Skip()
+				out.Services = nil
+			} else {
+				in.Delim('[')
+				if out.Services == nil {
+					if !in.IsDelim(']') {
+						out.Services = make([]string, 0, 4)
+					} else {
+						out.Services = []string{}
+					}
+				} else {
+					out.Services = (out.Services)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v19 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v19 = string(in.String())
+					}
+					out.Services = append(out.Services, v19)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "tenants":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]string, 0, 4)
+					} else {
+						out.Tenants = []string{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v20 string
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						v20 = string(in.String())
+					}
+					out.Tenants = append(out.Tenants, v20)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "room":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Room = int(in.Int())
+			}
+		default:
+			in.AddError(&jlexer.LexerError{
+				Offset: in.GetPos(),
+				Reason: "unknown field",
+				Data:   key,
+			})
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonC80ae7adEncodePebbleloomInternalSetup5(out *jwriter.Writer, in Adapter) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"base\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Base))
+	}
+	{
+		const prefix string = ",\"build\":"
+		out.RawString(prefix)
+		out.Uint64(uint64(in.Build))
+	}
+	if len(in.Services) != 0 {
+		const prefix string = ",\"services\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v21, v22 := range in.Services {
+				if v21 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v22))
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Tenants) != 0 {
+		const prefix string = ",\"tenants\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v23, v24 := range in.Tenants {
+				if v23 > 0 {
+					out.RawByte(',')
+				}
+				out.String(string(v24))
+			}
+			out.RawByte(']')
+		}
+	}
+	if in.Room != 0 {
+		const prefix string = ",\"room\":"
+		out.RawString(prefix)
+		out.Int(int(in.Room))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Adapter) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonC80ae7adEncodePebbleloomInternalSetup5(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Adapter) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonC80ae7adEncodePebbleloomInternalSetup5(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Adapter) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonC80ae7adDecodePebbleloomInternalSetup5(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Adapter) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonC80ae7adDecodePebbleloomInternalSetup5(l, v)
+}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -105,6 +105,7 @@
 			bad("models."+n+".weights", "missing: name the weights epoch, from 1")
 		}
 	}
+	s.checkAdapters(bad, word)
 	for _, n := range queue.Keys(s.Services) {
 		v, p := s.Services[n], "services."+n
 		word(p, n)
@@ -114,6 +115,9 @@
 		if v.Alpha < 0 || v.Alpha > 10 {
 			bad(p+".alpha", "%g: give 0 (the default, 1) to 10", v.Alpha)
 		}
+		if v.Room < 0 {
+			bad(p+".room", "%d: give each worker's memory for weights in MB, or leave it out", v.Room)
+		}
 		if v.WindowS < 0 || v.WindowS > 86400 {
 			bad(p+".window_s", "%d: give 0 (the default, 30) to 86400", v.WindowS)
 		}
@@ -138,9 +142,7 @@
 		if w := s.Ways[n]; w.Share < 0 || w.Share > 100 {
 			bad("ways."+n+".share", "%d: give a percent", w.Share)
 		}
-		if _, ok := s.Models[n]; !ok {
-			bad("ways."+n, "no such model: a way is named by the model it serves")
-		}
+		s.checkUse(n, bad)
 	}
 	if n := len(s.Seeds); n != 0 && n != 3 {
 		bad("seeds", "%d given: give three, or none to follow each machine's settings", n)
--- a/internal/yard/moves.go
+++ b/internal/yard/moves.go
@@ -18,6 +18,8 @@
 	to := strings.ReplaceAll(x.To, "{model}", p.f.Site.Traffic.Model)
 	who := strings.ReplaceAll(x.Who, "{model}", p.f.Site.Traffic.Model)
 	switch x.Do {
+	case "retire", "retire-ask", "retired":
+		return p.retirement(ctx, x.Do, who, to)
 	case "write":
 		_, err := p.post(ctx, "/v1/calendar", map[string]any{"move": json.RawMessage(to)})
 		return err
--- a/internal/yard/scenario.go
+++ b/internal/yard/scenario.go
@@ -35,6 +35,7 @@
 	Least   float64  `json:"least"`    // share of requests that is sealed over the whole run
 	Kinds   []string `json:"kinds"`    // denials that may occur; empty: any typed one
 	ReadAll bool     `json:"read_all"` // every operator address gives the same setup in the end
+	Retire  bool     `json:"retire"`   // the site has adapters, and a second base model to move them to
 }
 
 // Step is one thing that happens.
@@ -112,7 +113,8 @@
 	revoked map[string]int64
 	weights map[uint64]int64
 	drained map[string]int64
-	acked   int64 // the latest epoch
+	acked   int64  // the latest epoch
+	before  string // the setup when a retirement was planned
 }
 
 // Play runs a scenario and gives its report.
@@ -146,6 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.adapt(sc.Retire)
 	if s.Traffic.Rate = sc.Rate; sc.Rate == 0 {
 		s.Traffic.Rate = 25
 	}
@@ -305,7 +308,7 @@
 	case "heal":
 		p.f.on.Heal()
 		return nil
-	case "write", "platform", "ask", "ended", "patch", "second", "clash":
+	case "write", "platform", "ask", "ended", "patch", "second", "clash", "retire", "retire-ask", "retired":
 		return p.calendar(ctx, x)
 	case "weights", "revoke", "drain", "undrain", "storm", "grow", "race", "seeds":
 		return p.operate(ctx, x)
--- a/internal/yard/settle.go
+++ b/internal/yard/settle.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return errs.Wrap(err, "orders")
 	}
-	for _, f := range commands(orders) {
+	for _, f := range append(commands(orders), p.retired(js, orders)...) {
 		p.fault("%s", f)
 	}
 	if p.sc.ReadAll {
