Within a rank the shorter prompt is read first

Workers tell ten levels apart; the plan's ranks use a few. Now each rank is parted in up to three by how much of its target reading a prompt takes; no prompt goes before one of a better rank.

--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -116,7 +116,7 @@
 // choice says how the placement takes effect on the worker picked.
 func (q *query) choice(o *opening, i int, x option) Choice {
 	t, w := q.t, q.g.seats[i]
-	c := Choice{Worker: *w.w, Weights: o.weights, Salt: o.text, Urgency: urgency(q.r)}
+	c := Choice{Worker: *w.w, Weights: o.weights, Salt: o.text, Urgency: t.v.rank(urgency(q.r), q.size(x.read))}
 	p := promise{st: w.st, read: x.read, keys: o.keys, kept: q.r.In > 0}
 	if x.from != nil {
 		c.Fetch, p.from, p.moved = x.from.addr, x.from.st, x.moved
@@ -154,3 +154,14 @@
 	}
 	return at
 }
+
+// size is 0 for a prompt that is read in a small part of its target, 1 in some of it, 2 in more.
+func (q *query) size(read float64) int {
+	switch part := read * q.h.b / q.target; {
+	case part < 1.0/16:
+		return 0
+	case part < 3.0/16:
+		return 1
+	}
+	return 2
+}
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -44,6 +44,32 @@
 	snap   *fleet.Snapshot
 	list   uint64 // the number of its list of workers
 	groups map[string]*group
+	sizes  int // of prompts, that a rank is parted into
+}
+
+const (
+	ranks     = 10 // that a worker tells apart
+	mostSizes = 3
+)
+
+// rank is 0 to 9, 0 first: by the plan's rank, and within it the shorter prompt first, as far as
+// the plan's ranks leave room for it. So most are in time where not all can be.
+func (v *view) rank(urgency, size int) int {
+	return min(urgency*v.sizes+min(size, v.sizes-1), ranks-1)
+}
+
+// partRanks finds how far each of the plan's ranks can be parted.
+func partRanks(p *plan.Plan) int {
+	top := 0
+	if p != nil {
+		for i := range p.Routes {
+			top = max(top, p.Routes[i].Priority)
+		}
+		for i := range p.Tenants {
+			top = max(top, p.Tenants[i].Priority)
+		}
+	}
+	return min(max(ranks/(top+1), 1), mostSizes)
 }
 
 const maxModels = 64 // downstreams name models as they like
@@ -53,7 +79,7 @@
 	if t.v != nil && t.v.snap == s {
 		return t.v
 	}
-	v := &view{snap: s, list: t.listOf(s.Workers), groups: map[string]*group{}}
+	v := &view{snap: s, list: t.listOf(s.Workers), groups: map[string]*group{}, sizes: partRanks(s.Plan)}
 	stats := make(map[string]*stat, len(s.Workers))
 	habits := map[string]*habit{}
 	stat := func(id, service string) *stat {
--- a/internal/pick/weights_test.go
+++ b/internal/pick/weights_test.go
@@ -190,3 +190,26 @@
 		t.Error("a public route")
 	}
 }
+
+// Within a rank the shorter prompt goes first; none goes before one of a better rank, however many
+// ranks the plan has.
+func TestTheShorterPromptGoesFirstWithinItsRank(t *testing.T) {
+	for _, top := range []int{0, 1, 2, 4, 9, 20} {
+		s := fleetOf(18)
+		s.Plan.Routes = []plan.Route{{Priority: top}}
+		e := newEdge(s)
+		last := -1
+		for rank := range min(top, 9) + 1 {
+			for i, tokens := range []int{500, 5000, 30000} {
+				r := e.ask(fmt.Sprint("p", rank, i), tokens)
+				rt := *route
+				rt.Priority, r.Route, r.In = rank, &rt, tokens
+				u := e.must(t, r).Urgency
+				if u < last || u > 9 || i == 0 && u <= last || top < 3 && u <= last {
+					t.Errorf("%d ranks: %d tokens of rank %d get %d after %d", top+1, tokens, rank, u, last)
+				}
+				last = u
+			}
+		}
+	}
+}
