Capacity: documents as they are told now, packed; a real agent before real groups

Names and keys of the sample plan are by chance now, so that they pack as real ones do. Plans, workers, placements, follow and group were measured again; nodes, kept, calls and traffic stand as they were. Ruled out: that one member's telling is enough: each further member of a real group adds a packed plan and its call to what a real agent is told.

--- a/internal/capacity/bench.go
+++ b/internal/capacity/bench.go
@@ -131,7 +131,7 @@
 var parts = []struct {
 	name string
 	run  func(*bench) error
-}{{"nodes", nodes}, {"workers", workers}, {"plans", plans}, {"kept", kept}, {"placement", placements}, {"calls", calls}, {"follow", follow}, {"traffic", traffic}}
+}{{"nodes", nodes}, {"workers", workers}, {"plans", plans}, {"kept", kept}, {"placement", placements}, {"calls", calls}, {"follow", follow}, {"group", group}, {"traffic", traffic}}
 
 // Measure runs one part, or all of them ("").
 //
--- a/internal/capacity/form.go
+++ b/internal/capacity/form.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/jx"
@@ -185,18 +186,31 @@
 	return sent, p.Version, nil
 }
 
+// letters are as many by chance: names and keys say nothing, and pack badly.
+func letters(d *rand.Rand, n int) string {
+	l := make([]byte, n)
+	for i := range l {
+		l[i] = "abcdefghijklmnopqrstuvwxyz0123456789"[d.IntN(36)]
+	}
+	return string(l)
+}
+
 // sample is a plan of so many routes and tenants, over the services of all models.
 func sample(number uint64, routes, tenants int) *plan.Plan {
-	p := &plan.Plan{Version: number}
+	p, d := &plan.Plan{Version: number}, rand.New(rand.NewPCG(7, 11))
+	hosts := make([]string, 23)
+	for i := range hosts {
+		hosts[i] = letters(d, 6) + ".example"
+	}
 	for i := range models {
 		p.Services = append(p.Services, plan.Service{Name: serviceName(i), Health: "/health", MaxConns: 630, Engine: &plan.Engine{Slots: 128, Room: 320000, TokenBytes: 18432, Models: []string{modelName(i)}}})
 	}
 	for i := range routes {
-		p.Routes = append(p.Routes, plan.Route{Name: fmt.Sprintf("r-%07x", i*2654435761&0xfffffff), Host: fmt.Sprintf("host%02d.example", i%23), Prefix: fmt.Sprintf("/pre%05d/", i), Kind: plan.Stream,
+		p.Routes = append(p.Routes, plan.Route{Name: "r-" + letters(d, 7), Host: hosts[i%len(hosts)], Prefix: fmt.Sprintf("/%s%d/", letters(d, 6), i), Kind: plan.Stream,
 			Timeout: 8 * time.Second, Target: 600 * time.Millisecond, Gap: 250 * time.Millisecond, Priority: i % 3, Attempts: 2, Session: true, Resumable: true, Split: []plan.Share{{Service: serviceName(i % models), Weight: 100}}})
 	}
 	for i := range tenants {
-		p.Tenants = append(p.Tenants, plan.Tenant{Name: fmt.Sprintf("tenant%05d", i), Keys: []string{fmt.Sprintf("k%019d", i*7919)}, Priority: i % 3, Isolated: i%4 == 0})
+		p.Tenants = append(p.Tenants, plan.Tenant{Name: fmt.Sprintf("%s%d", letters(d, 5), i), Keys: []string{letters(d, 20)}, Priority: i % 3, Isolated: i%4 == 0})
 	}
 	return p
 }
--- a/internal/capacity/hollow.go
+++ b/internal/capacity/hollow.go
@@ -202,7 +202,7 @@
 			c := daemon.NewCalls(l).Archive(t.Addr)
 			have := map[string]uint64{}
 			for ctx.Err() == nil {
-				a := &wire.FollowAsk{HoldNs: uint64(hold), Proof: plan.Key}
+				a := &wire.FollowAsk{HoldNs: uint64(hold), Proof: plan.Key, Packed: true}
 				for _, k := range []string{plan.Key, "workers", "weights", "placement/"} {
 					a.Have = append(a.Have, &wire.Have{Key: k, Version: have[k]})
 				}
@@ -260,9 +260,17 @@
 type tapped struct {
 	net.Conn
 	t    *tap
+	also *atomic.Int64 // counted there too
 	over sync.Once
 }
 
+func (c *tapped) count(n int) {
+	c.t.bytes.Add(int64(n))
+	if c.also != nil {
+		c.also.Add(int64(n))
+	}
+}
+
 // Close ends it.
 //
 // Example: c.Close()
@@ -273,12 +281,12 @@
 
 func (c *tapped) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.t.bytes.Add(int64(n))
+	c.count(n)
 	return n, err
 }
 
 func (c *tapped) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.t.bytes.Add(int64(n))
+	c.count(n)
 	return n, err
 }
--- a/internal/capacity/placement.go
+++ b/internal/capacity/placement.go
@@ -7,8 +7,9 @@
 	"slices"
 
 	"pebbleloom/internal/appraiser"
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/fleet"
 	"pebbleloom/internal/placement"
-	"pebbleloom/internal/prefix"
 	"pebbleloom/internal/wire"
 )
 
@@ -31,6 +32,7 @@
 	return b.vary("placement", "hot parts", b.sizes(125, 250, 500, 1000), []kind{
 		{name + "-cpu", "µs", "processor time of one look at a service's placement; " + links},
 		{name + "-bytes", "B", "a service's placement document; " + links},
+		{name + "-told", "B", "the same as it is told to nodes, packed; " + links},
 		{name + "-share", "1", "share of looks that change the document under steady traffic: counts fall off by a 30 s window, parts by rank^-0.3, as many accesses as a model gets; " + links},
 	}, func(n float64) ([]float64, error) {
 		seed++
@@ -47,7 +49,7 @@
 	}
 	hot := make([]*wire.Hot, n)
 	for i := range hot {
-		k := prefix.Key{byte(i), byte(i >> 8), 7}
+		k := catalogue.KeyOf(cacheText, partName(i))
 		hot[i] = &wire.Hot{Key: k[:], Hotness: 30 * rate * weight[i] / total, Tokens: 8000, Head: true}
 	}
 	var ws []string
@@ -79,7 +81,8 @@
 	}
 	spent := (cpu() - at) / looks
 	body, err := json.Marshal(p)
-	return []float64{spent, float64(len(body)), float64(changed) / looks}, err
+	told := fleet.Pack(&wire.Doc{Key: fleet.PlacementKey + p.Service, Body: body, Epoch: 1})
+	return []float64{spent, float64(len(body)), float64(len(told.Body)), float64(changed) / looks}, err
 }
 
 // rate is how many accesses a service's hot parts get a second: 5,700 requests over 35 models.
--- a/internal/capacity/plans.go
+++ b/internal/capacity/plans.go
@@ -5,7 +5,9 @@
 
 	"github.com/go-faster/jx"
 
+	"pebbleloom/internal/fleet"
 	"pebbleloom/internal/plan"
+	"pebbleloom/internal/wire"
 )
 
 // plans measures what grows with routes and with tenants: the plan's bytes, its reading, its memory,
@@ -21,7 +23,9 @@
 	} {
 		if err := b.vary("plans", f.factor, f.sizes, []kind{
 			{f.name + "-bytes", "B", "a plan's document"},
-			{f.name + "-read", "µs", "processor time to read, check and index it, as each agent does at each change, and the owner before it"},
+			{f.name + "-told", "B", "the same as it is told to nodes, packed"},
+			{f.name + "-pack", "µs", "processor time of a member to pack it, once"},
+			{f.name + "-read", "µs", "processor time to unpack, read, check and index it, as each agent does at each change"},
 			{f.name + "-memory", "B", "heap of the plan in use"},
 			{f.name + "-lookup", "µs", "processor time of a request's look-ups in it"},
 		}, func(n float64) ([]float64, error) {
@@ -32,7 +36,14 @@
 				return nil, err
 			}
 			memory := heap() - was
-			read := b.spend(func() { _, _ = form{}.Read(body) })
+			doc := &wire.Doc{Key: plan.Key, Body: body, Epoch: 1}
+			told := fleet.Pack(doc)
+			pack := b.spend(func() { fleet.Pack(doc) })
+			read := b.spend(func() {
+				if d, err := fleet.Unpack(told); err == nil {
+					_, _ = form{}.Read(d.Body)
+				}
+			})
 			i := 0
 			look := b.spend(func() {
 				i++
@@ -44,7 +55,7 @@
 				}
 			})
 			runtime.KeepAlive(p)
-			return []float64{float64(len(body)), read, max(1, memory), look}, nil
+			return []float64{float64(len(body)), float64(len(told.Body)), pack, read, max(1, memory), look}, nil
 		}); err != nil {
 			return err
 		}
--- a/internal/capacity/workers.go
+++ b/internal/capacity/workers.go
@@ -29,10 +29,10 @@
 
 // roll lists workers, spread over so many services.
 func roll(n, services int) []fleet.Worker {
-	l := make([]fleet.Worker, n)
+	l, d := make([]fleet.Worker, n), rand.New(rand.NewPCG(3, 5))
 	for i := range l {
 		s := i % services
-		l[i] = fleet.Worker{ID: fmt.Sprintf("i-%08x", i*2654435761), Service: serviceName(s), Addr: fmt.Sprintf("10.%d.%d.%d:8080", 64+i%5, i/200, i%200),
+		l[i] = fleet.Worker{ID: fmt.Sprintf("i-%08x", d.Uint32()), Service: serviceName(s), Addr: fmt.Sprintf("10.%d.%d.%d:8080", 64+i%5, i/200, i%200),
 			District: fmt.Sprintf("district-%d", i%5), Slots: 128, Weights: map[string]uint64{modelName(s): 3}}
 	}
 	return l
@@ -59,7 +59,8 @@
 func workers(b *bench) error {
 	if err := b.vary("workers", "workers", b.sizes(89, 178, 355, 710), []kind{
 		{"table-bytes", "B", "the document of workers"},
-		{"table-read", "µs", "processor time to read that document, as every agent does at each of its changes"},
+		{"table-told", "B", "the same as it is told to nodes, packed"},
+		{"table-read", "µs", "processor time to unpack and read that document, as every agent does at each of its changes"},
 		{"table-take", "µs", "processor time to lay one whole reading of the list over the table and write the document anew"},
 		{"table-memory", "B", "heap of the workers that a snapshot holds"},
 	}, func(n float64) ([]float64, error) {
@@ -69,16 +70,22 @@
 		if err != nil {
 			return nil, err
 		}
-		read := b.spend(func() { var x fleet.Table; _ = json.Unmarshal(body, &x) })
-		took := b.spend(func() { t.Take(l, true); _, _ = json.Marshal(t.Doc()) })
 		was := heap()
 		x := &fleet.Table{}
 		if err := json.Unmarshal(body, x); err != nil {
 			return nil, err
 		}
 		memory := heap() - was
+		told := fleet.Pack(&wire.Doc{Key: fleet.WorkersKey, Body: body, Epoch: 1})
+		read := b.spend(func() {
+			var x fleet.Table
+			if d, err := fleet.Unpack(told); err == nil {
+				_ = json.Unmarshal(d.Body, &x)
+			}
+		})
+		took := b.spend(func() { t.Take(l, true); _, _ = json.Marshal(t.Doc()) })
 		runtime.KeepAlive(x)
-		return []float64{float64(len(body)), read, took, max(1, memory)}, nil
+		return []float64{float64(len(body)), float64(len(told.Body)), read, took, max(1, memory)}, nil
 	}); err != nil {
 		return err
 	}
--- a/internal/yard/main.go
+++ b/internal/yard/main.go
@@ -70,7 +70,7 @@
 		s.Int(&o.Seeds, "k", "seeds", "with compare: how many seeds")
 		s.UInt64(&o.Seed, "e", "seed", "seed of the callers")
 		s.Float64(&o.Rate, "r", "rate", "requests a second; 0: the site's own")
-		s.String(&o.Part, "p", "part", "with capacity: nodes, workers, plans, kept, placement, calls, follow or traffic; all without; page: write the page anew")
+		s.String(&o.Part, "p", "part", "with capacity: nodes, workers, plans, kept, placement, calls, follow, group or traffic; all without; page: write the page anew")
 		s.String(&o.Out, "f", "out", "with capacity: file that keeps what was measured; with page: the folder docs")
 		s.Bool(&o.Quick, "q", "quick", "with capacity: a few sizes so small that the figures mean nothing")
 		ps.AttachSubcommand(s, 1)
