An edge that has just begun picks older weights while it isn't in touch

Cause: an edge started anew during a roll-out denied everything until some worker served the newer weights, and then sent all to the few that did: the agent counts half of the bound as gone for what was named before its start, and the picker halved its part of the bound again, so that nothing was left. Now the bound counts from the end of the contact window on: until 0.8 of it after its start a machine isn't in touch, and no bound on weights binds it; then the agent's half is counted once. Ruled out: the connection share of the first second (not reached), a missing proof (it was there).

--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -34,6 +34,7 @@
 	backCost    = 0.5  // of a target that a worker costs on its first return
 	olderPart   = 0.85 // of the weights' bound that an older version may be picked for
 	inheritPart = 1.0 / 6
+	freePart    = 0.8     // of the contact window: so long after its start a machine isn't in touch
 	fewPart     = 1.0 / 7 // of the workers on the newest version before requests are drawn to it
 	drawPart    = 1.3     // requests drawn there, for a share of the workers that is there
 	drawCost    = 1.0     // of the time that reading the shared parts takes
@@ -104,6 +105,7 @@
 type table struct {
 	b      settings.Bounds
 	born   time.Duration
+	free   time.Duration // until then no bound on weights binds
 	v      *view
 	stats  map[string]*stat
 	memo   *recent[prefix.Key, memo]
@@ -131,7 +133,11 @@
 //
 // Example: p := pick.New(life, seek.New(life, nodes), place.Name)
 func New(l *daemon.Life, c *seek.Seeker, self string) Picker {
-	p := &picker{clk: l.Clock, b: l.Place.Bounds, index: c, desk: queue.NewDesk(newTable(l.Place.Bounds, l.Clock.Now()), 1024)}
+	t := newTable(l.Place.Bounds, l.Clock.Now())
+	if x := l.Place.Site; x != nil {
+		t.free = t.born + settings.Of(x.ContactMs, freePart)
+	}
+	p := &picker{clk: l.Clock, b: l.Place.Bounds, index: c, desk: queue.NewDesk(t, 1024)}
 	l.Until(p.desk.Stop)
 	c.Share(p.loads, p.heard)
 	return p
--- a/internal/pick/view.go
+++ b/internal/pick/view.go
@@ -166,24 +166,23 @@
 	return 0
 }
 
-// olderAllowed tells whether a request may still begin on weights older than the named ones. A
-// version that was named before this process began has its bound running already: then the older
-// one is picked only while nobody serves the newer.
+// olderAllowed tells whether a request may still begin on weights older than the named ones. Who
+// has just begun isn't in touch yet, and the bound doesn't bind it. After that a version that was
+// named before this process began has its bound running already, half of it by the agent's word:
+// then the older one is picked only while nobody serves the newer.
 func (t *table) olderAllowed(s *fleet.Snapshot, model string, m *serving, now time.Duration) bool {
 	named := s.Named[model]
 	if named == 0 {
 		return true
 	}
 	at, ok := s.NamedAt[model]
-	if !ok {
+	if !ok || now < t.free {
 		return true
 	}
-	part := olderPart
 	if at-t.born < t.b.Heal(inheritPart) {
 		if slices.ContainsFunc(m.all, func(v uint64) bool { return v >= named }) {
 			return false
 		}
-		part /= 2
 	}
-	return now-at < t.b.Weights(part)
+	return now-at < t.b.Weights(olderPart)
 }
--- a/internal/pick/weights_test.go
+++ b/internal/pick/weights_test.go
@@ -72,6 +72,24 @@
 	if next(1); old() != 0 {
 		t.Error("a young process picked older weights though the newest are there")
 	}
+	// Not in touch yet, it picks by cost alone.
+	e.free = start + 2*time.Second
+	if next(1); old() == 0 {
+		t.Error("a process that isn't in touch yet keeps away from older weights")
+	}
+	e.now = e.free
+	if next(1); old() != 0 {
+		t.Error("in touch, it picked older weights though the newest are there")
+	}
+	// The agent counts half of the bound as gone: until the rest is, older ones are better than none.
+	s.NamedAt["m"] = start - e.b.Weights(0.5)
+	next(0)
+	for part, want := range map[float64]bool{0.01: true, 0.34: true, 0.36: false} {
+		e.now = start + e.b.Weights(part)
+		if _, ok := e.pick(e.s, e.ask("p", 1000), nil, nil, e.now); ok != want {
+			t.Errorf("nobody serves what was named before the start, %v of the bound later: picked %v", part, ok)
+		}
+	}
 }
 
 func TestRollingAndLoadingWorkersAreAvoided(t *testing.T) {
