Each shared part belongs into one of several stores, so that together they keep more

Cause: a part was handed to the store of its reader's district, so three stores kept much the same, a third of what they could; at the grown sites the shared parts asked for outgrow what workers and stores keep. Now the stores that answer share the parts by rendezvous, and what any of them has isn't handed on again.

--- a/internal/pick/choice.go
+++ b/internal/pick/choice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pebbleloom/internal/prefix"
+	"pebbleloom/internal/queue"
 )
 
 // option is what a request would cost on one worker, in ms of its target.
@@ -124,10 +125,9 @@
 	for j, k := range o.keys[:o.shared] {
 		p.uses = append(p.uses, prefix.Entry{Key: k, Tokens: int(q.upto[j+1] - q.upto[j]), Upto: int(q.upto[j+1])})
 	}
-	if at := q.store(w.w.District); at >= 0 && o.shared > 0 {
+	if at := q.store(o); at >= 0 {
 		s := q.g.stores[at].svc
-		all := uint64(1)<<o.shared - 1
-		if q.upto[o.shared] >= leastSaved && o.stores[at]&all != all {
+		if q.upto[o.shared] >= leastSaved && !q.stored(o) {
 			c.Save, p.store = s.Store.Addr, s.Name
 		}
 		if held := run(t.maybe[i], 0); c.Fetch == "" && held < o.shared && (!o.told || q.used(o)) && q.upto[o.shared]-q.upto[held] >= 2*leastSaved {
@@ -141,15 +141,16 @@
 // used tells whether somebody used the deciding part lately, though nobody is known to keep it.
 func (q *query) used(o *opening) bool { return o.at >= 0 && q.found[o.keys[o.at]].GetHotness() > 0 }
 
-// store is the one to use: of the worker's district, or the first that answers; -1: none.
-func (q *query) store(district string) int {
-	at := -1
+// store is the one that a prompt's shared parts belong into, of those that answer; -1: none, or
+// nothing is shared. Each part has one, so that together they keep as much as they can.
+func (q *query) store(o *opening) int {
+	if o.shared == 0 {
+		return -1
+	}
+	at, top, h := -1, uint64(0), number(o.keys[max(0, o.at)])
 	for i, x := range q.g.stores {
-		if q.t.down[x.svc.Name] {
-			continue
-		}
-		if at < 0 || x.svc.Store.District == district && q.g.stores[at].svc.Store.District != district {
-			at = i
+		if w := mix(h ^ queue.Hash(x.svc.Name)); !q.t.down[x.svc.Name] && (at < 0 || w > top) {
+			at, top = i, w
 		}
 	}
 	return at
@@ -165,3 +166,14 @@
 	}
 	return 2
 }
+
+// stored tells whether a store that answers has all that is shared.
+func (q *query) stored(o *opening) bool {
+	all := uint64(1)<<o.shared - 1
+	for i, x := range q.g.stores {
+		if o.stores[i]&all == all && !q.t.down[x.svc.Name] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/pick/weigh.go
+++ b/internal/pick/weigh.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"encoding/binary"
 	"math"
 	"math/bits"
 	"net/url"
@@ -295,10 +296,7 @@
 // settle finds the home of the deciding part: the first by rendezvous that isn't loaded beyond
 // the bound.
 func (q *query) settle(o *opening) {
-	var h uint64
-	for _, b := range o.keys[o.at][:8] {
-		h = h<<8 | uint64(b)
-	}
+	h := number(o.keys[o.at])
 	top := uint64(0)
 	for _, i := range q.cs {
 		x := q.g.seats[i]
@@ -311,6 +309,9 @@
 	}
 }
 
+// number is a key's first bytes: keys are hashes.
+func number(k prefix.Key) uint64 { return binary.BigEndian.Uint64(k[:]) }
+
 func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
