--- a/internal/runbook/book.go
+++ b/internal/runbook/book.go
@@ -37,7 +37,9 @@
 // Views are what steps can look at.
 //
 // Example: slices.Contains(runbook.Views(), "nodes")
-func Views() []string { return []string{"nodes", "workers", "parts", "problems", "setup", "moves", "retirements"} }
+func Views() []string {
+	return []string{"nodes", "workers", "parts", "problems", "setup", "moves", "retirements"}
+}
 
 // Actions are what steps can do, with the arguments each needs.
 //
