--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -1599,6 +1599,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes int as json.
+func (o OptInt) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int(int(o.Value))
+}
+
+// Decode decodes int from json.
+func (o *OptInt) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt to nil")
+	}
+	o.Set = true
+	v, err := d.Int()
+	if err != nil {
+		return err
+	}
+	o.Value = int(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int64 as json.
 func (o OptInt64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1669,6 +1704,40 @@
 	return s.Decode(d)
 }
 
+// Encode encodes WorkerListNamed as json.
+func (o OptWorkerListNamed) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes WorkerListNamed from json.
+func (o *OptWorkerListNamed) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptWorkerListNamed to nil")
+	}
+	o.Set = true
+	o.Value = make(WorkerListNamed)
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptWorkerListNamed) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptWorkerListNamed) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *PlacementInForce) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2302,6 +2371,16 @@
 		e.FieldStart("ok")
 		e.Bool(s.Ok)
 	}
+	{
+		if s.Facts != nil {
+			e.FieldStart("facts")
+			e.ArrStart()
+			for _, elem := range s.Facts {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		e.FieldStart("problems")
 		e.ArrStart()
@@ -2320,10 +2399,11 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [3]string{
+var jsonFieldsNameOfStatus = [4]string{
 	0: "ok",
-	1: "problems",
-	2: "parts",
+	1: "facts",
+	2: "problems",
+	3: "parts",
 }
 
 // Decode decodes Status from json.
@@ -2347,8 +2427,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"ok\"")
 			}
+		case "facts":
+			if err := func() error {
+				s.Facts = make([]StatusFactsItem, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem StatusFactsItem
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Facts = append(s.Facts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"facts\"")
+			}
 		case "problems":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				s.Problems = make([]StatusProblemsItem, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -2366,7 +2463,7 @@
 				return errors.Wrap(err, "decode field \"problems\"")
 			}
 		case "parts":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				s.Parts = make([]StatusPartsItem, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -2393,7 +2490,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000111,
+		0b00001101,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2439,6 +2536,119 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *StatusFactsItem) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *StatusFactsItem) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("value")
+		e.Str(s.Value)
+	}
+}
+
+var jsonFieldsNameOfStatusFactsItem = [2]string{
+	0: "name",
+	1: "value",
+}
+
+// Decode decodes StatusFactsItem from json.
+func (s *StatusFactsItem) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode StatusFactsItem to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "value":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Value = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"value\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode StatusFactsItem")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStatusFactsItem) {
+					name = jsonFieldsNameOfStatusFactsItem[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *StatusFactsItem) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *StatusFactsItem) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *StatusPartsItem) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2961,6 +3171,12 @@
 		e.FieldStart("seen_by")
 		e.Str(s.SeenBy)
 	}
+	{
+		if s.Named.Set {
+			e.FieldStart("named")
+			s.Named.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("workers")
 		e.ArrStart()
@@ -2971,9 +3187,10 @@
 	}
 }
 
-var jsonFieldsNameOfWorkerList = [2]string{
+var jsonFieldsNameOfWorkerList = [3]string{
 	0: "seen_by",
-	1: "workers",
+	1: "named",
+	2: "workers",
 }
 
 // Decode decodes WorkerList from json.
@@ -2997,8 +3214,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"seen_by\"")
 			}
+		case "named":
+			if err := func() error {
+				s.Named.Reset()
+				if err := s.Named.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"named\"")
+			}
 		case "workers":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				s.Workers = make([]WorkerListWorkersItem, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -3025,7 +3252,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000101,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -3071,6 +3298,62 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s WorkerListNamed) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields implements json.Marshaler.
+func (s WorkerListNamed) encodeFields(e *jx.Encoder) {
+	for k, elem := range s {
+		e.FieldStart(k)
+
+		e.Int64(elem)
+	}
+}
+
+// Decode decodes WorkerListNamed from json.
+func (s *WorkerListNamed) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WorkerListNamed to nil")
+	}
+	m := s.init()
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		var elem int64
+		if err := func() error {
+			v, err := d.Int64()
+			elem = int64(v)
+			if err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return errors.Wrapf(err, "decode field %q", k)
+		}
+		m[string(k)] = elem
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WorkerListNamed")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s WorkerListNamed) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WorkerListNamed) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *WorkerListWorkersItem) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -3111,12 +3394,16 @@
 		e.Int64(s.Weights)
 	}
 	{
-		e.FieldStart("busy")
-		e.Int(s.Busy)
+		if s.Busy.Set {
+			e.FieldStart("busy")
+			s.Busy.Encode(e)
+		}
 	}
 	{
-		e.FieldStart("queued")
-		e.Int(s.Queued)
+		if s.Queued.Set {
+			e.FieldStart("queued")
+			s.Queued.Encode(e)
+		}
 	}
 	{
 		e.FieldStart("slots")
@@ -3229,11 +3516,9 @@
 				return errors.Wrap(err, "decode field \"weights\"")
 			}
 		case "busy":
-			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
-				v, err := d.Int()
-				s.Busy = int(v)
-				if err != nil {
+				s.Busy.Reset()
+				if err := s.Busy.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -3241,11 +3526,9 @@
 				return errors.Wrap(err, "decode field \"busy\"")
 			}
 		case "queued":
-			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
-				v, err := d.Int()
-				s.Queued = int(v)
-				if err != nil {
+				s.Queued.Reset()
+				if err := s.Queued.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -3274,8 +3557,8 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
-		0b11011111,
-		0b00000011,
+		0b01011111,
+		0b00000010,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -582,6 +582,52 @@
 	return d
 }
 
+// NewOptInt returns new OptInt with value set to v.
+func NewOptInt(v int) OptInt {
+	return OptInt{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt is optional int.
+type OptInt struct {
+	Value int
+	Set   bool
+}
+
+// IsSet returns true if OptInt was set.
+func (o OptInt) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt) Reset() {
+	var v int
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt) SetTo(v int) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt) Get() (v int, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt) Or(d int) int {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt64 returns new OptInt64 with value set to v.
 func NewOptInt64(v int64) OptInt64 {
 	return OptInt64{
@@ -674,6 +720,52 @@
 	return d
 }
 
+// NewOptWorkerListNamed returns new OptWorkerListNamed with value set to v.
+func NewOptWorkerListNamed(v WorkerListNamed) OptWorkerListNamed {
+	return OptWorkerListNamed{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptWorkerListNamed is optional WorkerListNamed.
+type OptWorkerListNamed struct {
+	Value WorkerListNamed
+	Set   bool
+}
+
+// IsSet returns true if OptWorkerListNamed was set.
+func (o OptWorkerListNamed) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptWorkerListNamed) Reset() {
+	var v WorkerListNamed
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptWorkerListNamed) SetTo(v WorkerListNamed) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptWorkerListNamed) Get() (v WorkerListNamed, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptWorkerListNamed) Or(d WorkerListNamed) WorkerListNamed {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // Ref: #/components/schemas/PlacementInForce
 type PlacementInForce struct {
 	Epoch     int64  `json:"epoch"`
@@ -829,6 +921,7 @@
 // Ref: #/components/schemas/Status
 type Status struct {
 	Ok       bool                 `json:"ok"`
+	Facts    []StatusFactsItem    `json:"facts"`
 	Problems []StatusProblemsItem `json:"problems"`
 	Parts    []StatusPartsItem    `json:"parts"`
 }
@@ -838,6 +931,11 @@
 	return s.Ok
 }
 
+// GetFacts returns the value of Facts.
+func (s *Status) GetFacts() []StatusFactsItem {
+	return s.Facts
+}
+
 // GetProblems returns the value of Problems.
 func (s *Status) GetProblems() []StatusProblemsItem {
 	return s.Problems
@@ -853,6 +951,11 @@
 	s.Ok = val
 }
 
+// SetFacts sets the value of Facts.
+func (s *Status) SetFacts(val []StatusFactsItem) {
+	s.Facts = val
+}
+
 // SetProblems sets the value of Problems.
 func (s *Status) SetProblems(val []StatusProblemsItem) {
 	s.Problems = val
@@ -863,6 +966,31 @@
 	s.Parts = val
 }
 
+type StatusFactsItem struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// GetName returns the value of Name.
+func (s *StatusFactsItem) GetName() string {
+	return s.Name
+}
+
+// GetValue returns the value of Value.
+func (s *StatusFactsItem) GetValue() string {
+	return s.Value
+}
+
+// SetName sets the value of Name.
+func (s *StatusFactsItem) SetName(val string) {
+	s.Name = val
+}
+
+// SetValue sets the value of Value.
+func (s *StatusFactsItem) SetValue(val string) {
+	s.Value = val
+}
+
 type StatusPartsItem struct {
 	Part       int    `json:"part"`
 	Member     string `json:"member"`
@@ -1052,6 +1180,7 @@
 // Ref: #/components/schemas/WorkerList
 type WorkerList struct {
 	SeenBy  string                  `json:"seen_by"`
+	Named   OptWorkerListNamed      `json:"named"`
 	Workers []WorkerListWorkersItem `json:"workers"`
 }
 
@@ -1060,6 +1189,11 @@
 	return s.SeenBy
 }
 
+// GetNamed returns the value of Named.
+func (s *WorkerList) GetNamed() OptWorkerListNamed {
+	return s.Named
+}
+
 // GetWorkers returns the value of Workers.
 func (s *WorkerList) GetWorkers() []WorkerListWorkersItem {
 	return s.Workers
@@ -1070,11 +1204,27 @@
 	s.SeenBy = val
 }
 
+// SetNamed sets the value of Named.
+func (s *WorkerList) SetNamed(val OptWorkerListNamed) {
+	s.Named = val
+}
+
 // SetWorkers sets the value of Workers.
 func (s *WorkerList) SetWorkers(val []WorkerListWorkersItem) {
 	s.Workers = val
 }
 
+type WorkerListNamed map[string]int64
+
+func (s *WorkerListNamed) init() WorkerListNamed {
+	m := *s
+	if m == nil {
+		m = map[string]int64{}
+		*s = m
+	}
+	return m
+}
+
 type WorkerListWorkersItem struct {
 	Name        string    `json:"name"`
 	Addr        string    `json:"addr"`
@@ -1083,8 +1233,8 @@
 	State       string    `json:"state"`
 	Incarnation OptString `json:"incarnation"`
 	Weights     int64     `json:"weights"`
-	Busy        int       `json:"busy"`
-	Queued      int       `json:"queued"`
+	Busy        OptInt    `json:"busy"`
+	Queued      OptInt    `json:"queued"`
 	Slots       int       `json:"slots"`
 }
 
@@ -1124,12 +1274,12 @@
 }
 
 // GetBusy returns the value of Busy.
-func (s *WorkerListWorkersItem) GetBusy() int {
+func (s *WorkerListWorkersItem) GetBusy() OptInt {
 	return s.Busy
 }
 
 // GetQueued returns the value of Queued.
-func (s *WorkerListWorkersItem) GetQueued() int {
+func (s *WorkerListWorkersItem) GetQueued() OptInt {
 	return s.Queued
 }
 
@@ -1174,12 +1324,12 @@
 }
 
 // SetBusy sets the value of Busy.
-func (s *WorkerListWorkersItem) SetBusy(val int) {
+func (s *WorkerListWorkersItem) SetBusy(val OptInt) {
 	s.Busy = val
 }
 
 // SetQueued sets the value of Queued.
-func (s *WorkerListWorkersItem) SetQueued(val int) {
+func (s *WorkerListWorkersItem) SetQueued(val OptInt) {
 	s.Queued = val
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,6 +57,7 @@
 	l.Meter.Gauge("pebbleloom_proof_age_seconds", "how long ago the plan in use was known to be the newest", func() float64 {
 		return (l.Clock.Now() - a.Now().ProofAt).Seconds()
 	})
+	l.Meter.Gauge("pebbleloom_workers_known", "workers that requests may go by", func() float64 { return float64(len(a.Now().Workers)) })
 	a.desk.Ask(a.tend)
 	l.Every(l.Place.Bounds.Setup(holdPart), func() { a.desk.Ask(a.tend) })
 	return a, nil
--- a/internal/archive/group.go
+++ b/internal/archive/group.go
@@ -14,6 +14,7 @@
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/frontdesk"
 	"pebbleloom/internal/ledger"
 	"pebbleloom/internal/link"
 	"pebbleloom/internal/queue"
@@ -183,7 +184,13 @@
 			return err
 		}
 	}
+	if l.Place.Operator != "" {
+		if err := frontdesk.ServeSite(l, n.ctl, n.ros.View, n.calls); err != nil {
+			return err
+		}
+	}
 	n.meters()
+	n.groupMeters(p)
 	l.Go(func() { n.join() })
 	l.Leaving(n.leave)
 	l.Ready.Store(true)
--- a/internal/archive/meters.go
+++ b/internal/archive/meters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"pebbleloom/internal/plan"
 	"pebbleloom/internal/wire"
 )
 
@@ -37,3 +38,18 @@
 	m.Gauge("pebbleloom_log_bytes", "bytes of the logs in force", sum(func(p *wire.PartStand) float64 { return float64(p.LogBytes) }))
 	m.Gauge("pebbleloom_log_behind", "entries not applied yet", sum(func(p *wire.PartStand) float64 { return float64(p.Last - p.Applied) }))
 }
+
+// groupMeters shows how this member stands in a group whose membership is agreed data.
+func (n *Node) groupMeters(p *part) {
+	m := n.life.Meter
+	m.Gauge("pebbleloom_group_members", "members of the newest membership that this one knows", func() float64 { return float64(len(p.seen.now().members)) })
+	m.Gauge("pebbleloom_group_votes", "1 while this one is a member and its disk is well", func() float64 {
+		if p.seen.now().votes {
+			return 1
+		}
+		return 0
+	})
+	m.Gauge("pebbleloom_plan_version", "version of the plan that this one holds", func() float64 {
+		return float64(p.seen.now().docs[plan.Key].GetEpoch())
+	})
+}
--- a/internal/desk/commands.go
+++ b/internal/desk/commands.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -13,6 +15,7 @@
 
 	"pebbleloom/api/operator"
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/queue"
 	"pebbleloom/internal/setup"
 )
 
@@ -48,6 +51,12 @@
 		}
 		return
 	}
+	if l, ok := v.([]any); ok && len(l) > 0 && named(l) {
+		for _, x := range l {
+			flat(prefix+"."+x.(map[string]any)["name"].(string), x, to)
+		}
+		return
+	}
 	b, err := json.Marshal(v)
 	if err != nil {
 		b = []byte(err.Error())
@@ -55,18 +64,29 @@
 	to[prefix] = string(b)
 }
 
+// named tells whether all items of a list have a name: then each is compared by itself.
+func named(l []any) bool {
+	return !slices.ContainsFunc(l, func(x any) bool {
+		m, _ := x.(map[string]any)
+		_, ok := m["name"].(string)
+		return !ok
+	})
+}
+
 func diff(ctx context.Context, c *operator.Client, r *request, in io.Reader) (any, error) {
 	b, err := read(r, in)
 	if err != nil {
 		return nil, err
 	}
-	if b, err = setup.Merge(nil, b); err != nil {
-		return nil, err
-	}
 	have, err := c.GetSetup(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if _, err := setup.Read(have.Setup); err == nil { // a plan of another form is compared as it was sent
+		if b, err = setup.Merge(nil, b); err != nil {
+			return nil, err
+		}
+	}
 	var x, y any
 	var f errs.Batch
 	f.Note("read setup in force", json.Unmarshal(have.Setup, &x))
@@ -161,6 +181,14 @@
 	return string(b)
 }
 
+// known writes a number that may not be told.
+func known(n operator.OptInt) string {
+	if v, ok := n.Get(); ok {
+		return strconv.Itoa(v)
+	}
+	return "-"
+}
+
 // plain writes an answer for people.
 func plain(v any) string {
 	var b strings.Builder
@@ -187,19 +215,25 @@
 		if x.Ok {
 			fmt.Fprintln(w, "all is well")
 		}
+		for _, f := range x.Facts {
+			fmt.Fprintf(w, "%s:\t%s\n", f.Name, f.Value)
+		}
 		for _, p := range x.Problems {
 			fmt.Fprintf(w, "%s\t%s\t%s\n\tdo:\t%s (desk runbook run %s)\n", p.Kind, p.Where, p.Text, p.Remedy, p.Runbook)
 		}
 	case *operator.NodeList:
-		fmt.Fprintf(w, "NAME\tROLE\tDISTRICT\tADDRESS\tSTATE\n")
+		fmt.Fprintf(w, "NAME\tROLE\tDISTRICT\tADDRESS\tSTATE\tOPERATOR\n")
 		for _, n := range x.Nodes {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", n.Name, n.Role, n.District, n.Addr, n.State)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", n.Name, n.Role, n.District, n.Addr, n.State, n.Operator.Or("-"))
 		}
 		fmt.Fprintf(w, "as seen by %s\n", x.SeenBy)
 	case *operator.WorkerList:
 		fmt.Fprintf(w, "NAME\tSERVICE\tDISTRICT\tADDRESS\tSTATE\tWEIGHTS\tBUSY\tQUEUED\tSLOTS\n")
 		for _, n := range x.Workers {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", n.Name, n.Service, n.District, n.Addr, n.State, n.Weights, n.Busy, n.Queued, n.Slots)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\n", n.Name, n.Service, n.District, n.Addr, n.State, n.Weights, known(n.Busy), known(n.Queued), n.Slots)
+		}
+		for _, m := range queue.Keys(x.Named.Or(nil)) {
+			fmt.Fprintf(w, "named weights of %s: %d\n", m, x.Named.Value[m])
 		}
 		fmt.Fprintf(w, "as seen by %s\n", x.SeenBy)
 	case *Rendered:
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -24,6 +25,7 @@
 )
 
 const about = `the operator's command line; any node answers, and all answer the same
+(on a platform site: any core machine, at its third internal port)
 
   desk --node 127.10.1.1:8090 setup get
   desk setup apply --file setup.json --if-epoch 7      whole setup, only onto epoch 7
@@ -50,7 +52,7 @@
   desk index lookup --model lector --tenant hotline --part "opening" --part "question"
 
 exit codes: 0 done, 1 something is wrong (status, retire status, runbook), 2 bad input, 3 bad key, 4 not found, 5 epoch conflict, 6 denied for now,
-7 may have taken effect, 8 can't say, 9 an error inside`
+7 may have taken effect, 8 can't say, 9 an error inside, 10 not on this kind of site`
 
 // request is one command line, read.
 type request struct {
@@ -109,6 +111,11 @@
 //
 // Example: os.Exit(desk.Main([]string{"nodes", "--json"}, os.Stdin, os.Stdout, os.Stderr))
 func Main(args []string, in io.Reader, out, bad io.Writer) int {
+	return perform(args, in, out, bad, http.DefaultTransport)
+}
+
+// perform runs one command; by carries its calls to a node.
+func perform(args []string, in io.Reader, out, bad io.Writer, by http.RoundTripper) int {
 	r := &request{node: os.Getenv("PEBBLELOOM_NODE"), ifEpoch: -1, bad: bad}
 	if r.node == "" {
 		r.node = "127.10.1.1:8090"
@@ -171,7 +178,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	cl, err := operator.NewClient("http://"+r.node, operator.WithClient(&http.Client{Transport: shows{key}}))
+	cl, err := operator.NewClient("http://"+r.node, operator.WithClient(&http.Client{Transport: shows{key, by}}))
 	if err != nil {
 		return fail(errs.As(err, errs.BadInput, "node "+r.node))
 	}
@@ -201,17 +208,20 @@
 }
 
 // shows puts the operators' key on every call.
-type shows struct{ key string }
+type shows struct {
+	key string
+	by  http.RoundTripper
+}
 
 // RoundTrip sends a call with the key.
 //
-// Example: h := &http.Client{Transport: shows{key}}
+// Example: h := &http.Client{Transport: shows{key, http.DefaultTransport}}
 func (s shows) RoundTrip(r *http.Request) (*http.Response, error) {
 	if s.key != "" {
 		r = r.Clone(r.Context())
 		r.Header.Set(frontdesk.KeyHead, s.key)
 	}
-	return http.DefaultTransport.RoundTrip(r)
+	return s.by.RoundTrip(r)
 }
 
 func opKey(r *request) (string, error) {
@@ -267,6 +277,12 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return errs.New(errs.MayHaveRun, "node %s gave no answer in time", node)
 	}
+	if strings.Contains(err.Error(), "decode response: ") || strings.Contains(err.Error(), "malformed HTTP") {
+		return errs.As(err, errs.BadInput, "--node "+node+": something else answers there: give an operator address, as `desk nodes` lists them (on a platform site: a core machine's third internal port)")
+	}
+	if u := (*url.Error)(nil); errors.As(err, &u) {
+		return errs.As(err, errs.MayHaveRun, "node "+node+" broke off")
+	}
 	if errs.KindOf(err) == errs.Inside && strings.Contains(err.Error(), "encode request: validate") {
 		return errs.As(err, errs.BadInput, "command")
 	}
--- /dev/null
+++ b/internal/desk/site_test.go
@@ -0,0 +1,302 @@
+package desk
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	set "pebbleloom/internal/settings"
+)
+
+// whole starts all of a site, and waits until its group has formed and all have heard of each other.
+func whole(t *testing.T) *pond {
+	p := newPond(t)
+	for i := 1; i <= 4; i++ {
+		p.state(i)
+		p.index(i)
+	}
+	p.edge(5)
+	p.until("a group", 10*time.Second, func() bool {
+		for i := 1; i <= 4; i++ {
+			_, nodes, _ := p.desk(i, "", "nodes")
+			if code, _, _ := p.desk(i, "", "setup get"); code != 4 || strings.Count(nodes, "alive") != 9 {
+				return false
+			}
+		}
+		return true
+	})
+	return p
+}
+
+// Every command that has a meaning on a site with agreed membership is answered by any core
+// machine; every other one says that it has none there and what to use instead. All give JSON.
+func TestCommandsOnASite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := whole(t)
+		defer p.down()
+		tried := ""
+		first := `{"version": 7,  "routes": [{"name":"a","to":"reading"}]}`
+		for i, c := range []struct {
+			args, in string
+			code     int
+			says     string // in the answer, or in what is wrong
+		}{
+			{"setup get", "", 4, "no setup has been applied yet"},
+			{"status", "", 1, "no plan is in force"},
+			{"setup validate --file -", `{"version":0}`, 2, "version: missing"},
+			{"setup validate --file -", first, 0, "valid"},
+			{"setup apply --file - --if-epoch 0", first, 0, "done, epoch 7"},
+			{"setup apply --file - --if-epoch 0", `{"version":8}`, 5, "in force: 7"},
+			{"setup apply --file -", `{"version":6}`, 2, "isn't above 7"},
+			{"setup patch --file - --if-epoch 7 --token t1", `{"version":9,"routes":[{"name":"b","to":"reading"}]}`, 0, "done, epoch 9"},
+			{"setup patch --file - --if-epoch 7 --token t1", `{"version":9,"routes":[{"name":"b","to":"reading"}]}`, 0, "done, epoch 9"},
+			{"setup get", "", 0, "epoch 9"},
+			{"setup diff --file -", `{"version":9,"routes":[{"name":"a","to":"writing"},{"name":"b","to":"reading"}]}`, 0, "routes.a.to"},
+			{"nodes", "", 0, operatorAt(2)},
+			{"weights name --model daka --weights 0", "", 2, "--weights"},
+			{"placement show --service none", "", 4, "no placement"},
+			{"placement show", "", 2, "--service"},
+			{"keys revoke --tenant t --key k", "", 10, "desk setup patch"},
+			{"drain --worker w1", "", 10, "desk workers"},
+			{"calendar list", "", 10, "desk weights name"},
+			{"calendar write --file -", `{"name":"x"}`, 10, "desk weights name"},
+			{"calendar check --file -", `{"name":"x"}`, 10, "desk weights name"},
+			{"calendar pause --service s --name n", "", 10, "desk weights name"},
+			{"calendar resume --service s --name n", "", 10, "desk weights name"},
+			{"calendar cancel --service s --name n", "", 10, "desk weights name"},
+			{"calendar undo --service s --name n", "", 10, "desk weights name"},
+			{"retire plan --file -", `{"name":"x"}`, 10, "desk setup patch"},
+			{"retire status", "", 10, "desk setup patch"},
+			{"retire history", "", 10, "desk setup patch"},
+			{"retire start --service s --name n", "", 10, "desk setup patch"},
+			{"retire pause --service s --name n", "", 10, "desk setup patch"},
+			{"retire resume --service s --name n", "", 10, "desk setup patch"},
+			{"retire abort --service s --name n", "", 10, "desk setup patch"},
+			{"workers", "", 0, "as seen by the control state"},
+			{"explain --request r1", "", 10, "/metrics"},
+			{"index lookup --model daka --tenant t --part x", "", 10, "desk placement show"},
+		} {
+			tried += c.args + "\n"
+			node := 1 + i%4
+			if code, out, bad := p.desk(node, c.in, c.args); code != c.code || !strings.Contains(out+bad, c.says) || code > 1 && !strings.Contains(bad, "remedy") {
+				t.Errorf("desk %s: exit %d, want %d; %s%s", c.args, code, c.code, out, bad)
+			}
+			if strings.Contains(c.args, "apply") || strings.Contains(c.args, "patch") {
+				continue // a change that was made isn't made again
+			}
+			code, out, bad := p.desk(node, c.in, c.args+" --json")
+			if code != c.code || !json.Valid([]byte(out+bad)) {
+				t.Errorf("desk %s --json: exit %d, want %d; %s%s", c.args, code, c.code, out, bad)
+			}
+		}
+		for _, c := range commands() { // whoever adds one says what it does here
+			if !strings.Contains("\n"+tried, "\n"+c.path) && c.path != "setup render" && !strings.HasPrefix(c.path, "runbook ") {
+				t.Errorf("desk %s: not tried", c.path)
+			}
+		}
+	})
+}
+
+// answers are the fields of what a command with --json writes.
+type answers struct {
+	Ok       bool
+	Facts    []struct{ Name, Value string }
+	Problems []struct{ Kind, Where string }
+	Parts    []struct{ Member, Owner, State string }
+	Named    map[string]int
+	Workers  []struct {
+		Name, State string
+		Weights     int
+	}
+	Epoch     int
+	Placement struct{ Service, Mode string }
+}
+
+func (p *pond) tell(i int, args string) (a answers) {
+	_, out, bad := p.desk(i, "", args+" --json")
+	if err := json.Unmarshal([]byte(out+bad), &a); err != nil {
+		p.t.Fatalf("desk %s: %v: %s%s", args, err, out, bad)
+	}
+	return a
+}
+
+// has tells whether a status names a problem.
+func (a answers) has(kind, where string) bool {
+	for _, x := range a.Problems {
+		if x.Kind == kind && strings.Contains(x.Where, where) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a answers) fact(name string) string {
+	for _, x := range a.Facts {
+		if x.Name == name {
+			return x.Value
+		}
+	}
+	return ""
+}
+
+func (a answers) states() map[string]int {
+	m := map[string]int{}
+	for _, x := range a.Parts {
+		m[x.State]++
+	}
+	return m
+}
+
+// The weights' roll-out, the workers, the placement and how the group stands can be followed from
+// any core machine; a machine that is gone, and one that came back without its disk, are named.
+func TestStatusFollowsASite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := whole(t)
+		defer p.down()
+		if code, out, bad := p.desk(2, `{"version":3}`, "setup apply --file -"); code != 0 {
+			t.Fatalf("exit %d: %s%s", code, out, bad)
+		}
+		p.until("all is well", 20*time.Second, func() bool { return p.tell(3, "status").Ok })
+		a := p.tell(4, "status")
+		if m := a.states(); m["owns"] != 1 || m["follows"] != 2 || m["learner"] != 1 {
+			t.Errorf("the group: %+v", a.Parts)
+		}
+		for name, says := range map[string]string{"plan": "version 3", "members": "archive/m1 archive/m2 archive/m3", "index nodes": "4, serving: catalogue/m",
+			"duties of the site": "fence ", "workers": "3: 2 up, 1 draining"} {
+			if !strings.Contains(a.fact(name), says) {
+				t.Errorf("%s: %q, want %q", name, a.fact(name), says)
+			}
+		}
+		p.late = true
+		if code, out, bad := p.desk(2, "", "weights name --model daka --weights 2"); code != 0 {
+			t.Fatalf("exit %d: %s%s", code, out, bad)
+		}
+		if code, _, bad := p.desk(3, "", "weights name --model daka --weights 1"); code != 2 || !strings.Contains(bad, "older than 2") {
+			t.Errorf("older weights: exit %d, %s", code, bad)
+		}
+		if code, out, _ := p.desk(3, "", "weights name --model daka --weights 2"); code != 0 || !strings.Contains(out, "named already") {
+			t.Errorf("the same weights again: exit %d, %s", code, out)
+		}
+		if a := p.tell(1, "status"); !a.has("older-weights", "daka") || !strings.Contains(a.fact("weights of daka"), "version 2 named, 2 workers behind") {
+			t.Errorf("older weights: %+v", a)
+		}
+		if a := p.tell(1, "workers"); a.Named["daka"] != 2 || len(a.Workers) != 3 || a.Workers[0].Weights != 1 || a.Workers[0].State == "up" || a.Workers[2].State != "draining" {
+			t.Errorf("workers: %+v", a)
+		}
+		p.mu.Lock()
+		p.late = false
+		p.mu.Unlock()
+		p.until("the roll-out's end", 40*time.Second, func() bool { return p.tell(1, "status").Ok })
+		if a := p.tell(2, "placement show --service reading"); a.Epoch < 1 || a.Placement.Service != "reading" {
+			t.Errorf("placement: %+v", a)
+		}
+		p.stop("edge5")
+		p.stop("index2")
+		p.until("the edge's end", 10*time.Second, func() bool { return !strings.Contains(p.tell(1, "status").fact("index nodes"), "4,") })
+		// A member comes back without its disk, at its own address.
+		p.stop("state3")
+		p.disks[ip(3)+":7360"] = nil
+		p.until("a spare's place", 30*time.Second, func() bool { return strings.Contains(p.tell(1, "status").fact("members"), "m4") })
+		p.state(3)
+		p.until("all four", 20*time.Second, func() bool { return p.tell(1, "status").states()["learner"] == 1 })
+	})
+}
+
+// Without a majority every question that needs one says so within the bound, and status says who
+// is silent; nothing hangs, and what asks nobody is still answered.
+func TestASiteWithoutAMajoritySaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := whole(t)
+		defer p.down()
+		if code, out, bad := p.desk(2, `{"version":3}`, "setup apply --file -"); code != 0 {
+			t.Fatalf("exit %d: %s%s", code, out, bad)
+		}
+		for _, i := range []int{2, 3, 4} { // killed, not told to end: nobody hands over
+			p.lives[fmt.Sprint("state", i)].Stop(0)
+			delete(p.lives, fmt.Sprint("state", i))
+		}
+		for args, code := range map[string]int{"setup get": 8, "workers": 8, "placement show --service reading": 8, "weights name --model daka --weights 5": 8,
+			"setup diff --file -": 8, "setup validate --file -": 8, "nodes": 0, "status": 1} {
+			from := time.Now()
+			got, out, bad := p.desk(1, `{"version":4}`, args)
+			if d := time.Since(from); got != code || d > set.Default().Heal(0.75) {
+				t.Errorf("desk %s: exit %d after %v, want %d; %s%s", args, got, d, code, out, bad)
+			}
+		}
+		if a := p.tell(1, "status"); !a.has("part-unowned", "site") || a.has("plan-unknown", "") {
+			t.Errorf("%+v", a)
+		}
+		if code, _, bad := p.desk(2, "", "nodes"); code != 8 || !strings.Contains(bad, "can't be reached") {
+			t.Errorf("a machine that is down: exit %d, %s", code, bad)
+		}
+	})
+}
+
+// An address that isn't an operator's is named as such, with what to do: another process's port,
+// a port where operators are served in another form, one that speaks no HTTP.
+func TestAnotherPortSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := whole(t)
+		defer p.down()
+		odd := func(addr string, play func(net.Conn)) {
+			ln, err := p.lives["edge5"].Listen(addr)
+			p.must(err)
+			t.Cleanup(func() { ln.Close() })
+			go func() {
+				for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+					go play(c)
+				}
+			}()
+		}
+		odd("10.0.0.9:1", func(c net.Conn) {
+			go func() { _, _ = c.Write([]byte("220 ready\r\n")) }()
+			_, _ = io.Copy(io.Discard, c)
+		})
+		odd("10.0.0.9:2", func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 1))
+			c.Close()
+		})
+		odd("10.0.0.9:3", func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+		for port, says := range map[string]string{"2": "broke off", "3": "no answer in time"} {
+			if code, out, bad := p.at("10.0.0.9:"+port, "", "drain --worker w"); code != 7 || !strings.Contains(bad, says) {
+				t.Errorf("%s: exit %d; %s%s", says, code, out, bad)
+			}
+		}
+		for _, addr := range []string{ip(1) + ":7360", ip(1) + ":7361", ip(1) + ":8683", ip(5) + ":7360", ip(5) + ":8689", ip(5) + ":8687", "10.0.0.9:1"} {
+			for _, args := range []string{"status", "setup get", "nodes --json", "weights name --model m --weights 3"} {
+				if code, out, bad := p.at(addr, "", args); code != 2 || !strings.Contains(bad, "something else answers there") {
+					t.Errorf("desk --node %s %s: exit %d; %s%s", addr, args, code, out, bad)
+				}
+			}
+		}
+	})
+}
+
+// What the site's processes show at /metrics, at their internal addresses. Series are bounded:
+// names from a fixed list, and labels from one alone.
+func TestMetricsOfASite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := whole(t)
+		defer p.down()
+		for addr, want := range map[string]string{
+			ip(1) + ":7360": "group_members group_votes plan_version parts_owned parts_out state_bytes log_bytes log_behind",
+			ip(1) + ":7361": "index_entries lease_held lease_fence plan_version proof_age_seconds workers_known",
+			ip(5) + ":7360": "requests extra_attempts_total plan_version proof_age_seconds workers_known seek_calls_total",
+		} {
+			names, series := p.scrape(addr)
+			for _, n := range strings.Fields(want) {
+				if !names["pebbleloom_"+n] {
+					t.Errorf("%s: no pebbleloom_%s among %v", addr, n, names)
+				}
+			}
+			if series > 64 {
+				t.Errorf("%s: %d series", addr, series)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/desk/site_world_test.go
@@ -0,0 +1,326 @@
+package desk
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pebbleloom/internal/agent"
+	"pebbleloom/internal/archive"
+	"pebbleloom/internal/backend"
+	"pebbleloom/internal/clock"
+	"pebbleloom/internal/daemon"
+	"pebbleloom/internal/duty"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/forward"
+	"pebbleloom/internal/pick"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/seek"
+	set "pebbleloom/internal/settings"
+	"pebbleloom/internal/shelf"
+	"pebbleloom/internal/wire"
+)
+
+// pond is a small site in one bubble of time: four core machines with control state and index,
+// one edge; pipes for connections, disks in memory, three workers of the test's own.
+type pond struct {
+	t     *testing.T
+	mu    sync.Mutex
+	doors map[string]*mouth
+	disks map[string]*memory
+	lives map[string]*daemon.Life // by role and number
+	has   map[string]uint64       // by worker: the weights it serves
+	late  bool                    // workers take no orders
+	seed  uint64
+	http  *http.Transport
+}
+
+type mouth struct {
+	p    *pond
+	addr string
+	in   chan net.Conn
+	end  chan struct{}
+	once sync.Once
+}
+
+func (m *mouth) Accept() (net.Conn, error) {
+	select {
+	case c := <-m.in:
+		return c, nil
+	case <-m.end:
+		return nil, net.ErrClosed
+	}
+}
+
+func (m *mouth) Close() error {
+	m.once.Do(func() {
+		close(m.end)
+		m.p.mu.Lock()
+		defer m.p.mu.Unlock()
+		if m.p.doors[m.addr] == m {
+			delete(m.p.doors, m.addr)
+		}
+	})
+	return nil
+}
+
+func (m *mouth) Addr() net.Addr { return &net.TCPAddr{} }
+
+// memory is a disk that loses nothing.
+type memory struct {
+	mu sync.Mutex
+	m  map[string][]byte
+}
+
+func (d *memory) Read(n string) ([]byte, bool, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, ok := d.m[n]
+	return bytes.Clone(b), ok, nil
+}
+
+func (d *memory) set(n string, f func(old []byte) []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.m[n] = f(d.m[n])
+	return nil
+}
+
+func (d *memory) Write(n string, b []byte) error {
+	return d.set(n, func([]byte) []byte { return bytes.Clone(b) })
+}
+func (d *memory) Append(n string, b []byte) error {
+	return d.set(n, func(old []byte) []byte { return append(old, b...) })
+}
+func (d *memory) Cut(n string, s int) error {
+	return d.set(n, func(old []byte) []byte { return old[:s] })
+}
+
+func newPond(t *testing.T) *pond {
+	p := &pond{t: t, doors: map[string]*mouth{}, disks: map[string]*memory{}, lives: map[string]*daemon.Life{},
+		has: map[string]uint64{"w1": 1, "w2": 1, "w3": 1}}
+	p.http = &http.Transport{DialContext: p.dial}
+	return p
+}
+
+func ip(i int) string { return fmt.Sprintf("10.0.0.%d", i) }
+
+// operatorAt is the operator address of a core machine.
+func operatorAt(i int) string { return ip(i) + ":7362" }
+
+func (p *pond) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	p.mu.Lock()
+	m := p.doors[addr]
+	p.mu.Unlock()
+	if m == nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	near, far := net.Pipe()
+	select {
+	case m.in <- far:
+		return near, nil
+	case <-m.end:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p *pond) life(role string, i, offset int) *daemon.Life {
+	p.seed++
+	seed := p.seed
+	at := fmt.Sprint(ip(i), ":", 7360+offset)
+	site := &set.Site{First: true, Tolerate: 1, IP: ip(i), AckMs: 4000, GraceMs: 8000, BeatMs: 300, LeaseMs: 3000,
+		ListRate: 47, MemoryMB: 284, Files: 4100, Ports: [2]int{7360, 7375}, Revokes: true, SlackMs: 200}
+	place := set.Place{Name: fmt.Sprint("m", i), District: fmt.Sprint("d", i), Listen: at, Data: "x", Bounds: set.Default(),
+		Seeds: []string{ip(1) + ":7360", ip(2) + ":7360", ip(3) + ":7360"}, Extra: []string{"log=off"}, Site: site}
+	w := daemon.World{Clock: clock.Ticking(), Wall: time.Now, Seed: func() uint64 { seed += 7919; return seed * 0x9e3779b97f4a7c15 },
+		Disk: func(string) shelf.Disk {
+			if p.disks[at] == nil {
+				p.disks[at] = &memory{m: map[string][]byte{}}
+			}
+			return p.disks[at]
+		},
+		Listen: func(a string) (net.Listener, error) {
+			m := &mouth{p: p, addr: a, in: make(chan net.Conn), end: make(chan struct{})}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.doors[a] = m
+			return m, nil
+		},
+		Dial: p.dial, Journal: func(string) (io.Writer, error) { return io.Discard, nil }}
+	l := daemon.NewIn(w, role, place)
+	p.lives[fmt.Sprint(role, i)] = l
+	return l
+}
+
+func (p *pond) must(err error) {
+	p.t.Helper()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *pond) state(i int) {
+	l := p.life("state", i, set.PortState)
+	l.Place.Site.Control, l.Place.Operator = ip(i)+":8683", operatorAt(i)
+	p.must(archive.StartGroup(l, pondPlans{}, func(*archive.Node) http.Handler { return http.NotFoundHandler() }))
+}
+
+func (p *pond) index(i int) {
+	p.must(duty.StartProcess(p.life("index", i, set.PortIndex), pondPlans{}, p))
+}
+
+func (p *pond) edge(i int) {
+	l := p.life("edge", i, set.PortState)
+	l.Place.Public, l.Place.Site.Ready = ip(i)+":8689", ip(i)+":8687"
+	a, err := agent.Start(l, pondPlans{}, "runner")
+	p.must(err)
+	mux := http.NewServeMux()
+	mux.Handle(wire.RosterPathPrefix, a.Handler())
+	p.must(l.Serve(l.Place.Listen, mux))
+	s := seek.New(l, func() []*wire.Node { return a.Now().Nodes })
+	p.must(forward.Start(l, forward.Config{Headers: forward.Headers{ID: "Go-Id"}, ReadyPath: "/ready", Snapshot: a.Now, Pick: pick.New(l, s, l.Place.Name)}))
+}
+
+func (p *pond) stop(who string) {
+	p.lives[who].Stop(time.Second)
+	delete(p.lives, who)
+}
+
+func (p *pond) down() {
+	p.http.CloseIdleConnections()
+	var all sync.WaitGroup
+	for _, l := range p.lives {
+		all.Go(func() { l.Stop(time.Second) })
+	}
+	all.Wait()
+}
+
+// desk gives a command to a core machine.
+func (p *pond) desk(i int, in, args string) (code int, out, bad string) {
+	return p.at(operatorAt(i), in, args)
+}
+
+func (p *pond) at(node, in, args string) (code int, out, bad string) {
+	var o, b bytes.Buffer
+	code = perform(append([]string{"--node", node}, strings.Fields(args)...), strings.NewReader(in), &o, &b, p.http)
+	return code, o.String(), b.String()
+}
+
+func (p *pond) until(what string, within time.Duration, so func() bool) {
+	p.t.Helper()
+	for from := time.Now(); !so(); clock.Pause(context.Background(), 100*time.Millisecond) {
+		if time.Since(from) > within {
+			_, out, bad := p.desk(1, "", "status")
+			p.t.Fatalf("%s: not within %v\n%s%s", what, within, out, bad)
+		}
+	}
+}
+
+// scrape gives the names of what a process shows at an address, and how many series.
+func (p *pond) scrape(addr string) (names map[string]bool, series int) {
+	r, err := (&http.Client{Transport: p.http}).Get("http://" + addr + "/metrics")
+	p.must(err)
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	p.must(err)
+	names = map[string]bool{}
+	for s := range strings.Lines(string(b)) {
+		if strings.HasPrefix(s, "pebbleloom_") {
+			n, _, _ := strings.Cut(strings.ReplaceAll(s, "{", " "), " ")
+			names[n] = true
+			series++
+		}
+	}
+	return names, series
+}
+
+// The workers: pond implements backend.Calls.
+
+func (p *pond) List(context.Context, string) (l []fleet.Worker, next string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := 1; i <= len(p.has); i++ {
+		id := fmt.Sprint("w", i)
+		l = append(l, fleet.Worker{ID: id, Service: "reading", Addr: "10.9.0." + fmt.Sprint(i) + ":1", District: "d1", Slots: 8, Draining: i == 3,
+			Weights: map[string]uint64{"daka": p.has[id]}})
+	}
+	return l, "", nil
+}
+
+func worker(addr string) string {
+	return "w" + strings.TrimSuffix(strings.TrimPrefix(addr, "10.9.0."), ":1")
+}
+
+func (p *pond) Report(_ context.Context, addr string) (backend.Report, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return backend.Report{Weights: map[string]uint64{"daka": p.has[worker(addr)]}}, nil
+}
+
+func (p *pond) Order(_ context.Context, addr string, o backend.Order) (backend.Outcome, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.late {
+		return backend.Denied, nil
+	}
+	p.has[worker(addr)] = o.Version
+	return backend.Begun, nil
+}
+
+func (p *pond) Events(ctx context.Context, _ string, since uint64, wait time.Duration) (backend.Events, error) {
+	clock.Pause(ctx, wait)
+	return backend.Events{Boot: 1, Next: since}, ctx.Err()
+}
+
+func (p *pond) Kept(context.Context, string) (backend.Events, error) {
+	return backend.Events{Boot: 1, Next: 1}, nil
+}
+
+// pondPlans is a form of plans: {"version": 7, "routes": [{"name": "a", "to": "reading"}]}.
+type pondPlans struct{}
+
+type pondPlan struct {
+	Version uint64           `json:"version"`
+	Routes  []map[string]any `json:"routes,omitempty"`
+}
+
+func (pondPlans) Read(b []byte) (*plan.Plan, error) {
+	v := pondPlan{}
+	err := json.Unmarshal(b, &v)
+	x := &plan.Plan{Version: v.Version, Services: []plan.Service{{Name: "reading", MaxConns: 100,
+		Engine: &plan.Engine{Slots: 8, Room: 10000, TokenBytes: 18432, LinkMbps: 370000, Polls: 4, Models: []string{"daka"}}}}}
+	return x.Ready(), err
+}
+
+func (pondPlans) Merge(old, sent []byte, part bool) ([]byte, uint64, error) {
+	var o, v pondPlan
+	if err := json.Unmarshal(sent, &v); err != nil {
+		return nil, 0, err
+	}
+	if v.Version == 0 {
+		return nil, 0, errs.New(errs.BadInput, "version: missing: give one above that in force")
+	}
+	if !part {
+		return sent, v.Version, nil
+	}
+	if len(old) > 0 {
+		if err := json.Unmarshal(old, &o); err != nil {
+			return nil, 0, err
+		}
+	}
+	v.Routes = append(o.Routes, v.Routes...)
+	b, err := json.Marshal(v)
+	return b, v.Version, err
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -33,6 +33,16 @@
 func Start(l *daemon.Life, ctl control, calls backend.Calls, snap func() *fleet.Snapshot, view func() roster.View, hot Hottest) *Duty {
 	d := &Duty{life: l, ctl: ctl, calls: calls, snap: snap, view: view, hot: hot, left: make(chan struct{})}
 	d.ten = newTenure(l.Place.Name, l.Place.Site, l.Place.Bounds, l.Clock, ctl)
+	l.Meter.Gauge("pebbleloom_lease_held", "1 while this machine does the site's duties", func() float64 {
+		if d.Holds() {
+			return 1
+		}
+		return 0
+	})
+	l.Meter.Gauge("pebbleloom_lease_fence", "the fence that this machine has last heard of", func() float64 {
+		fence, _ := d.ten.held()
+		return float64(fence)
+	})
 	l.Go(d.run)
 	l.Leaving(func(ctx context.Context) {
 		select {
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -34,6 +34,7 @@
 	MayHaveRun = &Kind{"may-have-run", "find out whether it took effect before asking again", 502, 7}
 	CantSay    = &Kind{"cant-say", "no majority of the part answers: check the core machines with `desk nodes`", 503, 8}
 	NotAsDue   = &Kind{"not-as-due", "see to what the step says, then go on with --resume", 409, 1}
+	NotHere    = &Kind{"not-here", "this kind of site has no such thing: use what the message names instead", 501, 10}
 	DiskBad    = &Kind{"disk-bad", "free or replace the disk, clear the data folder, restart the member", 500, 9}
 	Inside     = &Kind{"inside", "look at this process's log for the step named here", 500, 9}
 )
@@ -43,7 +44,7 @@
 // Example: for _, k := range errs.Kinds() { fmt.Println(k.Name, k.Exit) }
 func Kinds() []*Kind {
 	return []*Kind{BadInput, BadKey, NotOurs, NoModel, NotFound, Conflict, TooBig, OverBudget, Overloaded,
-		Expired, NotRun, MayHaveRun, CantSay, NotAsDue, DiskBad, Inside}
+		Expired, NotRun, MayHaveRun, CantSay, NotAsDue, NotHere, DiskBad, Inside}
 }
 
 // Named gives the kind with that word, or Inside.
--- a/internal/frontdesk/frontdesk.go
+++ b/internal/frontdesk/frontdesk.go
@@ -33,13 +33,14 @@
 	view  func() roster.View
 	calls *daemon.Calls
 	b     settings.Bounds
+	key   string // of the document that is the site's setup
 }
 
 // Serve serves the operator's API at the place's operator address.
 //
 // Example: err := frontdesk.Serve(life, ctl, member.View, calls)
 func Serve(l *daemon.Life, ctl *link.Control, view func() roster.View, calls *daemon.Calls) error {
-	d := &Desk{ctl, view, calls, l.Place.Bounds}
+	d := &Desk{ctl, view, calls, l.Place.Bounds, link.SetupKey}
 	s, err := operator.NewServer(d)
 	if err != nil {
 		return errs.Wrap(err, "operator API")
@@ -75,7 +76,7 @@
 }
 
 func (d *Desk) read(ctx context.Context) (*wire.Doc, error) {
-	t, err := d.ctl.Read(ctx, &wire.ReadAsk{Key: link.SetupKey})
+	t, err := d.ctl.Read(ctx, &wire.ReadAsk{Key: d.key})
 	if err != nil {
 		return nil, errs.Wrap(err, "read setup")
 	}
@@ -96,7 +97,7 @@
 }
 
 func (d *Desk) put(ctx context.Context, body []byte, ifEpoch *uint64, token string, patch, dry bool) (*operator.Changed, error) {
-	p := &wire.Put{Key: link.SetupKey, Body: body, Token: token, AnyEpoch: ifEpoch == nil}
+	p := &wire.Put{Key: d.key, Body: body, Token: token, AnyEpoch: ifEpoch == nil}
 	if ifEpoch != nil {
 		p.IfEpoch = *ifEpoch
 	}
@@ -263,7 +264,7 @@
 	for _, w := range s.Workers {
 		l.Workers = append(l.Workers, operator.WorkerListWorkersItem{Name: w.Name, Addr: w.Addr, Service: w.Service, District: w.District,
 			State: [...]string{"up", "unsure", "draining", "gone"}[min(w.State, 3)], Incarnation: operator.NewOptString(w.Incarnation),
-			Weights: int64(w.Weights), Busy: int(w.Busy), Queued: int(w.Queued), Slots: int(w.Slots)})
+			Weights: int64(w.Weights), Busy: operator.NewOptInt(int(w.Busy)), Queued: operator.NewOptInt(int(w.Queued)), Slots: int(w.Slots)})
 	}
 	return l, nil
 }
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -38,6 +38,7 @@
 const (
 	PortState = 0 // the control state, and the agent on an edge machine
 	PortIndex = 1 // index and placement
+	PortDesk  = 2 // the operator's API, where the control state is
 )
 
 // Port is the address of a process of this or another machine.
