An index node that hasn't heard all edges tells of nobody's load

Cause: where few edges had told an index node, their words stood for the others', up to twofold: an index node that had just begun told half of the load, and edges without traffic counted as if they had some. An edge that has anything at workers tells every node it counts to each 60th of the heal bound, so after a 15th all have told; until then, and after a break of that length, nobody's load is told.

--- a/internal/catalogue/loads.go
+++ b/internal/catalogue/loads.go
@@ -14,8 +14,10 @@
 // Loads adds up what edge machines have at workers: each sees a small part of the traffic, and
 // none can tell from its own how loaded or how ill a worker is.
 type Loads struct {
-	b  settings.Bounds
-	by map[string]*word
+	b     settings.Bounds
+	by    map[string]*word
+	since time.Duration // words have come without a break
+	heard time.Duration // the last one
 }
 
 // word is the last one of an edge machine.
@@ -47,16 +49,24 @@
 			return
 		}
 	}
+	if len(l.by) == 0 || now-l.heard > l.b.Heal(loadPart) {
+		l.since = now
+	}
+	l.heard = now
 	l.by[teller] = &word{w, now}
 }
 
-// Others adds up what all but one edge machine told lately, of the same list of workers.
+// Others adds up what all but one edge machine told lately, of the same list of workers. While not
+// all of them can have told yet, it tells of nobody: half of the load is worse than none.
 //
 // Example: tell.Loads = l.Others("edge/edge-1", ask.Loads.List, now)
 func (l *Loads) Others(teller string, list uint64, now time.Duration) *wire.Loads {
 	type row struct{ active, unread, ok, bad uint32 }
 	sum := map[uint32]*row{}
 	t := &wire.Loads{List: list}
+	if now-l.since < l.b.Heal(loadPart) {
+		return t
+	}
 	for name, x := range l.by {
 		if name == teller || x.l.List != list || now-x.at > l.b.Heal(loadPart) {
 			continue
--- a/internal/catalogue/loads_test.go
+++ b/internal/catalogue/loads_test.go
@@ -13,8 +13,33 @@
 	return &wire.Loads{List: list, At: []uint32{at}, Active: []uint32{active}, Unread: []uint32{unread}, Ok: []uint32{ok}, Bad: []uint32{bad}}
 }
 
+// warmLoads has heard words for long enough to tell of them.
+func warmLoads(now time.Duration) *Loads {
+	l := NewLoads(settings.Default())
+	l.Hear("before", told(0, 0, 0, 0, 0, 0), now-l.b.Heal(loadPart))
+	return l
+}
+
+// An index node that has just begun, or wasn't told anything for a while, hasn't heard all yet.
+func TestHalfOfTheLoadIsNotTold(t *testing.T) {
+	b := settings.Default()
+	l, now := NewLoads(b), time.Hour
+	for i := range 3 {
+		at := now + time.Duration(i)*b.Heal(loadPart)/2
+		l.Hear("a", told(1, 7, 1, 10, 8, 0), at)
+		if x := l.Others("c", 1, at); (x.Tellers > 0) != (i == 2) {
+			t.Errorf("%d: %d tellers", i, x.Tellers)
+		}
+	}
+	at := now + 3*b.Heal(loadPart)
+	l.Hear("a", told(1, 7, 1, 10, 8, 0), at)
+	if x := l.Others("c", 1, at); x.Tellers > 0 {
+		t.Errorf("after a break: %d tellers", x.Tellers)
+	}
+}
+
 func TestLoadsAreAddedUpOverAllOthers(t *testing.T) {
-	l, now := NewLoads(settings.Default()), time.Hour
+	l, now := warmLoads(time.Hour), time.Hour
 	l.Hear("a", told(1, 7, 1, 10, 8, 0), now)
 	l.Hear("a", told(1, 7, 2, 20, 8, 0), now) // the last word counts alone
 	l.Hear("b", told(1, 7, 3, 30, 0, 8), now)
@@ -30,8 +55,11 @@
 
 func TestAnOldWordOnLoadCountsNoMore(t *testing.T) {
 	b := settings.Default()
-	l, now := NewLoads(b), time.Hour
+	l, now := warmLoads(time.Hour), time.Hour
 	l.Hear("a", told(1, 7, 1, 10, 8, 0), now)
+	if x := l.Others("b", 1, now+b.Heal(loadPart)); x.Tellers != 1 {
+		t.Fatalf("told %v", x)
+	}
 	if x := l.Others("b", 1, now+b.Heal(loadPart)+1); x.Tellers != 0 || len(x.At) != 0 {
 		t.Fatalf("told %v", x)
 	}
@@ -56,9 +84,10 @@
 	if len(l.by) > maxTellers {
 		t.Fatalf("%d words kept", len(l.by))
 	}
-	later := now + 2*b.Heal(loadPart)
+	later := now + 3*b.Heal(loadPart)
+	l.Hear("old", told(1, 0, 1, 0, 0, 0), later-b.Heal(loadPart))
 	l.Hear("new", told(1, 0, 1, 0, 0, 0), later)
-	if x := l.Others("c", 1, later); x.Tellers != 1 {
+	if x := l.Others("c", 1, later); x.Tellers != 2 {
 		t.Fatalf("%d tellers", x.Tellers)
 	}
 }
--- a/internal/pick/share.go
+++ b/internal/pick/share.go
@@ -11,15 +11,14 @@
 
 // What edges tell each other of workers by way of the index, as ratios.
 const (
-	tallyPart  = 0.1 // of the heal bound: how fast endings are forgotten
-	leastBad   = 1.5 // bad endings lately, of all edges, that make a worker suspect
-	badShare   = 0.2 // and their share of its endings,
-	badTimes   = 3.0 // as a multiple of what the service's other workers have
-	heldPart   = 1.0 / 48
-	dueTimes   = 4.0 // what a first piece was expected to take: it is overdue then, but not within the target
-	unit       = 64  // tokens
-	eighth     = 8
-	mostScaled = 2
+	tallyPart = 0.1 // of the heal bound: how fast endings are forgotten
+	leastBad  = 1.5 // bad endings lately, of all edges, that make a worker suspect
+	badShare  = 0.2 // and their share of its endings,
+	badTimes  = 3.0 // as a multiple of what the service's other workers have
+	heldPart  = 1.0 / 48
+	dueTimes  = 4.0 // what a first piece was expected to take: it is overdue then, but not within the target
+	unit      = 64  // tokens
+	eighth    = 8
 )
 
 // tally counts endings, the old ones less and less.
@@ -109,14 +108,12 @@
 	return l
 }
 
-// hear takes what the other edges have at workers. Where some of them have not told lately, those
-// that have stand for them.
+// hear takes what the other edges have at workers.
 func (t *table) hear(l *wire.Loads, now time.Duration) {
 	n := len(l.At)
 	if t.v == nil || l.List != t.v.list || l.Tellers == 0 || len(l.Active) != n || len(l.Unread) != n || len(l.Ok) != n || len(l.Bad) != n {
 		return
 	}
-	scale := min(max(1, float64(t.v.snap.Edges-1)/float64(l.Tellers)), mostScaled)
 	row := make(map[uint32]int, n)
 	for i, at := range l.At {
 		row[at] = i
@@ -127,7 +124,7 @@
 			x := g.seats[i].st
 			x.head, x.headUnread, x.othersOK, x.othersBad = 0, 0, 0, 0
 			if j, has := row[g.seats[i].index]; has {
-				x.head, x.headUnread = float64(l.Active[j])*scale, float64(l.Unread[j])*unit*scale
+				x.head, x.headUnread = float64(l.Active[j]), float64(l.Unread[j])*unit
 				x.othersOK, x.othersBad = float64(l.Ok[j])/eighth, float64(l.Bad[j])/eighth
 			}
 			x.headAt, x.spoke = now, true
--- a/internal/pick/share_test.go
+++ b/internal/pick/share_test.go
@@ -8,6 +8,7 @@
 
 	"pebbleloom/internal/catalogue"
 	"pebbleloom/internal/settings"
+	"pebbleloom/internal/wire"
 )
 
 // ring is some edges that share what they see by way of one index node.
@@ -19,6 +20,9 @@
 
 func newRing(workers, edges int) *ring {
 	r := &ring{l: catalogue.NewLoads(settings.Default()), now: start + time.Minute}
+	for _, part := range []float64{1.0 / 15, 1.0 / 30} { // it has heard words for a while
+		r.l.Hear("before", &wire.Loads{}, r.now-settings.Default().Heal(part))
+	}
 	s := fleetOf(workers)
 	s.Edges = edges
 	for i := range edges {
