A prompt that would wait half a target at the best worker is asked to come again

Now a request whose best worker has more than half its target of reading before it gets the final answer at once, with when to come again, and is not sent into the queue. One that was sent before is placed in any case; what nothing is heard of is tried again.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -36,12 +36,13 @@
 	holds   int64
 	tried   map[string]bool
 
-	sent   int   // workers that it may have reached
-	paid   int   // attempts beyond the first that the budget gave
-	missed int   // attempts of which nothing left this machine
-	ran    bool  // a worker may have run it
-	kept   *kept // what a worker said itself, where nothing better comes
-	begun  bool  // something of an answer has gone to the downstream
+	sent   int           // workers that it may have reached
+	paid   int           // attempts beyond the first that the budget gave
+	later  time.Duration // when a worker may have room, where none was picked for want of it
+	missed int           // attempts of which nothing left this machine
+	ran    bool          // a worker may have run it
+	kept   *kept         // what a worker said itself, where nothing better comes
+	begun  bool          // something of an answer has gone to the downstream
 	events *events
 }
 
@@ -202,6 +203,9 @@
 
 // wait is when a downstream that was denied may come again: soon enough to be served in time.
 func (q *request) wait() time.Duration {
+	if q.later > 0 {
+		return q.later
+	}
 	if q.ask.Route == nil || q.ask.Route.Target <= 0 {
 		return q.d.l.Place.Bounds.Setup(0.1)
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -34,6 +34,7 @@
 	for q.ctx.Err() == nil && q.left() > 0 {
 		c, ok := d.Pick.Pick(d.Snapshot(), &q.ask, found, q.tried)
 		if !ok {
+			q.later = c.Again
 			break
 		}
 		q.tried[c.Worker.ID] = true
--- a/internal/pick/picker.go
+++ b/internal/pick/picker.go
@@ -28,6 +28,7 @@
 	risk        = 0.15  // that what is presumed to be kept isn't yet
 	afarPart    = 0.01  // of a target, that a prompt as long as rereadPart's costs on its way to another district
 	crowd       = 0.25  // of an attempt's time that a full worker takes longer
+	shed        = 0.5   // targets that a prompt waits at the best worker: it is asked to come again
 	noise       = 0.01  // of a target: equals aren't all crowded by all edges
 	distant     = 2     // a move between districts takes as many times as long
 	outShare    = 1.0 / 3
@@ -211,7 +212,12 @@
 		return t.plain(g, cs, r, s, now), true
 	}
 	q := &query{t: t, s: s, r: r, g: g, m: m, model: model, h: t.habits[r.Service], found: found, now: now, cs: cs, retry: len(tried) > 0}
-	return q.pick(), true
+	c := q.pick()
+	if c.Again > 0 && len(tried) == 0 {
+		t.plans.drop(ticket{r.ID, c.Worker.ID})
+		return Choice{Again: c.Again}, false
+	}
+	return c, true
 }
 
 // usable lists the seats that may be picked: those to be avoided only where nobody else is left.
--- a/internal/pick/shape.go
+++ b/internal/pick/shape.go
@@ -33,11 +33,12 @@
 // Choice is the worker, and how the placement takes effect.
 type Choice struct {
 	Worker  fleet.Worker
-	Weights uint64 // the version that the worker is to have; 0: not asked
-	Salt    string // the text under which parts are kept: model, version and wall; "": no model
-	Fetch   string // address to take missing parts from; "": nowhere
-	Save    string // address to hand parts to; "": nowhere
-	Urgency int    // 0 to 9, 0 first; -1: not said
+	Weights uint64        // the version that the worker is to have; 0: not asked
+	Salt    string        // the text under which parts are kept: model, version and wall; "": no model
+	Fetch   string        // address to take missing parts from; "": nowhere
+	Save    string        // address to hand parts to; "": nowhere
+	Urgency int           // 0 to 9, 0 first; -1: not said
+	Again   time.Duration // where none was picked: when there may be room again; 0: not told
 }
 
 // Load is what a worker says of itself in an answer.
--- a/internal/pick/weigh.go
+++ b/internal/pick/weigh.go
@@ -146,7 +146,11 @@
 	for _, i := range q.cs {
 		try(i)
 	}
-	return q.choice(by[q.m.by[at]], at, best)
+	c := q.choice(by[q.m.by[at]], at, best)
+	if wait := t.backlog(q.g.seats[at].st, q.now); wait > shed*q.target {
+		c.Again = time.Duration(wait * float64(time.Millisecond))
+	}
+	return c
 }
 
 func scratch[T any](l []T, n int) []T {
