desk index lookup on a site whose membership is agreed: parts by their ids

Cause: the index was the one part of such a site that operators couldn't ask. The lookup reads the plan in force (tenant, wall, model) and the named weights by majority, makes the cache text as the edges do (pick.Text), and asks the serving index nodes. What a part's tokens are isn't known there, so `tokens` became optional in the description. Members whose machine is gone are told by name in `desk status`, not by address and life.

Ruled out: knowing the platform's form of plans here: the codec that the control state has anyway is handed on. Nothing on the path of a request changed.

--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -614,8 +614,10 @@
 		e.Str(s.Key)
 	}
 	{
-		e.FieldStart("tokens")
-		e.Int(s.Tokens)
+		if s.Tokens.Set {
+			e.FieldStart("tokens")
+			s.Tokens.Encode(e)
+		}
 	}
 	{
 		e.FieldStart("hotness")
@@ -660,11 +662,9 @@
 				return errors.Wrap(err, "decode field \"key\"")
 			}
 		case "tokens":
-			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := d.Int()
-				s.Tokens = int(v)
-				if err != nil {
+				s.Tokens.Reset()
+				if err := s.Tokens.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -713,7 +713,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00001111,
+		0b00001101,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -281,7 +281,7 @@
 
 type FoundPrefixesItem struct {
 	Key     string   `json:"key"`
-	Tokens  int      `json:"tokens"`
+	Tokens  OptInt   `json:"tokens"`
 	Hotness float64  `json:"hotness"`
 	Holders []string `json:"holders"`
 }
@@ -292,7 +292,7 @@
 }
 
 // GetTokens returns the value of Tokens.
-func (s *FoundPrefixesItem) GetTokens() int {
+func (s *FoundPrefixesItem) GetTokens() OptInt {
 	return s.Tokens
 }
 
@@ -312,7 +312,7 @@
 }
 
 // SetTokens sets the value of Tokens.
-func (s *FoundPrefixesItem) SetTokens(val int) {
+func (s *FoundPrefixesItem) SetTokens(val OptInt) {
 	s.Tokens = val
 }
 
--- a/internal/archive/group.go
+++ b/internal/archive/group.go
@@ -185,7 +185,7 @@
 		}
 	}
 	if l.Place.Operator != "" {
-		if err := frontdesk.ServeSite(l, n.ctl, n.ros.View, n.calls); err != nil {
+		if err := frontdesk.ServeSite(l, n.ctl, n.ros.View, n.calls, codec.Read); err != nil {
 			return err
 		}
 	}
--- a/internal/desk/commands.go
+++ b/internal/desk/commands.go
@@ -253,7 +253,7 @@
 	case *operator.Found:
 		fmt.Fprintf(w, "KEY\tTOKENS\tHOTNESS\tHOLDERS\n")
 		for _, p := range x.Prefixes {
-			fmt.Fprintf(w, "%s\t%d\t%.2f\t%s\n", p.Key, p.Tokens, p.Hotness, strings.Join(p.Holders, " "))
+			fmt.Fprintf(w, "%s\t%s\t%.2f\t%s\n", p.Key, known(p.Tokens), p.Hotness, strings.Join(p.Holders, " "))
 		}
 	}
 	if err := w.Flush(); err != nil {
--- a/internal/desk/site_test.go
+++ b/internal/desk/site_test.go
@@ -79,7 +79,9 @@
 			{"retire abort --service s --name n", "", 10, "desk setup patch"},
 			{"workers", "", 0, "as seen by the control state"},
 			{"explain --request r1", "", 10, "/metrics"},
-			{"index lookup --model daka --tenant t --part x", "", 10, "desk placement show"},
+			{"index lookup --model daka --tenant t --part x", "", 0, "HOTNESS"},
+			{"index lookup --model daka --tenant nobody --part x", "", 4, "nobody"},
+			{"index lookup --model none --tenant t --part x", "", 4, "none"},
 		} {
 			tried += c.args + "\n"
 			node := 1 + i%4
@@ -172,7 +174,16 @@
 				t.Errorf("%s: %q, want %q", name, a.fact(name), says)
 			}
 		}
+		p.until("what workers keep", 20*time.Second, func() bool { // what they tell comes in turn
+			_, out, _ := p.desk(2, "", "index lookup --model daka --tenant t --part p1 --part p2")
+			return strings.Contains(out, "w1:confirmed") && strings.Contains(out, "w2:confirmed") && strings.Count(out, "\n") == 3
+		})
+		if code, out, bad := p.desk(2, "", "index lookup --model daka --tenant walled --part p1"); code != 0 || strings.Contains(out, "confirmed") {
+			t.Errorf("behind a wall: exit %d, %s%s", code, out, bad)
+		}
+		p.mu.Lock()
 		p.late = true
+		p.mu.Unlock()
 		if code, out, bad := p.desk(2, "", "weights name --model daka --weights 2"); code != 0 {
 			t.Fatalf("exit %d: %s%s", code, out, bad)
 		}
@@ -254,6 +265,7 @@
 			}()
 		}
 		odd("10.0.0.9:1", func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 1)) // an answer to nothing would be no answer
 			go func() { _, _ = c.Write([]byte("220 ready\r\n")) }()
 			_, _ = io.Copy(io.Discard, c)
 		})
--- a/internal/desk/site_world_test.go
+++ b/internal/desk/site_world_test.go
@@ -279,13 +279,20 @@
 	return backend.Begun, nil
 }
 
-func (p *pond) Events(ctx context.Context, _ string, since uint64, wait time.Duration) (backend.Events, error) {
+// Events: all workers keep part p1 of the weights that they serve, from the start.
+func (p *pond) Events(ctx context.Context, addr string, since uint64, wait time.Duration) (backend.Events, error) {
+	if since == 0 {
+		return p.Kept(ctx, addr)
+	}
 	clock.Pause(ctx, wait)
 	return backend.Events{Boot: 1, Next: since}, ctx.Err()
 }
 
-func (p *pond) Kept(context.Context, string) (backend.Events, error) {
-	return backend.Events{Boot: 1, Next: 1}, nil
+func (p *pond) Kept(_ context.Context, addr string) (backend.Events, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text := pick.Text("daka", p.has[worker(addr)], nil)
+	return backend.Events{Boot: 1, Next: 1, List: []backend.Change{{Salt: text, Part: "p1", Model: "daka", Tokens: 320}}}, nil
 }
 
 // pondPlans is a form of plans: {"version": 7, "routes": [{"name": "a", "to": "reading"}]}.
@@ -299,7 +306,7 @@
 func (pondPlans) Read(b []byte) (*plan.Plan, error) {
 	v := pondPlan{}
 	err := json.Unmarshal(b, &v)
-	x := &plan.Plan{Version: v.Version, Services: []plan.Service{{Name: "reading", MaxConns: 100,
+	x := &plan.Plan{Version: v.Version, Tenants: []plan.Tenant{{Name: "t", Priority: -1}, {Name: "walled", Priority: -1, Isolated: true}}, Services: []plan.Service{{Name: "reading", MaxConns: 100,
 		Engine: &plan.Engine{Slots: 8, Room: 10000, TokenBytes: 18432, LinkMbps: 370000, Polls: 4, Models: []string{"daka"}}}}}
 	return x.Ready(), err
 }
--- a/internal/frontdesk/frontdesk.go
+++ b/internal/frontdesk/frontdesk.go
@@ -345,7 +345,7 @@
 	got := catalogue.NewShards(d.view().Nodes).Seek(ctx, ks, d.calls.Catalogue, d.b.Heal(1.0/24))
 	f := &operator.Found{Prefixes: []operator.FoundPrefixesItem{}}
 	for _, e := range es {
-		x := operator.FoundPrefixesItem{Key: e.Key.String(), Tokens: e.Tokens, Holders: []string{}}
+		x := operator.FoundPrefixesItem{Key: e.Key.String(), Tokens: operator.NewOptInt(e.Tokens), Holders: []string{}}
 		if g := got[e.Key]; g != nil {
 			x.Hotness = g.Hotness
 			for _, h := range g.Holders {
--- a/internal/frontdesk/group.go
+++ b/internal/frontdesk/group.go
@@ -84,8 +84,14 @@
 	var members []string
 	var term, index uint64
 	at, by := map[string]string{}, map[string]string{} // node by address, life by address
+	heard := map[string]bool{}                         // by address
+	for _, n := range view.Nodes {
+		if n.Role == "archive" && (at[n.Addr] == "" || n.State != roster.Gone) { // another may stand there now
+			at[n.Addr] = n.Name
+		}
+	}
 	for _, x := range l {
-		at[x.node.Addr] = x.node.Name
+		heard[x.node.Addr] = true
 		if t := x.tell; t != nil {
 			by[x.node.Addr] = t.Member
 			if members == nil || t.MembersTerm > term || t.MembersTerm == term && t.MembersIndex > index {
@@ -125,8 +131,8 @@
 		switch {
 		case answers && life != m:
 			f.add("member-blank", called(m), "it came back without its disk", "wait until it is taken in anew; else see that the others reach it", "disk-lost")
-		case !answers && at[link.Addr(m)] == "":
-			f.add("member-gone", m, "a member whose machine isn't there", "start it again; else wait until a spare takes its place", "core-gone")
+		case !answers && !heard[link.Addr(m)]:
+			f.add("member-gone", called(m), "a member whose machine isn't there", "start it again; else wait until a spare takes its place", "core-gone")
 		}
 	}
 	fact("members", "%s", strings.Join(names, " "))
--- /dev/null
+++ b/internal/frontdesk/lookup.go
@@ -0,0 +1,64 @@
+package frontdesk
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"pebbleloom/api/operator"
+	"pebbleloom/internal/catalogue"
+	"pebbleloom/internal/errs"
+	"pebbleloom/internal/pick"
+	"pebbleloom/internal/plan"
+	"pebbleloom/internal/prefix"
+)
+
+// LookUp asks the index who holds each part of a prompt, named by its ids, under the newest named
+// weights; where none are named, under the newest that a worker serves.
+//
+// Example: POST /v1/index {"model": "lector", "tenant": "biblioteca", "parts": ["5c1e07a2"]}
+func (d *siteDesk) LookUp(ctx context.Context, q *operator.Lookup) (*operator.Found, error) {
+	doc, err := d.Desk.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p, err := d.plan(doc.Body)
+	if err != nil {
+		return nil, errs.Wrap(err, "read plan")
+	}
+	i := slices.IndexFunc(p.Tenants, func(t plan.Tenant) bool { return t.Name == q.Tenant })
+	if i < 0 {
+		return nil, errs.New(errs.NotFound, "tenant %q", q.Tenant)
+	}
+	if !slices.ContainsFunc(p.Services, func(s plan.Service) bool { return s.Engine != nil && slices.Contains(s.Engine.Models, q.Model) }) {
+		return nil, errs.New(errs.NoModel, "model %q", q.Model)
+	}
+	w, err := d.staff(ctx)
+	if err != nil {
+		return nil, err
+	}
+	weights := w.named[q.Model]
+	if weights == 0 {
+		for _, x := range w.workers {
+			weights = max(weights, x.Weights[q.Model])
+		}
+	}
+	text := pick.Text(q.Model, weights, &p.Tenants[i])
+	ks := make([]prefix.Key, len(q.Parts))
+	for i, id := range q.Parts {
+		ks[i] = catalogue.KeyOf(text, id)
+	}
+	got := catalogue.NewShards(catalogue.Serving(d.view().Nodes)).Seek(ctx, ks, d.calls.Catalogue, d.b.Heal(1.0/24))
+	f := &operator.Found{Prefixes: []operator.FoundPrefixesItem{}}
+	for _, k := range ks {
+		x := operator.FoundPrefixesItem{Key: k.String(), Holders: []string{}}
+		if g := got[k]; g != nil {
+			x.Hotness = g.Hotness
+			for _, h := range g.Holders {
+				x.Holders = append(x.Holders, fmt.Sprintf("%s:%s", h.Worker, [...]string{"", "presumed", "confirmed"}[min(h.State, 2)]))
+			}
+		}
+		f.Prefixes = append(f.Prefixes, x)
+	}
+	return f, nil
+}
--- a/internal/frontdesk/site.go
+++ b/internal/frontdesk/site.go
@@ -31,14 +31,15 @@
 	*Desk
 	site *settings.Site
 	name string // of this node
+	plan func(body []byte) (*plan.Plan, error)
 }
 
 // ServeSite serves the operator's API of a site whose membership is agreed data. It costs a
 // listener until the first question.
 //
-// Example: err := frontdesk.ServeSite(life, control, member.View, calls)
-func ServeSite(l *daemon.Life, ctl *link.Control, view func() roster.View, calls *daemon.Calls) error {
-	d := &siteDesk{&Desk{ctl, view, calls, l.Place.Bounds, plan.Key}, l.Place.Site, "archive/" + l.Place.Name}
+// Example: err := frontdesk.ServeSite(life, control, member.View, calls, codec.Read)
+func ServeSite(l *daemon.Life, ctl *link.Control, view func() roster.View, calls *daemon.Calls, read func([]byte) (*plan.Plan, error)) error {
+	d := &siteDesk{&Desk{ctl, view, calls, l.Place.Bounds, plan.Key}, l.Place.Site, "archive/" + l.Place.Name, read}
 	api := sync.OnceValues(func() (http.Handler, error) {
 		s, err := operator.NewServer(d)
 		return http.MaxBytesHandler(s, 2*setup.MaxBytes), err
@@ -299,10 +300,3 @@
 func (d *siteDesk) Explain(context.Context, operator.ExplainParams) (*operator.Explained, error) {
 	return nil, notHere("memory of single requests", "see the edges' logs and /metrics at their internal address (desk nodes)")
 }
-
-// LookUp doesn't know here how the platform names a prompt's parts.
-//
-// Example: POST /v1/index answers not-here
-func (d *siteDesk) LookUp(context.Context, *operator.Lookup) (*operator.Found, error) {
-	return nil, notHere("look-up by a prompt's text", "see desk placement show --service S for the parts that all workers hold, and pebbleloom_index_entries at /metrics of the index nodes")
-}
--- a/internal/pick/salt.go
+++ b/internal/pick/salt.go
@@ -18,6 +18,12 @@
 	return s
 }
 
+// Text is the cache text of a model's weights behind a tenant's wall, for whoever looks up what
+// workers keep.
+//
+// Example: key := catalogue.KeyOf(pick.Text("daka", 2, tenant), part)
+func Text(model string, weights uint64, t *plan.Tenant) string { return salt(model, weights, t) }
+
 // urgency is 0 to 9, 0 first: a tenant's priority goes before the route's.
 func urgency(r *Request) int {
 	u := 0
