proxy: bytes of a worker are taken and judged in one step, so no request meets stray ones

Cause: a reader took bytes from the kernel first and decided afterwards whom they belong to. An attempt that acquired the idle connection between the two found nothing unread, sent its request, and the stray bytes counted as its response: 502 to a request that isn't idempotent, though nothing was wrong but an idle connection. Change: on sockets, Read receives and judges under the connection's lock; a connection with unsolicited bytes refuses every later write from that moment on, which proves that nothing was sent. Ruled out: bytes that the loopback still held when the next request was sent (none failed after the change, and the test doesn't wait for delivery).

--- a/internal/data/proxy/reuse_test.go
+++ b/internal/data/proxy/reuse_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // connPair returns both ends of a real connection.
@@ -62,6 +67,73 @@
 	}
 }
 
+// A reader takes bytes from the kernel only while it can also decide whom they belong to: an attempt that acquires
+// the connection meanwhile still finds them there.
+func TestBytesAreTakenAndJudgedTogether(t *testing.T) {
+	near, far := connPair(t)
+	conn := newWorkerConn(near, time.Hour, func() {})
+	ended := make(chan error)
+	go func() {
+		_, err := conn.Read(make([]byte, 9))
+		ended <- err
+	}()
+	conn.awaitReader()
+	conn.mu.Lock()
+	if _, err := far.Write([]byte("late")); err != nil {
+		t.Fatal(err)
+	}
+	awaitDelivery(t, far)
+	for range 1000 {
+		runtime.Gosched() // the reader is runnable by now
+		if !conn.hasUnreadData() {
+			t.Error("the bytes have left the kernel, and nothing says whom they belong to")
+			break
+		}
+	}
+	conn.mu.Unlock()
+	if err := <-ended; err != io.EOF || !conn.closed {
+		t.Errorf("%v: the connection must be closed", err)
+	}
+}
+
+// From the moment at which unsolicited bytes were taken from the kernel no request is sent on the connection, also
+// before it is closed.
+func TestUnsolicitedBytesPreventTheNextWrite(t *testing.T) {
+	near, far := connPair(t)
+	conn := newWorkerConn(near, time.Hour, func() {})
+	conn.mu.Lock()
+	if !conn.endRead(1) {
+		t.Error("a byte of an idle connection belongs to a request")
+	}
+	conn.mu.Unlock()
+	conn.acquire(1)
+	if n, err := conn.Write([]byte("request")); n != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("wrote %d bytes: %v", n, err)
+	}
+	if !conn.discard(1) {
+		t.Error("that nothing was sent isn't proven")
+	}
+	if n, err := far.Read(make([]byte, 9)); n != 0 || err != io.EOF {
+		t.Errorf("the worker received %d bytes: %v", n, err)
+	}
+}
+
+// awaitDelivery returns once the other end's kernel has all bytes that were written.
+func awaitDelivery(t *testing.T, conn *net.TCPConn) {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for unacknowledged := 1; unacknowledged > 0; runtime.Gosched() {
+		var ioctlErr error
+		err := raw.Control(func(fd uintptr) { unacknowledged, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		if err != nil || ioctlErr != nil {
+			return // closed: nothing is to be delivered any more
+		}
+	}
+}
+
 // A connection is reused only once it is read from again, or has been closed: until then net/http's buffer may
 // hold bytes behind the response before.
 func TestReusedConnectionAwaitsItsReader(t *testing.T) {
--- a/internal/data/proxy/workerconn.go
+++ b/internal/data/proxy/workerconn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,7 +20,8 @@
 // first of them.
 type workerConn struct {
 	net.Conn
-	onClose func() // called once
+	raw     syscall.RawConn // of a socket; nil: the connection isn't one
+	onClose func()          // called once
 
 	mu            sync.Mutex
 	changed       sync.Cond // closed or reading was set
@@ -36,6 +38,9 @@
 func newWorkerConn(conn net.Conn, keepAlive time.Duration, onClose func()) *workerConn {
 	c := &workerConn{Conn: conn, onClose: onClose, keepAlive: keepAlive}
 	c.changed.L = &c.mu
+	if socket, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = socket.SyscallConn()
+	}
 	return c
 }
 
@@ -63,10 +68,12 @@
 	c.reading = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
+	if c.raw != nil {
+		return c.readSocket(p)
+	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	c.reading = false
-	unsolicited := n > 0 && (c.holder == nil || !c.wroteBytes && c.pendingWrites == 0)
+	unsolicited := c.endRead(n)
 	c.mu.Unlock()
 	if unsolicited {
 		c.Close()
@@ -75,6 +82,57 @@
 	return n, err
 }
 
+// readSocket takes bytes from the kernel and decides whom they belong to in one critical section. Otherwise an
+// attempt could acquire the connection and send its request between the two, and find neither the bytes in the
+// kernel (hasUnreadData) nor the connection closed.
+func (c *workerConn) readSocket(p []byte) (n int, err error) {
+	unsolicited := false
+	waitErr := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n, err = receive(int(fd), p)
+		if errors.Is(err, unix.EAGAIN) {
+			return false
+		}
+		unsolicited = c.endRead(n)
+		return true
+	})
+	switch {
+	case waitErr != nil: // closed, or past a deadline, before anything came
+		c.mu.Lock()
+		c.reading = false
+		c.mu.Unlock()
+		return 0, waitErr
+	case unsolicited:
+		c.Close()
+		return 0, io.EOF
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvfrom", err)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// receive reads from a socket without blocking, as often as a signal interrupts it.
+func receive(socket int, p []byte) (int, error) {
+	for {
+		n, _, err := unix.Recvfrom(socket, p, unix.MSG_DONTWAIT)
+		if !errors.Is(err, unix.EINTR) {
+			return max(n, 0), err
+		}
+	}
+}
+
+// endRead notes that a Read has taken n bytes, and reports whether they belong to no request. Then the connection
+// counts as closed at once: no later Write sends on it. The caller holds mu.
+func (c *workerConn) endRead(n int) (unsolicited bool) {
+	c.reading = false
+	unsolicited = n > 0 && (c.holder == nil || !c.wroteBytes && c.pendingWrites == 0)
+	c.closed = c.closed || unsolicited
+	return unsolicited
+}
+
 // Close closes the connection, whoever holds it.
 func (c *workerConn) Close() error {
 	c.mu.Lock()
@@ -121,15 +179,10 @@
 // a stop of the process they may have come before any reader runs. Of a connection that isn't a socket it
 // reports false.
 func (c *workerConn) hasUnreadData() (unread bool) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+	if c.raw == nil {
 		return false
 	}
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		unread = err == nil && n >= 0 || errors.Is(err, unix.ECONNRESET) // no byte and no error: the end
 	})
