consensus model: two, four and five members, changes by leaders of two terms, lost contact as the core decides it

Cause: the checker had three voters and a learner. Removing both guards of a membership change (an entry of the leader's own term committed; the newest entry that names members committed) went unseen, since the order that needs them has four voters. Its event "no contact with a quorum" set ticksSinceResponse, while the core decides by contactAge, so no leader ever stepped down in it, and a transfer's target wasn't the one meant. Change: the number of founders is a bound; a search may begin with a change that only its proposer has; five new searches; the event sets what the core reads, and panics if the leader still leads. Ruled out: searches from four members without that beginning (over 3,000,000 states without an end); two members alone (no bad order exists: the next leader needs both votes). With candidates named, states aren't equivalent under permutations of these, so they are left out of the symmetry.

--- a/internal/control/consensus/model_actions_test.go
+++ b/internal/control/consensus/model_actions_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"pebbleloom/internal/wire"
 )
@@ -11,19 +12,22 @@
 func (s *space) initialState() *groupState {
 	state := &groupState{history: s.internHistory(observedHistory{})}
 	for slot, name := range slotNames {
-		first := BootstrapSnapshot(name, slotNames[:3])
+		first := BootstrapSnapshot(name, slotNames[:s.founders])
 		switch {
 		case s.fixed:
 			first = BlankSnapshot(name + "/1")
 			first.HardState.DiskState = wire.DiskState_DISK_FOUNDED
-		case slot == 3:
+		case slot >= s.learnerSlot():
 			first = LearnerSnapshot(name)
 		}
 		state.nodes[slot] = s.internNode(startNode(s.config(name), modelDisk{snapshot: first}))
 	}
-	if s.elected || s.contested {
+	if s.elected || s.contested || s.pendingChange != (modelEvent{}) {
 		s.electFirstLeader(state)
 	}
+	if s.pendingChange != (modelEvent{}) {
+		s.contestMembership(state)
+	}
 	if s.contested {
 		s.contestLog(state)
 	}
@@ -33,7 +37,7 @@
 func (s *space) config(self string) Config {
 	cfg := Config{Self: self, DynamicMembership: !s.fixed, HeartbeatTicks: 2, ElectionTicks: 10, MaxBatchBytes: 1 << 16, Rand: rand.New(modelRand{})}
 	if s.fixed {
-		cfg.Members = slotNames[:3]
+		cfg.Members = slotNames[:s.founders]
 	}
 	if s.smallMessages {
 		cfg.MaxBatchBytes = 1
@@ -67,6 +71,15 @@
 	}
 }
 
+// contestMembership has a propose the pending change, which no other member receives, and the others elect b in
+// term 2. What b sends then is in flight.
+func (s *space) contestMembership(state *groupState) {
+	s.applyEvent(state, 0, s.pendingChange)
+	for _, id := range s.runElection(state, 1) {
+		s.updateInFlight(state, modelAction{}, []int32{id})
+	}
+}
+
 // runElection delivers a member's vote requests and the responses, and returns what it sends as leader.
 func (s *space) runElection(state *groupState, slot int) (sent []int32) {
 	for _, request := range s.applyEvent(state, slot, modelEvent{kind: electionTimeout}) {
@@ -96,8 +109,8 @@
 // actions lists all actions that may happen next in a state.
 func (s *space) actions(state *groupState) []modelAction {
 	list := &actionList{space: s, state: state}
-	for slot := range slots {
-		if s.nodes[state.nodes[slot]].wiped || slot == 3 && !s.learner {
+	for slot, id := range s.members(state) {
+		if s.nodes[id].wiped {
 			continue
 		}
 		list.addElections(slot)
@@ -135,7 +148,7 @@
 	if node.pending() {
 		l.add(slot, modelEvent{kind: flush})
 	}
-	if node.core.hardState.Term >= l.space.terms {
+	if node.core.hardState.Term >= l.space.terms || l.space.candidates != "" && !strings.Contains(l.space.candidates, node.name) {
 		return
 	}
 	kind := electionTimeout
@@ -143,7 +156,7 @@
 		kind = preVoteTimeout
 	}
 	l.addWithin(elections, slot, modelEvent{kind: kind})
-	for target := range slots {
+	for target := range l.space.memberCount() {
 		l.addWithin(transfers, slot, modelEvent{kind: transfer, arg: int32(target)})
 	}
 }
@@ -162,10 +175,11 @@
 // addMembershipChanges adds the proposals to add, remove and replace members.
 func (l *actionList) addMembershipChanges(slot int) {
 	if l.space.learner {
-		l.addWithin(learners, slot, modelEvent{kind: addLearner, arg: 3})
-		l.addWithin(changes, slot, modelEvent{kind: addMember, arg: 3})
+		newcomer := int32(l.space.learnerSlot())
+		l.addWithin(learners, slot, modelEvent{kind: addLearner, arg: newcomer})
+		l.addWithin(changes, slot, modelEvent{kind: addMember, arg: newcomer})
 	}
-	for member := range slots {
+	for member := range l.space.memberCount() {
 		l.addWithin(changes, slot, modelEvent{kind: removeMember, arg: int32(member)})
 		if l.space.learner {
 			l.addWithin(changes, slot, modelEvent{kind: replaceMember, arg: int32(member)})
--- a/internal/control/consensus/model_encoding_test.go
+++ b/internal/control/consensus/model_encoding_test.go
@@ -223,18 +223,43 @@
 	return fingerprint{binary.BigEndian.Uint64(h[:8]), binary.BigEndian.Uint64(h[8:16])}
 }
 
-// founderRenamings are all permutations of the three initial voters; the first one is the identity.
-var founderRenamings = [...]renaming{
-	nil,
-	{'a': 'a', 'b': 'c', 'c': 'b'},
-	{'a': 'b', 'b': 'a', 'c': 'c'},
-	{'a': 'b', 'b': 'c', 'c': 'a'},
-	{'a': 'c', 'b': 'a', 'c': 'b'},
-	{'a': 'c', 'b': 'b', 'c': 'a'},
+const (
+	maxPermuted  = 4  // founders that are permuted: of five the last four, which is a smaller group of symmetries
+	maxRenamings = 24 // permutations of maxPermuted names
+)
+
+// founderRenamings returns the permutations of the founders but the first ones, which the bounds distinguish; the
+// first permutation is the identity.
+func founderRenamings(founders, distinguished int) []renaming {
+	names := []byte(strings.Join(slotNames[:founders], ""))
+	permuted := names[max(distinguished, founders-maxPermuted):]
+	renamings := []renaming{}
+	for _, images := range permutations(permuted) {
+		names := renaming{}
+		for i, name := range permuted {
+			names[name] = images[i]
+		}
+		renamings = append(renamings, names)
+	}
+	return renamings
+}
+
+// permutations returns all orders of some letters, their own order first.
+func permutations(letters []byte) (orders [][]byte) {
+	if len(letters) == 0 {
+		return [][]byte{{}}
+	}
+	for i, first := range letters {
+		rest := slices.Delete(slices.Clone(letters), i, i+1)
+		for _, order := range permutations(rest) {
+			orders = append(orders, append([]byte{first}, order...))
+		}
+	}
+	return orders
 }
 
-// fingerprints are the fingerprints of a value under each renaming.
-type fingerprints [len(founderRenamings)]fingerprint
+// fingerprints are the fingerprints of a value under each renaming of a space; those beyond its renamings are zero.
+type fingerprints [maxRenamings]fingerprint
 
 // encodingOf returns the canonical form of values of a kind.
 func encodingOf(names renaming, kind string, values ...any) string {
@@ -246,8 +271,8 @@
 	return e.String()
 }
 
-func fingerprintsOf(encode func(renaming) string) (prints fingerprints) {
-	for i, names := range founderRenamings {
+func (s *space) fingerprintsOf(encode func(renaming) string) (prints fingerprints) {
+	for i, names := range s.renamings {
 		prints[i] = hashOf([]byte(encode(names)))
 	}
 	return prints
--- a/internal/control/consensus/model_invariants_test.go
+++ b/internal/control/consensus/model_invariants_test.go
@@ -286,13 +286,13 @@
 // checkElectionSafety checks that a term has one leader, and no other member has sent entries in it (Election
 // Safety: paper, section 5.2).
 func (s *space) checkElectionSafety(state *groupState) string {
-	for _, id := range state.nodes {
+	for _, id := range s.members(state) {
 		node := s.nodes[id]
 		if node.wiped || node.core.role != leader {
 			continue
 		}
 		term := node.core.hardState.Term
-		for _, otherID := range state.nodes {
+		for _, otherID := range s.members(state) {
 			if other := s.nodes[otherID]; !other.wiped && other.name != node.name && other.core.role == leader && other.core.hardState.Term == term {
 				return fmt.Sprintf("two leaders of term %d: %s and %s", term, node.name, other.name)
 			}
@@ -309,7 +309,7 @@
 // checkLeaderCompleteness checks that the leader of a later term has all committed entries (Leader Completeness:
 // paper, section 5.4).
 func (s *space) checkLeaderCompleteness(state *groupState, history observedHistory) string {
-	for _, id := range state.nodes {
+	for _, id := range s.members(state) {
 		node := s.nodes[id]
 		if node.wiped || node.core.role != leader {
 			continue
@@ -329,7 +329,7 @@
 // checkMembershipSteps checks that in a leader's log each change concerns one member, and at most one change isn't
 // committed.
 func (s *space) checkMembershipSteps(state *groupState, history observedHistory) string {
-	for _, id := range state.nodes {
+	for _, id := range s.members(state) {
 		node := s.nodes[id]
 		if node.wiped || node.core.role != leader || s.fixed {
 			continue
@@ -370,7 +370,7 @@
 
 // checkAppliedState checks that the applied state of a member results from the committed entries.
 func (s *space) checkAppliedState(state *groupState, history observedHistory) string {
-	for _, id := range state.nodes {
+	for _, id := range s.members(state) {
 		node := s.nodes[id]
 		if node.wiped || node.core.ready.Snapshot != nil { // or the driver hasn't loaded the snapshot yet
 			continue
--- a/internal/control/consensus/model_node_test.go
+++ b/internal/control/consensus/model_node_test.go
@@ -47,7 +47,7 @@
 	addLearner
 	addMember
 	removeMember
-	replaceMember // by the last name in one change, which the core must reject
+	replaceMember // by the learner in one change, which the core must reject
 	transfer
 	compact
 	requestRead
@@ -158,7 +158,7 @@
 }
 
 // step carries out an event at a copy of the node. It returns nil where the event can't happen there.
-func (node *modelNode) step(event modelEvent, message *wire.Message, names []string) *eventOutcome {
+func (node *modelNode) step(event modelEvent, message *wire.Message, learnerSlot int) *eventOutcome {
 	if node.wiped {
 		return nil
 	}
@@ -178,7 +178,7 @@
 		}
 		after.core.Step(message)
 	default:
-		if !after.applyLocalEvent(event, names) {
+		if !after.applyLocalEvent(event, learnerSlot) {
 			return nil
 		}
 	}
@@ -191,7 +191,7 @@
 
 // applyLocalEvent carries out an event that isn't the delivery of a message. It returns false where the event
 // can't happen, or the core rejects it.
-func (node *modelNode) applyLocalEvent(event modelEvent, names []string) bool {
+func (node *modelNode) applyLocalEvent(event modelEvent, learnerSlot int) bool {
 	core := node.core
 	switch event.kind {
 	case electionTimeout:
@@ -213,20 +213,21 @@
 		_, _, ok := core.Propose([]byte{byte(event.arg)})
 		return ok
 	case addLearner:
-		return !core.IsVoter(names[event.arg]) && core.peers[names[event.arg]] == nil && core.AddLearner(names[event.arg])
+		name := slotNames[event.arg]
+		return !core.IsVoter(name) && core.peers[name] == nil && core.AddLearner(name)
 	case addMember:
-		_, _, ok := core.ProposeMembership(append(slices.Clone(core.voters.names), names[event.arg]))
-		return ok && core.IsVoter(names[event.arg])
+		_, _, ok := core.ProposeMembership(append(slices.Clone(core.voters.names), slotNames[event.arg]))
+		return ok && core.IsVoter(slotNames[event.arg])
 	case removeMember:
-		_, _, ok := core.ProposeMembership(without(core.voters.names, names[event.arg]))
+		_, _, ok := core.ProposeMembership(without(core.voters.names, slotNames[event.arg]))
 		return ok
 	case replaceMember:
-		_, _, ok := core.ProposeMembership(append(without(core.voters.names, names[event.arg]), names[len(names)-1]))
+		_, _, ok := core.ProposeMembership(append(without(core.voters.names, slotNames[event.arg]), slotNames[learnerSlot]))
 		return ok
 	case transfer:
 		for peer, progress := range core.peers {
-			if peer != names[event.arg] {
-				progress.ticksSinceResponse = core.cfg.ElectionTicks
+			if peer != slotNames[event.arg] {
+				progress.contactAge = core.cfg.ElectionTicks
 			}
 		}
 		return core.TransferLeadership()
@@ -258,15 +259,18 @@
 	return true
 }
 
-// tickSilentQuorum ticks a leader that no peer has responded to for two election timeouts.
+// tickSilentQuorum ticks a leader that no peer has responded to a request of the last two election timeouts.
 func tickSilentQuorum(core *Core) bool {
 	if core.role != leader {
 		return false
 	}
 	for _, progress := range core.peers {
-		progress.ticksSinceResponse = 2 * core.cfg.ElectionTicks
+		progress.ticksSinceResponse, progress.contactAge = 2*core.cfg.ElectionTicks, 2*core.cfg.ElectionTicks
 	}
 	core.Tick()
+	if core.role == leader && len(core.voters.names) > 1 {
+		panic("the model's event doesn't make the leader step down: the core decides by something else")
+	}
 	return true
 }
 
--- a/internal/control/consensus/model_space_test.go
+++ b/internal/control/consensus/model_space_test.go
@@ -7,10 +7,13 @@
 	"pebbleloom/internal/wire"
 )
 
-// slots is the number of members in a state of the model: three initial voters and a learner.
-const slots = 4
+// slots is the largest number of members in a state of the model: the initial voters (founders), then a learner.
+const slots = 6
 
-var slotNames = [slots]string{"a", "b", "c", "d"}
+var slotNames = [slots]string{"a", "b", "c", "d", "e", "f"}
+
+// defaultFounders is the number of initial voters where the bounds give none.
+const defaultFounders = 3
 
 // budget names what may happen a bounded number of times on the path to a state.
 type budget int
@@ -39,13 +42,16 @@
 
 // bounds limit a search. Every state within them is visited; what isn't bounded here is free.
 type bounds struct {
+	founders      int            // initial voters, 5 at most; 0: defaultFounders
 	fixed         bool           // members are fixed by configuration
 	contested     bool           // begins in term 3: only a has an entry that it proposed in term 1, b was elected in term 2, and a in term 3
 	elected       bool           // begins with a as the leader of term 1, its first entry committed on all, no message in flight
-	learner       bool           // the learner d exists
+	learner       bool           // a learner exists, in the slot after the founders'
+	pendingChange modelEvent     // begins in term 2: only a has this membership change, which it proposed in term 1, and b was elected; a zero event: no
 	lateRequests  bool           // requests of earlier terms are delivered, to be rejected; otherwise they are dropped
 	smallMessages bool           // a message carries one entry, or one byte of a snapshot, instead of all
 	preVotes      bool           // elections start with pre-votes; otherwise any member may campaign at any time
+	candidates    string         // names of the members that may campaign, among the distinguished ones; empty: all
 	terms         uint64         // highest term that a member may campaign in
 	limits        [budgets]uint8 // how often each budget may be used
 }
@@ -83,6 +89,7 @@
 // space holds every part of the states once, and caches the outcome of each event at each node.
 type space struct {
 	bounds
+	renamings    []renaming // permutations of the founders under which states are equivalent; the first is the identity
 	nodes        []nodeEntry
 	messages     []messageEntry
 	histories    []historyEntry
@@ -106,7 +113,10 @@
 }
 
 func newSpace(limits bounds) *space {
-	s := &space{bounds: limits, nodeIDs: map[string]int32{}, messageIDs: map[string]int32{}, historyIDs: map[string]int32{}, steps: map[stepKey]*stepResult{}, historyCache: map[historyKey]historyResult{}}
+	if limits.founders == 0 {
+		limits.founders = defaultFounders
+	}
+	s := &space{bounds: limits, renamings: founderRenamings(limits.founders, limits.distinguished()), nodeIDs: map[string]int32{}, messageIDs: map[string]int32{}, historyIDs: map[string]int32{}, steps: map[stepKey]*stepResult{}, historyCache: map[historyKey]historyResult{}}
 	for i := range s.usedPrints {
 		for n := range s.usedPrints[i] {
 			s.usedPrints[i][n] = hashOf([]byte{byte(i), byte(n)})
@@ -115,13 +125,36 @@
 	return s
 }
 
+// distinguished returns how many of the first founders the bounds name: states in which these are permuted aren't
+// equivalent.
+func (b bounds) distinguished() int {
+	if b.pendingChange != (modelEvent{}) {
+		return 2 // a, which proposed the change and may campaign, and b
+	}
+	return 0
+}
+
+// memberCount returns how many slots are in use.
+func (s *space) memberCount() int {
+	if s.learner {
+		return s.founders + 1
+	}
+	return s.founders
+}
+
+// members returns the numbers of the nodes in the slots in use.
+func (s *space) members(state *groupState) []int32 { return state.nodes[:s.memberCount()] }
+
+// learnerSlot returns the slot of the learner, whether it exists or not.
+func (s *space) learnerSlot() int { return s.founders }
+
 func (s *space) internNode(node *modelNode) int32 {
 	encoding := node.encoding(nil)
 	id, known := s.nodeIDs[encoding]
 	if !known {
 		id = int32(len(s.nodes))
 		s.nodeIDs[encoding] = id
-		s.nodes = append(s.nodes, nodeEntry{node, fingerprintsOf(node.encoding)})
+		s.nodes = append(s.nodes, nodeEntry{node, s.fingerprintsOf(node.encoding)})
 	}
 	return id
 }
@@ -135,7 +168,7 @@
 	}
 	id = int32(len(s.messages))
 	s.messageIDs[encoding] = id
-	entry := messageEntry{Message: message, prints: fingerprintsOf(encode), to: slices.Index(slotNames[:], message.To)}
+	entry := messageEntry{Message: message, prints: s.fingerprintsOf(encode), to: slices.Index(slotNames[:], message.To)}
 	switch message.Kind {
 	case wire.MessageKind_APPEND_REQUEST, wire.MessageKind_SNAPSHOT_REQUEST, wire.MessageKind_SNAPSHOT_CHUNK_REQUEST, wire.MessageKind_TRANSFER_LEADERSHIP:
 		entry.fromLeader = true
@@ -157,7 +190,7 @@
 	if !known {
 		id = int32(len(s.histories))
 		s.historyIDs[encoding] = id
-		s.histories = append(s.histories, historyEntry{history, fingerprintsOf(encode)})
+		s.histories = append(s.histories, historyEntry{history, s.fingerprintsOf(encode)})
 	}
 	return id
 }
@@ -172,7 +205,7 @@
 	if event.kind == deliver {
 		message = s.messages[event.arg].Message
 	}
-	out := s.nodes[id].step(event, message, slotNames[:])
+	out := s.nodes[id].step(event, message, s.learnerSlot())
 	if out == nil {
 		s.steps[key] = nil
 		return nil
@@ -196,12 +229,10 @@
 		used = used.add(s.usedPrints[i][n])
 	}
 	var smallest fingerprint
-	for i := range founderRenamings {
+	for i := range s.renamings {
 		sum := used.add(state.inFlightSum[i]).add(s.histories[state.history].prints[i])
-		for slot, id := range state.nodes {
-			if slot < 3 || s.learner {
-				sum = sum.add(s.nodes[id].prints[i])
-			}
+		for _, id := range s.members(state) {
+			sum = sum.add(s.nodes[id].prints[i])
 		}
 		if i == 0 || sum.less(smallest) {
 			smallest = sum
@@ -239,7 +270,7 @@
 }
 
 func (s *space) updateInFlightSum(state *groupState, id int32, with func(a, b fingerprint) fingerprint) {
-	for i := range state.inFlightSum {
+	for i := range s.renamings {
 		state.inFlightSum[i] = with(state.inFlightSum[i], s.messages[id].prints[i])
 	}
 }
--- a/internal/control/consensus/model_test.go
+++ b/internal/control/consensus/model_test.go
@@ -48,6 +48,21 @@
 	{"membership changes and wipe",
 		bounds{terms: 1, elected: true, learner: true, limits: [budgets]uint8{duplicates: unlimited, changes: 2, wipes: 1}},
 		bounds{terms: 2, elected: true, learner: true, limits: [budgets]uint8{elections: unlimited, duplicates: unlimited, changes: 1, wipes: 1}}},
+	{"changes by leaders of two terms",
+		bounds{founders: 4, terms: 2, pendingChange: removalOfD, limits: [budgets]uint8{duplicates: unlimited, changes: 1}},
+		bounds{founders: 4, terms: 3, pendingChange: removalOfD, candidates: "a", limits: [budgets]uint8{elections: 1, duplicates: unlimited, changes: 1}}},
+	{"election during a replacement",
+		bounds{learner: true, terms: 2, pendingChange: additionOfD, limits: [budgets]uint8{duplicates: unlimited, changes: 1}},
+		bounds{learner: true, terms: 3, pendingChange: additionOfD, candidates: "a", limits: [budgets]uint8{elections: 1, duplicates: unlimited, changes: 1}}},
+	{"replacement in a group of two",
+		bounds{founders: 2, terms: 2, elected: true, learner: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, changes: 2}},
+		bounds{founders: 2, terms: 3, elected: true, learner: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, changes: 2, restarts: 1}}},
+	{"five members, two of them wiped",
+		bounds{founders: 5, terms: 1, elected: true, limits: [budgets]uint8{changes: 1, wipes: 2}},
+		bounds{founders: 5, terms: 1, elected: true, limits: [budgets]uint8{changes: 2, wipes: 2}}},
+	{"no contact with a quorum",
+		bounds{terms: 2, elected: true, limits: [budgets]uint8{elections: unlimited, duplicates: unlimited, proposals: 1, timeouts: 1}},
+		bounds{terms: 2, elected: true, limits: [budgets]uint8{elections: unlimited, duplicates: unlimited, proposals: 1, timeouts: 2, restarts: 1}}},
 	{"compaction and conflicting logs",
 		bounds{terms: 3, contested: true, limits: [budgets]uint8{duplicates: unlimited, compactions: 2}},
 		bounds{terms: 2, elected: true, limits: [budgets]uint8{elections: unlimited, duplicates: unlimited, proposals: 1, compactions: 1, restarts: 1}}},
@@ -80,6 +95,12 @@
 		bounds{terms: 1, fixed: true, elected: true, limits: [budgets]uint8{heartbeats: 1, wipes: 1, proposals: 1, duplicates: 1}}},
 }
 
+// Changes of the members that a search begins with (bounds.pendingChange).
+var (
+	removalOfD  = modelEvent{kind: removeMember, arg: 3} // one of four founders
+	additionOfD = modelEvent{kind: addMember, arg: 3}    // the learner beside three founders
+)
+
 const (
 	wideSearches = "CONSENSUS_MODEL" // environment variable; "wide" selects the wider bounds
 	modelLimit   = 4_000_000         // states that a search may visit at most
--- a/internal/control/mutation/model_test.go
+++ b/internal/control/mutation/model_test.go
@@ -52,6 +52,16 @@
 		original:    "return c.role == leader && term == c.hardState.Term && c.voters.index <= c.commit",
 		replacement: "return c.role == leader && term == c.hardState.Term",
 		pkg:         consensusPackage, run: modelChecker + "membership_changes_and_wipe"},
+	mutant{name: "members change before the leader has committed in its term", file: memberFile,
+		original: "	return c.role == leader && term == c.hardState.Term && c.voters.index <= c.commit",
+		replacement: `	_, lastChange := term, uint64(0) // the rule of the thesis without its correction: the last change is committed
+	for _, entry := range c.log {
+		if len(entry.Members) > 0 && !slices.Equal(entry.Members, c.votersAt(entry.Index-1).names) {
+			lastChange = entry.Index
+		}
+	}
+	return c.role == leader && lastChange <= c.commit`,
+		pkg: consensusPackage, run: modelChecker + "changes_by_leaders_of_two_terms", env: wideModelChecker},
 	mutant{name: "two members are added or removed at once", file: memberFile,
 		original:    "len(added)+len(removed) != 1 || len(proposed) == 0",
 		replacement: "len(added)+len(removed) > 2 || len(proposed) == 0",
--- a/internal/control/mutation/point5_test.go
+++ b/internal/control/mutation/point5_test.go
@@ -26,7 +26,7 @@
 		file:        "internal/data/proxy/workerconn.go",
 		original:    "	if c.raw != nil {\n		return c.readSocket(p)\n	}\n",
 		replacement: "",
-		pkg:         proxyPackage, run: "TestBytesAreTakenAndJudgedTogether"},
+		pkg:         proxyPackage, run: "TestReadReceivesAndClassifiesAtomically"},
 	mutant{point: 5, name: "a connection with unsolicited bytes takes a request until it is closed",
 		file:        "internal/data/proxy/workerconn.go",
 		original:    "	c.closed = c.closed || unsolicited\n",
--- a/internal/data/proxy/reuse_test.go
+++ b/internal/data/proxy/reuse_test.go
@@ -69,7 +69,7 @@
 
 // A reader takes bytes from the kernel only while it can also decide whom they belong to: an attempt that acquires
 // the connection meanwhile still finds them there.
-func TestBytesAreTakenAndJudgedTogether(t *testing.T) {
+func TestReadReceivesAndClassifiesAtomically(t *testing.T) {
 	near, far := connPair(t)
 	conn := newWorkerConn(near, time.Hour, func() {})
 	ended := make(chan error)
--- a/internal/data/proxy/workerconn.go
+++ b/internal/data/proxy/workerconn.go
@@ -85,33 +85,33 @@
 // readSocket takes bytes from the kernel and decides whom they belong to in one critical section. Otherwise an
 // attempt could acquire the connection and send its request between the two, and find neither the bytes in the
 // kernel (hasUnreadData) nor the connection closed.
-func (c *workerConn) readSocket(p []byte) (n int, err error) {
+func (c *workerConn) readSocket(p []byte) (received int, err error) {
 	unsolicited := false
-	waitErr := c.raw.Read(func(fd uintptr) bool {
+	pollErr := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		n, err = receive(int(fd), p)
+		received, err = receive(int(fd), p)
 		if errors.Is(err, unix.EAGAIN) {
 			return false
 		}
-		unsolicited = c.endRead(n)
+		unsolicited = c.endRead(received)
 		return true
 	})
 	switch {
-	case waitErr != nil: // closed, or past a deadline, before anything came
+	case pollErr != nil: // closed, or past a deadline, before anything came
 		c.mu.Lock()
 		c.reading = false
 		c.mu.Unlock()
-		return 0, waitErr
+		return 0, pollErr
 	case unsolicited:
 		c.Close()
 		return 0, io.EOF
 	case err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvfrom", err)}
-	case n == 0:
+	case received == 0:
 		return 0, io.EOF
 	}
-	return n, nil
+	return received, nil
 }
 
 // receive reads from a socket without blocking, as often as a signal interrupts it.
