Shard simulator: polls that begin inside an answer are carried out

Cause: a step of the simulator rebuilt the list of calls from the calls it had begun with, so those that an answer began, the polls after a leader's kill among them, were dropped: proofs of freshness after a kill weren't exercised. Change: one continueCalls for both simulators (the group's was right already). A planted fault that shows in those polls alone (a member overlooks its unapplied log in a poll that follows a kill).

--- a/internal/control/controlstate/sim_base_test.go
+++ b/internal/control/controlstate/sim_base_test.go
@@ -16,6 +16,7 @@
 const (
 	plantedBlankVote       = "vote-blank"       // a member that lost its disk votes at once
 	plantedStaleConfirm    = "vouch-unsettled"  // a member overlooks what its log holds and it hasn't applied
+	plantedKillConfirm     = "vouch-killed"     // the same, in the polls that follow a leader's kill alone
 	plantedStaleView       = "vouch-open"       // the same, of a group's published view
 	plantedLateLease       = "lease-late"       // a holder counts its lease from the answer, and longer
 	plantedSameIncarnation = "same-incarnation" // a member that lost its disk comes back as the same member
@@ -180,6 +181,18 @@
 	}
 }
 
+// continueCalls lets every call in progress act. Calls that begin meanwhile, as in the handling of an answer, act
+// from the next step on.
+func (s *simBase) continueCalls() {
+	calls := s.inProgress
+	s.inProgress = nil
+	for _, call := range calls {
+		if call() {
+			s.inProgress = append(s.inProgress, call)
+		}
+	}
+}
+
 // lastTrace is the end of the trace, for a failure's message.
 func (s *simBase) lastTrace(lines int) string {
 	return strings.Join(s.trace[max(0, len(s.trace)-lines):], "\n")
--- a/internal/control/controlstate/sim_group_step_test.go
+++ b/internal/control/controlstate/sim_group_step_test.go
@@ -87,13 +87,7 @@
 	for _, node := range s.nodes {
 		s.tick(node)
 	}
-	calls := s.inProgress
-	s.inProgress = nil
-	for _, call := range calls {
-		if call() {
-			s.inProgress = append(s.inProgress, call)
-		}
-	}
+	s.continueCalls()
 	if leader := s.leader(); leader != nil {
 		if leadership := fmt.Sprint(leader.addr, leader.shard.core.Status().Term); leadership != s.lastLeader {
 			s.lastLeader = leadership
--- a/internal/control/controlstate/sim_shard_main_test.go
+++ b/internal/control/controlstate/sim_shard_main_test.go
@@ -66,7 +66,7 @@
 
 // The checks of the simulator find planted faults.
 func TestSimCatchesPlantedFaults(t *testing.T) {
-	for planted, want := range map[string]string{plantedBlankVote: "", plantedStaleConfirm: "the proof says", plantedLateLease: "hold the lease"} {
+	for planted, want := range map[string]string{plantedBlankVote: "", plantedStaleConfirm: "the proof says", plantedKillConfirm: "the proof says", plantedLateLease: "hold the lease"} {
 		found := ""
 		for seed := uint64(0); seed < 400 && found == ""; seed++ {
 			s := newShardSim(seed, planted)
--- a/internal/control/controlstate/sim_shard_run_test.go
+++ b/internal/control/controlstate/sim_shard_run_test.go
@@ -66,7 +66,7 @@
 		s.inFlight = slices.DeleteFunc(s.inFlight, func(sent simMessage) bool { return sent.message.From == node.name })
 	}
 	for _, peer := range s.nodes {
-		s.poll(peer)
+		s.poll(peer, s.plantedFault == plantedStaleConfirm || s.plantedFault == plantedKillConfirm)
 	}
 }
 
@@ -103,8 +103,9 @@
 	})
 }
 
-// poll is the watcher's long poll of one member, and the check of its proof of freshness.
-func (s *shardSim) poll(node *shardSimNode) {
+// poll is the watcher's long poll of one member, and the check of its proof of freshness. With overlooksLog the
+// member overlooks what its log holds and it hasn't applied.
+func (s *shardSim) poll(node *shardSimNode, overlooksLog bool) {
 	if !s.isRunning(node) {
 		return
 	}
@@ -117,13 +118,13 @@
 			return node.generation == generation
 		}
 		response := node.shard.watchResponse(&wire.WatchRequest{Key: "doc", KnownVersion: have}, node.name, s.now >= pollUntil)
-		if s.plantedFault == plantedStaleConfirm && s.now >= pollUntil && node.shard.state.documents["doc"].GetVersion() == have {
+		if overlooksLog && s.now >= pollUntil && node.shard.state.documents["doc"].GetVersion() == have {
 			response = &wire.WatchResponse{Outcome: wire.OutcomeUnchanged}
 		}
 		if response == nil {
 			return true
 		}
-		if s.plantedFault == plantedStaleConfirm {
+		if overlooksLog {
 			response.NothingNewer = true
 		}
 		proof.HandleResponse(node.name, have, polledAt, response)
@@ -223,7 +224,7 @@
 }{
 	{20, (*shardSim).write},
 	{30, (*shardSim).read},
-	{20, func(s *shardSim) { s.poll(s.randomNode()) }},
+	{20, func(s *shardSim) { s.poll(s.randomNode(), s.plantedFault == plantedStaleConfirm) }},
 	{40, (*shardSim).requestLease},
 	{40, (*shardSim).claim},
 	{120, (*shardSim).injectFault},
--- a/internal/control/controlstate/sim_shard_test.go
+++ b/internal/control/controlstate/sim_shard_test.go
@@ -156,13 +156,7 @@
 	if s.debug {
 		s.traceStatus()
 	}
-	var stillOpen []func() bool
-	for _, call := range s.inProgress {
-		if call() {
-			stillOpen = append(stillOpen, call)
-		}
-	}
-	s.inProgress = stillOpen
+	s.continueCalls()
 	s.checkLeaseHolders()
 }
 
