--- a/internal/codecheck/words_test.go
+++ b/internal/codecheck/words_test.go
@@ -53,7 +53,7 @@
 	`"(archive|catalogue|appraiser|dispatcher|district|setup|tell|owns|not-owner)"`,                       // roles, fields of settings and JSON, states, outcomes
 	`\b(archive|catalogue|appraiser|dispatcher)/`,                                                         // names of nodes
 	"`(district|setup [a-z]+)", `--district\b`, `\bx\.json: district\b`, `\bsetup_ms\b`, `\\tDISTRICT\\t`, // settings, flags, a column
-	`: desk setup patch"`, `\bsetup (get|apply|patch|validate|render|diff|fly)\b`, // first names of commands; one stands in a remedy of retire
+	`\bsetup (get|apply|patch|validate|render|diff|fly)\b`, // first names of commands
 	`/v1/setup\b`, `\.setup\b`, `\btestdata/setups\b`, `\bpebbleloom_(denied_total|setup_epoch)\b`,
 	`\b(patch-setup|no-setup|setup-wrong|duties-unheld|duties of the)\b`,                              // kinds of problems, actions, names of facts and runbooks
 	`\b(New)?(Archive|Catalogue|Roster)(PathPrefix|Server|ProtobufClient)\b`, `\b(Get|Change)Setup\b`, // generated from the services on the wire
--- a/internal/control/controlclient/client.go
+++ b/internal/control/controlclient/client.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
+	"syscall"
 	"time"
 
 	"pebbleloom/internal/control/clustermembership"
@@ -135,11 +137,8 @@
 	return final, ErrorOf(final)
 }
 
-// isConnectionRefused reports whether an error proves that a request was never sent. It compares the
-// text, since the simulated networks of package controlstate return errors without a syscall.Errno.
-func isConnectionRefused(err error) bool {
-	return strings.Contains(err.Error(), "connection refused")
-}
+// isConnectionRefused reports whether an error proves that a request was never sent.
+func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 func noLeader(shard uint32) error {
 	return errs.New(errs.OutcomeUnknown, "shard %d has no leader that responds", shard)
--- a/internal/control/controlclient/client_test.go
+++ b/internal/control/controlclient/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -17,6 +19,9 @@
 // lost.
 const lostResponse = "lost"
 
+// refusedBehind is a step at which the change is made, and an error names a connection that was refused elsewhere.
+const refusedBehind = "refused behind"
+
 // scriptedMember is a control node that responds to changes by a script: each step is an outcome, the
 // name of the leader, or lostResponse. The last step repeats.
 type scriptedMember struct {
@@ -31,6 +36,8 @@
 	switch step {
 	case lostResponse:
 		panic(http.ErrAbortHandler)
+	case refusedBehind:
+		return nil, fmt.Errorf("storage: connection refused")
 	case "core-2", "core-3", "core-4":
 		return &wire.ChangeResponse{Outcome: wire.OutcomeNotLeader, Leader: step}, nil
 	}
@@ -85,6 +92,7 @@
 		{"the leader makes it", []string{"done"}, newPut("t", false), nil, 1},
 		{"with a token it is retried after a lost response", []string{lostResponse, "done"}, newPut("t", false), nil, 2},
 		{"without a token or version it isn't", []string{lostResponse, "done"}, newPut("", false), errs.MayHaveExecuted, 1},
+		{"nor after an error that only mentions a refused connection", []string{refusedBehind, "done"}, newPut("", false), errs.MayHaveExecuted, 1},
 		{"with a version it is, and a conflict then proves nothing", []string{lostResponse, "epoch-conflict"}, newPut("", true), errs.MayHaveExecuted, 2},
 		{"a conflict with no response lost is one", []string{"epoch-conflict"}, newPut("", true), errs.Conflict, 1},
 		{"all responses are lost", []string{lostResponse}, newPut("t", false), errs.MayHaveExecuted, 0},
@@ -107,6 +115,28 @@
 	}
 }
 
+// A refused connection proves that nothing was sent: a change that may not be made twice goes to the next member.
+func TestChangeIsRetriedAfterARefusedConnection(t *testing.T) {
+	leader := &scriptedMember{script: []string{"done"}}
+	client := newTestClient(t, map[string]*scriptedMember{"core-2": {}, "core-3": leader, "core-4": {}})
+	known := client.view()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	for _, node := range known.Nodes {
+		if node.Name != "archive/core-3" {
+			node.Addr = listener.Addr().String()
+		}
+	}
+	client.view = func() clustermembership.View { return known }
+	response, err := client.Change(context.Background(), newPut("", false))
+	if err != nil || response.Version != 7 || leader.attempts != 1 {
+		t.Errorf("%v, %v, %d attempts", response, err, leader.attempts)
+	}
+}
+
 // Each shard is replicated by three of the four control nodes, and each of the four is left out in turn.
 func TestMembersSpreadShardsOverControlNodes(t *testing.T) {
 	leftOut := map[string]int{}
--- a/internal/control/controlstate/group.go
+++ b/internal/control/controlstate/group.go
@@ -92,7 +92,6 @@
 		s.log.Debug("disk still fails", "error", errs.Text(err))
 		return
 	}
-	s.abandonProposals()
 	s.failure = nil
 	s.log.Info("disk works again")
 	s.publishRecovered()
--- a/internal/control/controlstate/shard.go
+++ b/internal/control/controlstate/shard.go
@@ -153,15 +153,15 @@
 	}
 }
 
-// halt takes this member out after a failure of its disk. Pending reads and watches end; proposals
-// stay pending until their requests time out or the disk is reopened, since the other members may
-// still commit their entries.
+// halt takes this member out after a failure of its disk. Pending reads, watches and proposals end; the
+// outcome of these is unknown, since the other members may still commit their entries.
 func (s *shard) halt(err error) {
 	s.failure = err
 	s.log.Error("member is out", "error", errs.Text(err))
 	for id := range s.pendingReads {
 		s.completeRead(id, false)
 	}
+	s.abandonProposals()
 	s.notifyWatchers()
 	s.publish(consensus.Ready{})
 }
--- a/internal/control/controlstate/sim_network_test.go
+++ b/internal/control/controlstate/sim_network_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -68,14 +68,14 @@
 	listener := cluster.listeners[target]
 	cluster.mu.Unlock()
 	if listener == nil {
-		return nil, errors.New("connection refused")
+		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	}
 	outward, inward := newHalfConn(n, source, target), newHalfConn(n, target, source)
 	select {
 	case listener.connections <- &netConn{in: outward, out: inward}:
 		return &netConn{in: inward, out: outward}, nil
 	case <-listener.closed:
-		return nil, errors.New("connection refused")
+		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/internal/control/controlstate/sim_shard_main_test.go
+++ b/internal/control/controlstate/sim_shard_main_test.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"pebbleloom/internal/wire"
 )
 
 // seedsFromEnv is which seeds a test runs: SIM_SEEDS many from SIM_SEED on, or its own number from 0 on.
@@ -54,6 +56,40 @@
 	}
 }
 
+// A leader whose disk fails ends the wait of the changes that it has proposed at once: others may commit them.
+func TestFailedDiskEndsPendingProposals(t *testing.T) {
+	s := newShardSim(1, "")
+	var leader *shardSimNode
+	for steps := 0; leader == nil && steps < 4000; steps++ {
+		s.step()
+		for _, node := range s.nodes {
+			if node.shard.core.Status().IsLeader && node.shard.core.HasAppliedCurrentTerm() {
+				leader = node
+			}
+		}
+	}
+	if leader == nil {
+		t.Fatal("no member leads")
+	}
+	leader.disk.failWrites = true
+	pending, response := leader.shard.propose(putRequest(&wire.Put{Key: "doc", AnyVersion: true, Body: []byte("body")}), nil)
+	if response != nil {
+		t.Fatalf("the change isn't proposed: %v", response)
+	}
+	leader.shard.handleReady()
+	select {
+	case response := <-pending.response:
+		if response.Outcome != wire.OutcomeUnknown {
+			t.Errorf("the outcome is %v", response.Outcome)
+		}
+	default:
+		t.Error("the change waits for a member that is out")
+	}
+	if leader.shard.failure == nil || len(leader.shard.pendingProposals) > 0 {
+		t.Errorf("failure %v, %d proposals are pending", leader.shard.failure, len(leader.shard.pendingProposals))
+	}
+}
+
 // The same seed gives the same trace.
 func TestSimIsDeterministic(t *testing.T) {
 	first, second := newShardSim(3, ""), newShardSim(3, "")
--- a/internal/control/controlstate/test_cluster_test.go
+++ b/internal/control/controlstate/test_cluster_test.go
@@ -9,7 +9,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -136,14 +138,14 @@
 		return nil, errors.New("no answer")
 	}
 	if listener == nil {
-		return nil, errors.New("connection refused")
+		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	}
 	ours, theirs := net.Pipe()
 	select {
 	case listener.connections <- &lossyConn{theirs, c, from, addr}:
 		return &lossyConn{ours, c, from, addr}, nil
 	case <-listener.closed:
-		return nil, errors.New("connection refused")
+		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 	}
 }
 
--- a/internal/control/retire/phases.go
+++ b/internal/control/retire/phases.go
@@ -165,7 +165,7 @@
 // dropOldBase unloads the old base from the nodes, a few at once.
 func (e *evaluation) dropOldBase(ready bool) {
 	if moves := e.retirement.routeMoves(e.observed.Config); len(moves) > 0 {
-		e.addBlocker(queue.Keys(moves)[0], "this route is answered on the old base again, which is leaving", "lead it to "+e.retirement.NewBase+": desk setup patch")
+		e.addBlocker(queue.Keys(moves)[0], "this route is answered on the old base again, which is leaving", "lead it to "+e.retirement.NewBase+": pebblectl config patch")
 		return
 	}
 	loaded := e.nodesWithOldBase()
--- a/internal/control/routingconfig/lookup.go
+++ b/internal/control/routingconfig/lookup.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"pebbleloom/internal/queue"
 )
 
 // hostRoutes holds the routes of one host. A lookup probes once per slash of a path, and no further
@@ -128,7 +130,7 @@
 	if total == 0 {
 		return ""
 	}
-	remaining := int(hash(attemptID) % uint64(total))
+	remaining := int(queue.Hash(attemptID) % uint64(total))
 	for _, weighted := range r.Split {
 		if remaining -= max(weighted.Weight, 0); remaining < 0 {
 			return weighted.Service
@@ -144,20 +146,3 @@
 	}
 	return total
 }
-
-// hash spreads a string evenly over 64 bits: FNV-1a, followed by the finalizer of MurmurHash3.
-func hash(s string) uint64 {
-	const (
-		fnvOffset  = 14695981039346656037
-		fnvPrime   = 1099511628211
-		murmurMix1 = 0xff51afd7ed558ccd
-		murmurMix2 = 0xc4ceb9fe1a85ec53
-	)
-	h := uint64(fnvOffset)
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * fnvPrime
-	}
-	h = (h ^ h>>33) * murmurMix1
-	h = (h ^ h>>33) * murmurMix2
-	return h ^ h>>33
-}
--- a/internal/data/callerproxy/request.go
+++ b/internal/data/callerproxy/request.go
@@ -77,7 +77,7 @@
 // caller may send the ID again.
 func (req *request) release() {
 	req.cancel()
-	req.proxy.traffic.TrySend(func(table *trafficTable) { table.endRequest(req.tenant) })
+	req.proxy.traffic.Send(func(table *trafficTable) { table.endRequest(req.tenant) })
 	if req.claimNonce != 0 && !req.mayHaveExecuted {
 		req.proxy.claims.release(onceID(req.tenant, req.ask.RequestID), req.claimNonce)
 	}
@@ -104,7 +104,7 @@
 	worker := choice.Worker
 	deadline := req.startDeadline(worker)
 	if ready, pause, err := req.mayStart(choice, service, deadline); !ready {
-		proxy.traffic.TrySend(func(table *trafficTable) { table.cancelAttempt(worker.Name) })
+		proxy.traffic.Send(func(table *trafficTable) { table.cancelAttempt(worker.Name) })
 		if pause > 0 {
 			clock.Sleep(req.ctx, pause)
 		}
@@ -159,7 +159,7 @@
 	}
 	if !req.budgeted {
 		req.budgeted = true
-		p.traffic.TrySend(func(table *trafficTable) { table.depositRetryTokens(service, req.snapshot) })
+		p.traffic.Send(func(table *trafficTable) { table.depositRetryTokens(service, req.snapshot) })
 	}
 	return p.isCurrent(req.snapshot), 0, nil
 }
--- a/internal/data/callerproxy/stream.go
+++ b/internal/data/callerproxy/stream.go
@@ -102,7 +102,7 @@
 	if s.verifier != nil {
 		sealed = s.verifier.Sealed
 	}
-	s.proxy.traffic.TrySend(func(table *trafficTable) {
+	s.proxy.traffic.Send(func(table *trafficTable) {
 		table.endAttempt(s.worker, ok, duration, s.proxy.clock.Now())
 		if sealed != nil && sealed.FetchedTokens > 0 && sealed.FetchUs > 0 {
 			s.proxy.learnBandwidth(table, s.snapshot, sealed, s.zone)
--- a/internal/queue/actor.go
+++ b/internal/queue/actor.go
@@ -34,15 +34,26 @@
 // Example: actor.TrySend(func(t *table) { t.count++ })
 func (a *Actor[T]) TrySend(command func(*T)) bool { return a.commands.Offer(command) }
 
+// Send queues a command, and waits for room if the queue is full. It returns false if the actor is stopped before
+// that. It must not be called from a command of the same actor.
+//
+// Example: actor.Send(func(t *table) { t.inFlight-- })
+func (a *Actor[T]) Send(command func(*T)) bool {
+	select {
+	case a.commands.items <- command:
+		return true
+	case <-a.stopped:
+		return false
+	}
+}
+
 // Ask queues a command and waits until it has run. It returns false if the actor is stopped before that; the
 // command may then still be running. It must not be called from a command of the same actor.
 //
 // Example: actor.Ask(func(t *table) { count = t.count })
 func (a *Actor[T]) Ask(command func(*T)) bool {
 	done := make(chan struct{})
-	select {
-	case a.commands.items <- func(table *T) { command(table); close(done) }:
-	case <-a.stopped:
+	if !a.Send(func(table *T) { command(table); close(done) }) {
 		return false
 	}
 	select {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -41,6 +41,39 @@
 	}
 }
 
+// A full queue delays a command that is sent, and rejects one that is only tried.
+func TestSendWaitsForCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		count, blocked := 0, make(chan struct{})
+		actor := NewActor(&count, 1)
+		actor.Send(func(*int) { <-blocked })
+		synctest.Wait() // until it runs
+		increment := func(count *int) { *count++ }
+		actor.Send(increment)
+		if actor.TrySend(increment) {
+			t.Error("a command is accepted although the queue is full")
+		}
+		sent := make(chan bool)
+		go func() { sent <- actor.Send(increment) }()
+		synctest.Wait()
+		close(blocked)
+		if !<-sent {
+			t.Error("a command that waited for room is rejected")
+		}
+		seen := 0
+		actor.Ask(func(count *int) { seen = *count })
+		if seen != 2 {
+			t.Errorf("%d commands have run, want 2", seen)
+		}
+		actor.Stop()
+		synctest.Wait()
+		actor.TrySend(increment) // fills the queue, which nobody empties any more
+		if actor.Send(increment) {
+			t.Error("a command is accepted by a stopped actor")
+		}
+	})
+}
+
 func TestAskFailsOnAStoppedActor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		actor := NewActor(new(int), 1)
