--- a/bench/randomday/main.go
+++ b/bench/randomday/main.go
@@ -76,6 +76,12 @@
 	{kind: "srv_flap", fields: "share = 0.12, gap_s = 1.5", shortest: 4, longest: 9},
 	{kind: "events_gap", fields: "share = 0.4", shortest: 3, longest: 8},
 	{kind: "replace_with_reuse", how: []string{"", "drain", "dark"}, fields: "share = 0.15", shortest: 3, longest: 6},
+	{kind: "core_cut", how: []string{"split", "split meet", "split race", "split one_way", "relieve", "all", "near", "behind"}, fields: "count = 1", shortest: 3, longest: 9},
+	{kind: "core_cut", how: []string{"split", "split meet", "lure"}, fields: "count = 1", shortest: 3, longest: 9},
+	{kind: "herd_kill", how: []string{"taken all", "power off"}, fields: `on = "core", share = 1.0`, shortest: 0.5, longest: 2},
+	{kind: "srv_cut", how: []string{"", "fronts", "some", "one_way", "reset"}, fields: "share = 0.2", shortest: 3, longest: 8},
+	{kind: "give_up", fields: "share = 0.2", shortest: 3, longest: 8},
+	{kind: "retry_abuse", fields: "share = 0.2, x = 2.0", shortest: 3, longest: 8},
 }
 
 // closings are the entries that may end a day.
@@ -86,6 +92,8 @@
 	`{ kind = "wipe_after_ack", down_s = 0.7, how = "timed" }`,
 	`{ kind = "wipe_after_ack", down_s = 1.5, how = "aimed" }`,
 	`{ kind = "power_off_all", down_s = 1.3, how = "timed" }`,
+	`{ kind = "wipe_after_ack", down_s = 1.4, how = "oldest" }`,
+	`{ kind = "wipe_after_ack", down_s = 1.0, how = "taken" }`,
 }
 
 // line draws an entry that begins within a day of length seconds.
