controlstate: a corrupted disk counts as a lost one, once the group serves without it

Cause: a member whose disk was corrupted (not torn) stayed out for ever and tried to open it each second; an operator had to empty it by hand. Change: storage.ErrCorrupted is typed; Replace keeps copies and begins at a later generation than all that are readable. A member of a group replaces its disk after a read that a quorum confirmed, and joins under a new incarnation; never as a founder. Where more are corrupted than are tolerated nothing is written, and the log says so. Status names the incarnation of now. Sites with fixed members keep the step by hand.

--- a/internal/control/controlstate/catch_up_world_test.go
+++ b/internal/control/controlstate/catch_up_world_test.go
@@ -90,8 +90,8 @@
 			w.send(message)
 		}
 	})
-	config := newTestGroup(node.disk, rand.New(rand.NewPCG(w.random.Uint64(), 9)), func() *wire.Snapshot {
-		return initialGroupSnapshot(firstStart, node.addr, w.seeds, w.random.Uint64)
+	config := newTestGroup(node.disk, rand.New(rand.NewPCG(w.random.Uint64(), 9)), func(lost bool) *wire.Snapshot {
+		return initialGroupSnapshot(firstStart && !lost, node.addr, w.seeds, w.random.Uint64)
 	})
 	config.codec = textPlanCodec{}
 	config.reopenTicks = int(reopenIntervalRatio / groupTick)
--- a/internal/control/controlstate/group.go
+++ b/internal/control/controlstate/group.go
@@ -24,14 +24,16 @@
 	codec           backend.Codec
 	consensusConfig consensus.Config // without the incarnation, which the disk holds
 	disk            storage.Disk
-	initialSnapshot func() *wire.Snapshot // of an empty disk
-	targetSize      int                   // number of voters
+	initialSnapshot func(lost bool) *wire.Snapshot // of an empty disk; lost: it has held another incarnation
+	targetSize      int                            // number of voters
 	zoneOf          func(addr string) string
 	published       viewPublisher
 	ticks           int            // since the start of the process
 	reopenTicks     int            // between two attempts to open a disk that failed
 	leaving         map[string]int // by incarnation: the tick in which it last announced that it stops
 	stopping        bool           // this process stops
+
+	replacementAllowed bool // a corrupted disk may be replaced: the group serves without it
 }
 
 // openGroupShard makes a new shard the one of a group. If its disk can't be opened, the shard runs without taking
@@ -40,7 +42,9 @@
 	shard.group, group.consensusConfig.DynamicMembership = group, true
 	group.leaving = map[string]int{}
 	shard.core = consensus.New(group.consensusConfig, consensus.LearnerSnapshot(""), nil)
-	shard.failure = shard.reopen()
+	if shard.failure = shard.reopen(); shard.failure != nil {
+		shard.log.Error("member is out", "error", errs.Text(shard.failure))
+	}
 	shard.publishRecovered()
 }
 
@@ -92,8 +96,8 @@
 		s.log.Debug("disk still fails", "error", errs.Text(err))
 		return
 	}
-	s.failure = nil
-	s.log.Info("disk works again")
+	s.failure, s.replacementAllowed = nil, false
+	s.log.Info("disk works again", "incarnation", s.core.Self())
 	s.publishRecovered()
 }
 
--- a/internal/control/controlstate/group_disk_test.go
+++ b/internal/control/controlstate/group_disk_test.go
@@ -36,8 +36,8 @@
 	m.disk.crashed, m.disk.writesUntilCrash = false, -1
 	m.replica = newShard(context.Background(), 0, &clock.Manual{}, hclog.NewNullLogger(), func(*wire.Message) {})
 	m.replica.compactThreshold = 400
-	config := newTestGroup(m.disk, m.random, func() *wire.Snapshot {
-		return initialGroupSnapshot(m.starts == 1 || m.newest == 0, "a:1", []string{"a:1"}, m.random.Uint64)
+	config := newTestGroup(m.disk, m.random, func(lost bool) *wire.Snapshot {
+		return initialGroupSnapshot((m.starts == 1 || m.newest == 0) && !lost, "a:1", []string{"a:1"}, m.random.Uint64)
 	})
 	config.targetSize = 1
 	openGroupShard(m.replica, config)
--- a/internal/control/controlstate/install_test.go
+++ b/internal/control/controlstate/install_test.go
@@ -22,7 +22,7 @@
 	s := newState()
 	s.applyPut(&wire.Put{Key: "k", Body: []byte("one"), AnyVersion: true})
 	first.State, _ = s.save()
-	config := newTestGroup(d, testRand(), func() *wire.Snapshot { return first })
+	config := newTestGroup(d, testRand(), func(bool) *wire.Snapshot { return first })
 	config.reopenTicks = 1
 	openGroupShard(replica, config)
 	if replica.failure != nil {
--- a/internal/control/controlstate/join.go
+++ b/internal/control/controlstate/join.go
@@ -31,23 +31,44 @@
 	maxJoinRequests       = 2 // to a candidate, and to the leader that it names
 )
 
-// joinLoop asks the group to replicate to this member whenever no leader does.
+// rejoinNeed is what keeps a member out of its group.
+type rejoinNeed int
+
+const (
+	nothingNeeded   rejoinNeed = iota // a leader replicates to it, or it waits for its disk or an election
+	joinNeeded                        // no leader replicates to it
+	diskReplacement                   // its disk is corrupted
+)
+
+// joinLoop asks the group to replicate to this member whenever no leader does, and replaces a corrupted disk.
 func (n *Node) joinLoop() {
 	bounds := n.process.Settings.Bounds
 	shard := n.shards[0]
 	for turn := 0; n.process.Ctx.Err() == nil; clock.Sleep(n.process.Ctx, bounds.Heal(joinIntervalRatio)) {
 		ctx, cancel := context.WithTimeout(n.process.Ctx, bounds.Heal(queryTimeoutRatio))
-		needsJoin := query(ctx, shard, false, shard.needsJoin)
+		need := query(ctx, shard, nothingNeeded, shard.rejoinNeed)
 		cancel()
-		if !needsJoin {
-			continue
+		switch need {
+		case diskReplacement:
+			n.replaceCorruptedDisk()
+		case joinNeeded:
+			view := shard.published.current()
+			n.controlClient.HintLeader(view.leader)
+			turn += n.requestJoin(view.self, view.members, turn)
 		}
-		view := shard.published.current()
-		n.controlClient.HintLeader(view.leader)
-		turn += n.requestJoin(view.self, view.members, turn)
 	}
 }
 
+func (s *shard) rejoinNeed() rejoinNeed {
+	switch {
+	case s.hasCorruptedDisk():
+		return diskReplacement
+	case s.needsJoin():
+		return joinNeeded
+	}
+	return nothingNeeded
+}
+
 // needsJoin reports whether no leader sends this member entries. A voter that only waits for an
 // election may ask as well: it does no harm.
 func (s *shard) needsJoin() bool {
--- a/internal/control/controlstate/node.go
+++ b/internal/control/controlstate/node.go
@@ -115,12 +115,21 @@
 	return &wire.TimeResponse{WallNs: n.process.WallClock().UnixNano()}, nil
 }
 
+// currentIncarnation returns this node's incarnation. That of a group's member changes while the process runs if its
+// disk turns out to be corrupted.
+func (n *Node) currentIncarnation() string {
+	if shard := n.shards[0]; shard != nil && shard.group != nil {
+		return shard.published.current().self
+	}
+	return n.incarnation
+}
+
 // Status returns the status of this node's member in each of its shards. A member that doesn't respond
 // before ctx ends, or whose disk couldn't be read at the start, is listed with a failure.
 //
 // Example: response, err := n.Status(ctx, &wire.StatusRequest{})
 func (n *Node) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusResponse, error) {
-	response := &wire.StatusResponse{Incarnation: n.incarnation}
+	response := &wire.StatusResponse{Incarnation: n.currentIncarnation()}
 	name := n.process.Settings.Name
 	for shardID := range uint32(controlclient.ShardCount) {
 		shard := n.shards[shardID]
--- a/internal/control/controlstate/persistence.go
+++ b/internal/control/controlstate/persistence.go
@@ -1,6 +1,8 @@
 package controlstate
 
 import (
+	"errors"
+
 	"pebbleloom/internal/control/consensus"
 	"pebbleloom/internal/control/storage"
 	"pebbleloom/internal/errs"
@@ -16,13 +18,20 @@
 // snapshotFormat is the version of the snapshots that this program reads and writes.
 const snapshotFormat = 1
 
-// load recovers snapshot, log and state from the disk. An empty disk gets an initial snapshot.
-func (s *shard) load(disk storage.Disk, initialSnapshot func() *wire.Snapshot) (recovered storage.Recovered, err error) {
-	if s.store, recovered, err = storage.Open(disk); err != nil {
+// load recovers snapshot, log and state from the disk. An empty disk gets an initial snapshot. So does a corrupted
+// one, as a disk that was lost, once that is allowed (see replaceCorruptedDisk).
+func (s *shard) load(disk storage.Disk, initialSnapshot func(lost bool) *wire.Snapshot) (recovered storage.Recovered, err error) {
+	s.store, recovered, err = storage.Open(disk)
+	lost := errors.Is(err, storage.ErrCorrupted)
+	if lost && s.group != nil && s.replacementAllowed {
+		s.log.Warn("a corrupted disk counts as lost: copies of its files are kept beside them", "error", err)
+		s.store, err = storage.Replace(disk)
+	}
+	if err != nil {
 		return recovered, errs.Wrap(err, "open shard")
 	}
 	if recovered.Snapshot == nil {
-		recovered.Snapshot = initialSnapshot()
+		recovered.Snapshot = initialSnapshot(lost)
 		if err := s.store.SaveSnapshot(recovered.Snapshot, nil); err != nil {
 			return recovered, errs.Wrap(err, "store the first snapshot")
 		}
--- a/internal/control/controlstate/repeated_step_test.go
+++ b/internal/control/controlstate/repeated_step_test.go
@@ -19,7 +19,7 @@
 func singleMemberShard(t *testing.T) *shard {
 	t.Helper()
 	replica := newShard(context.Background(), 0, &clock.Manual{}, hclog.NewNullLogger(), func(*wire.Message) {})
-	loaded, err := replica.load(newSimDisk(), func() *wire.Snapshot { return consensus.BootstrapSnapshot("core-1", nil) })
+	loaded, err := replica.load(newSimDisk(), func(bool) *wire.Snapshot { return consensus.BootstrapSnapshot("core-1", nil) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/controlstate/scripted_cluster_test.go
+++ b/internal/control/controlstate/scripted_cluster_test.go
@@ -73,8 +73,8 @@
 		c.inFlight = append(c.inFlight, proto.Clone(message).(*wire.Message))
 	})
 	random := rand.New(rand.NewPCG(uint64(member.addr[1]), 1))
-	openGroupShard(replica, newTestGroup(member.disk, random, func() *wire.Snapshot {
-		return initialGroupSnapshot(firstStart, member.addr, []string{"m1:1", "m2:1", "m3:1"}, func() uint64 { return 7 })
+	openGroupShard(replica, newTestGroup(member.disk, random, func(lost bool) *wire.Snapshot {
+		return initialGroupSnapshot(firstStart && !lost, member.addr, []string{"m1:1", "m2:1", "m3:1"}, func() uint64 { return 7 })
 	}))
 	member.shard = replica
 }
--- a/internal/control/controlstate/shard.go
+++ b/internal/control/controlstate/shard.go
@@ -55,7 +55,7 @@
 func openShard(ctx context.Context, config consensus.Config, disk storage.Disk, newIncarnation func() string,
 	clk clock.Clock, log hclog.Logger, send func(*wire.Message)) (*shard, error) {
 	shard := newShard(ctx, config.Shard, clk, log, send)
-	recovered, err := shard.load(disk, func() *wire.Snapshot { return consensus.BlankSnapshot(newIncarnation()) })
+	recovered, err := shard.load(disk, func(bool) *wire.Snapshot { return consensus.BlankSnapshot(newIncarnation()) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/controlstate/sim_disk_test.go
+++ b/internal/control/controlstate/sim_disk_test.go
@@ -15,6 +15,16 @@
 	beforeWrite func() // called before every write
 }
 
+// corruptSnapshots flips a bit of each snapshot among a disk's files, so that none can be read.
+func corruptSnapshots(files map[string][]byte) {
+	for _, name := range []string{"slot-0", "slot-1"} {
+		if content := files[name]; len(content) > 0 {
+			files[name] = bytes.Clone(content)
+			files[name][len(content)-1] ^= 1
+		}
+	}
+}
+
 func newSimDisk() *simDisk { return &simDisk{files: map[string][]byte{}, powerBudget: -1} }
 
 var errPowerLost, errDiskFull = errors.New("power lost"), errors.New("disk full")
@@ -137,6 +147,12 @@
 	return nil
 }
 
+// corrupt makes what the disk holds unreadable.
+func (d *cacheDisk) corrupt() {
+	corruptSnapshots(d.cached)
+	corruptSnapshots(d.synced)
+}
+
 // losePower drops what isn't synced, or parts of it.
 func (d *cacheDisk) losePower() {
 	dropAll := d.random.IntN(4) == 0 // at times everything that isn't synced is lost
--- a/internal/control/controlstate/sim_group_main_test.go
+++ b/internal/control/controlstate/sim_group_main_test.go
@@ -18,7 +18,7 @@
 	"isolated for 20 s", "long isolation: the leader", "long isolation: both directions", "long isolation: can't receive", "long isolation: can't send",
 	"seeds name only the isolated", "isolated node restarted", "other nodes restarted",
 	"storm of changes", "planned replacements", "SIGTERM in turn", "changes of storms", "restart in a storm", "wiped after a storm",
-	"lost disk", "replaced", "joined", "members changed", "loss timed by a change",
+	"lost disk", "corrupted disk", "replaced", "joined", "members changed", "loss timed by a change",
 	"second fault: change sent", "second fault: acknowledged", "second fault: joined", "second fault: members changed", "second fault: new leader"}
 
 // minOccurrences is how often each of groupSimEvents must happen in thirty runs.
--- a/internal/control/controlstate/sim_group_phases_test.go
+++ b/internal/control/controlstate/sim_group_phases_test.go
@@ -140,7 +140,7 @@
 		node := s.randomNode()
 		s.count("wiped after a storm")
 		s.kill(node, false, s.randomDuration(time.Second))
-		s.wipeDisk(node)
+		s.loseDisk(node)
 	}
 }
 
@@ -266,6 +266,6 @@
 		}
 		s.tracef("%s loses its disk, power %v", node.addr, power)
 		s.count("lost disk")
-		s.wipeDisk(node)
+		s.loseDisk(node)
 	}
 }
--- a/internal/control/controlstate/sim_group_step_test.go
+++ b/internal/control/controlstate/sim_group_step_test.go
@@ -155,6 +155,10 @@
 		node.nextJoin = s.now + 800*time.Millisecond
 		s.join(node)
 	}
+	if s.isRunning(node) && s.now >= node.nextJoin && node.shard.hasCorruptedDisk() {
+		node.nextJoin = s.now + time.Second
+		s.confirmReplacement(node)
+	}
 }
 
 // gossip has a node and one that it knows exchange the addresses that they know.
@@ -173,6 +177,20 @@
 	}
 }
 
+// confirmReplacement has a node with a corrupted disk replace it, once another node's read is confirmed.
+func (s *groupSim) confirmReplacement(node *groupSimNode) {
+	generation := node.generation
+	peer := s.randomNode()
+	if peer == node || s.callFails(node.addr, peer.addr) {
+		return
+	}
+	s.readAt(peer, func(uint64, string) {
+		if node.generation == generation && s.isRunning(node) {
+			node.shard.allowReplacement()
+		}
+	})
+}
+
 // join requests to join from a node that this one knows of, then from the leader that it names.
 func (s *groupSim) join(node *groupSimNode) {
 	addrs := queue.Keys(node.knownAddrs)
--- a/internal/control/controlstate/sim_group_test.go
+++ b/internal/control/controlstate/sim_group_test.go
@@ -147,6 +147,17 @@
 	node.disk = disk
 }
 
+// loseDisk empties the disk of a machine that is down, or makes what it holds unreadable.
+func (s *groupSim) loseDisk(node *groupSimNode) {
+	if s.random.IntN(2) == 0 {
+		s.wipeDisk(node)
+		return
+	}
+	s.count("corrupted disk")
+	s.tracef("the disk of %s is corrupted", node.addr)
+	node.disk.corrupt()
+}
+
 // start starts a machine from its disk; its clock begins at any time.
 func (s *groupSim) start(node *groupSimNode) {
 	node.generation++
@@ -167,11 +178,11 @@
 	}
 	node.shard = nil
 	random := rand.New(rand.NewPCG(s.seed, uint64(generation)*1000+uint64(node.addr[1])))
-	config := newTestGroup(node.disk, random, func() *wire.Snapshot {
+	config := newTestGroup(node.disk, random, func(lost bool) *wire.Snapshot {
 		if s.plantedFault == plantedSameIncarnation && !s.founding {
 			return consensus.LearnerSnapshot(node.addr + "/0")
 		}
-		return initialGroupSnapshot(s.founding, node.addr, s.seeds, s.random.Uint64)
+		return initialGroupSnapshot(s.founding && !lost, node.addr, s.seeds, s.random.Uint64)
 	})
 	config.targetSize = 2*s.toleratedLosses + 1
 	config.reopenTicks = int(reopenIntervalRatio / groupTick)
--- a/internal/control/controlstate/start_group.go
+++ b/internal/control/controlstate/start_group.go
@@ -21,7 +21,8 @@
 // StartGroup runs a control node of a group whose membership is replicated data. The codec merges and
 // reads the site's routing configuration; newOperatorHandler makes the handler of the operators'
 // listener. It returns an error if a listener can't be opened. A disk that can't be read leaves the
-// member out of the group until it can (retryReopen).
+// member out of the group until it can (retryReopen); one that is corrupted counts as lost
+// once the group serves without it (replaceCorruptedDisk).
 //
 // Example: err := controlstate.StartGroup(process, codec, func(n *controlstate.Node) http.Handler { return operatorHandler(n) })
 func StartGroup(process *daemon.Process, codec backend.Codec, newOperatorHandler func(*Node) http.Handler) error {
@@ -78,8 +79,8 @@
 			TrailingLogBytes: trailingLogBytes,
 			Rand:             rand.New(rand.NewPCG(process.Seed(), queue.Hash(process.Settings.Name))),
 		},
-		initialSnapshot: func() *wire.Snapshot {
-			return initialGroupSnapshot(site.FirstStart, address, process.Settings.Seeds, process.Seed)
+		initialSnapshot: func(lost bool) *wire.Snapshot {
+			return initialGroupSnapshot(site.FirstStart && !lost, address, process.Settings.Seeds, process.Seed)
 		},
 	})
 	n.shards[0], n.incarnation = shard, shard.published.current().self
--- a/internal/control/controlstate/test_cluster_test.go
+++ b/internal/control/controlstate/test_cluster_test.go
@@ -272,7 +272,7 @@
 
 // newTestGroup is a group of three members with small batches in one zone, whose configurations are
 // those of versionCodec.
-func newTestGroup(disk storage.Disk, random *rand.Rand, initialSnapshot func() *wire.Snapshot) *group {
+func newTestGroup(disk storage.Disk, random *rand.Rand, initialSnapshot func(lost bool) *wire.Snapshot) *group {
 	return &group{
 		codec:       versionCodec{},
 		disk:        disk,
--- a/internal/control/mutation/point4_test.go
+++ b/internal/control/mutation/point4_test.go
@@ -3,6 +3,21 @@
 // Point 4: a member that was restarted, wiped or replaced after hundreds of changes catches up, and never
 // uses old or torn state.
 var _ = register(
+	mutant{point: 4, name: "a corrupted disk is replaced though no quorum serves without it",
+		file:        "internal/control/controlstate/corrupted_disk.go",
+		original:    "	if _, err := n.controlClient.Read(n.process.Ctx, &wire.ReadRequest{}); err != nil {",
+		replacement: "	if _, err := n.controlClient.Read(n.process.Ctx, &wire.ReadRequest{}); err != nil && false {",
+		pkg:         statePackage, run: "TestCorruptedMajorityIsNotReplaced"},
+	mutant{point: 4, name: "a corrupted disk of the first start founds the group anew",
+		file:        "internal/control/controlstate/start_group.go",
+		original:    "initialGroupSnapshot(site.FirstStart && !lost, ",
+		replacement: "initialGroupSnapshot(site.FirstStart, ",
+		pkg:         statePackage, run: "TestCorruptedDiskIsReplaced"},
+	mutant{point: 4, name: "what replaces a corrupted disk is of an older generation",
+		file:        "internal/control/storage/replace.go",
+		original:    "		store.generation = max(store.generation, s.generation, s.logHeader.generation)\n",
+		replacement: "",
+		pkg:         "internal/control/storage", run: "TestReplaceACorruptedDisk"},
 	mutant{point: 4, name: "an old snapshot is installed over newer state",
 		file:        "internal/control/consensus/snapshot_receive.go",
 		original:    "if snapshot.Index <= c.commit {",
--- a/internal/control/storage/open.go
+++ b/internal/control/storage/open.go
@@ -1,6 +1,9 @@
 package storage
 
 import (
+	"errors"
+	"fmt"
+
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/wire"
 )
@@ -26,8 +29,17 @@
 	logHeader   logHeader      // zero if it can't be decoded
 }
 
-// Open reads what a disk holds. On an empty disk Recovered.Snapshot is nil. A disk that can't be read, or whose
-// content isn't what was acknowledged, gives an error of kind errs.DiskFailure: its member has to start with an empty disk.
+// ErrCorrupted is wrapped by the error of Open if the content of a disk isn't what was acknowledged. The member that
+// it belonged to can't go on under its name: see Replace.
+var ErrCorrupted = errors.New("corrupted")
+
+// corruptionError returns an error of kind errs.DiskFailure that wraps ErrCorrupted.
+func corruptionError(format string, args ...any) error {
+	return errs.WrapAs(ErrCorrupted, errs.DiskFailure, fmt.Sprintf(format, args...))
+}
+
+// Open reads what a disk holds. On an empty disk Recovered.Snapshot is nil. A disk that can't be read gives an error of
+// kind errs.DiskFailure; one whose content isn't what was acknowledged gives one that wraps ErrCorrupted, too.
 //
 // Example: store, recovered, err := storage.Open(storage.Directory("/var/lib/pebbleloom/part-0"))
 func Open(disk Disk) (*Store, Recovered, error) {
@@ -41,7 +53,7 @@
 		if isEmpty(read) {
 			return store, Recovered{}, nil
 		}
-		return nil, Recovered{}, errs.New(errs.DiskFailure, "no snapshot can be read, though the folder holds state: restore or empty the disk")
+		return nil, Recovered{}, corruptionError("no snapshot can be read, though the folder holds state")
 	}
 	if err := checkSuperseded(current, read[1-current.number]); err != nil {
 		return nil, Recovered{}, err
@@ -108,7 +120,7 @@
 // decoded: records were appended to its log, which happens only after it was complete.
 func checkSuperseded(current, other *slot) error {
 	if other.logHeader.generation > current.generation && len(scanLog(other.log).records) > other.logHeader.initialRecords {
-		return errs.New(errs.DiskFailure, "slot-%d is corrupted: its log of generation %d went on after it was written: empty the disk, its member rejoins from its peers", other.number, other.logHeader.generation)
+		return corruptionError("slot-%d, whose log of generation %d went on after it was written", other.number, other.logHeader.generation)
 	}
 	return nil
 }
@@ -116,14 +128,14 @@
 // recoverSlot returns the snapshot of a slot and the records of its log.
 func recoverSlot(current *slot) (Recovered, error) {
 	if current.logHeader.generation != current.generation {
-		return Recovered{}, errs.New(errs.DiskFailure, "log-%d is of generation %d, its snapshot of %d: empty the disk, its member rejoins from its peers", current.number, current.logHeader.generation, current.generation)
+		return Recovered{}, corruptionError("log-%d is of generation %d, its snapshot of %d", current.number, current.logHeader.generation, current.generation)
 	}
 	scan := scanLog(current.log)
 	if scan.corrupted {
-		return Recovered{}, errs.New(errs.DiskFailure, "log-%d is corrupted at byte %d, complete records follow: empty the disk, its member rejoins from its peers", current.number, scan.end)
+		return Recovered{}, corruptionError("log-%d at byte %d, complete records follow", current.number, scan.end)
 	}
 	if len(scan.records) < current.logHeader.initialRecords {
-		return Recovered{}, errs.New(errs.DiskFailure, "log-%d holds %d records of the %d it began with: empty the disk, its member rejoins from its peers", current.number, len(scan.records), current.logHeader.initialRecords)
+		return Recovered{}, corruptionError("log-%d holds %d records of the %d it began with", current.number, len(scan.records), current.logHeader.initialRecords)
 	}
 	return Recovered{Snapshot: current.snapshot, Records: scan.records, TornBytes: len(current.log) - scan.end}, nil
 }
