--- a/internal/control/controlstate/sim_base_test.go
+++ b/internal/control/controlstate/sim_base_test.go
@@ -19,6 +19,8 @@
 	plantedKillConfirm     = "vouch-killed"     // the same, in the polls that follow a leader's kill alone
 	plantedStaleView       = "vouch-open"       // the same, of a group's published view
 	plantedLateLease       = "lease-late"       // a holder counts its lease from the answer, and longer
+	plantedDeadTimer       = "timer-dead"       // the election timer of a member that has known a leader never fires again
+	plantedLostPoll        = "poll-lost"        // an edge never renews a poll whose member was killed
 	plantedSameIncarnation = "same-incarnation" // a member that lost its disk comes back as the same member
 )
 
--- a/internal/control/controlstate/sim_group_edge_test.go
+++ b/internal/control/controlstate/sim_group_edge_test.go
@@ -14,6 +14,7 @@
 	version, membersIndex, membersTerm uint64
 	members                            []string
 	confirmedAt                        map[string]time.Duration // when the request was sent that a member answered with nothing newer
+	abandoned                          map[string]bool          // addresses whose poll isn't renewed (plantedLostPoll)
 }
 
 // handleResponse takes in newer members and versions, and a confirmation that nothing is newer.
@@ -44,11 +45,33 @@
 	return times[len(times)-len(times)/2-1] // a majority was asked then, or later
 }
 
+// newestAcknowledged returns the newest version that was acknowledged; 0: none.
+func (s *groupSim) newestAcknowledged() (version uint64) {
+	for _, change := range s.changes {
+		if change.ackedAt > 0 {
+			version = max(version, change.newVersion)
+		}
+	}
+	return version
+}
+
+// edgeFollows reports whether the edge has a proof of freshness that is newer than a moment, and a version that had
+// been acknowledged by then, or a newer one.
+func (s *groupSim) edgeFollows(since time.Duration, version uint64) bool {
+	return s.edge.freshUntil() > since && s.edge.version >= version
+}
+
 // poll is the edge's long poll of one member, held open for a time, and the check of the edge's proof.
 func (s *groupSim) poll(node *groupSimNode, maxWait time.Duration) {
 	edge, sentAt, end, generation := s.edge, s.now, s.now+maxWait, node.generation
+	if edge.abandoned[node.addr] {
+		return
+	}
 	request := &wire.FollowRequest{Known: []*wire.KnownVersion{{Key: routingconfig.DocumentKey, Version: edge.version}}, ProofKey: routingconfig.DocumentKey}
 	poll := func() bool {
+		if s.plantedFault == plantedLostPoll && node.generation != generation {
+			edge.abandoned[node.addr] = true
+		}
 		if node.shard == nil || node.generation != generation || maxWait > 0 && s.now < node.frozenUntil {
 			return node.generation == generation && node.shard != nil
 		}
--- a/internal/control/controlstate/sim_group_faults_test.go
+++ b/internal/control/controlstate/sim_group_faults_test.go
@@ -48,6 +48,11 @@
 		s.tracef("isolate %s", node.addr)
 		s.isolate(s.partitioned, node, true, true)
 	}},
+	{"core in halves", 1, func(s *groupSim, _ *groupSimNode) {
+		s.splitInHalves(s.partitioned)
+		s.schedule(2*time.Second+s.randomDuration(6*time.Second), func() { clear(s.partitioned) })
+	}},
+	{"several out at once", 1, func(s *groupSim, _ *groupSimNode) { s.takeSeveralOut() }},
 	{"partitions end", 2, func(s *groupSim, _ *groupSimNode) { clear(s.partitioned) }},
 	{"crash in a write", 1, func(s *groupSim, node *groupSimNode) { node.disk.writesUntilCrash = s.random.IntN(6) }},
 	{"full disk", 1, func(s *groupSim, node *groupSimNode) {
@@ -123,6 +128,39 @@
 	}
 }
 
+// splitInHalves partitions the links between one half of the machines, drawn at random, and the other.
+func (s *groupSim) splitInHalves(links map[string]bool) (half []*groupSimNode) {
+	var nodes []*groupSimNode
+	for _, index := range s.random.Perm(len(s.nodes)) {
+		if node := s.nodes[index]; !node.isRemoved {
+			nodes = append(nodes, node)
+		}
+	}
+	half, others := nodes[:len(nodes)/2], nodes[len(nodes)/2:]
+	s.tracef("the core is split: %d machines and %d", len(half), len(others))
+	for _, node := range half {
+		for _, peer := range others {
+			links[node.addr+">"+peer.addr], links[peer.addr+">"+node.addr] = true, true
+		}
+	}
+	return half
+}
+
+// takeSeveralOut kills, freezes or isolates more machines at once than the site tolerates. No disk is lost.
+func (s *groupSim) takeSeveralOut() {
+	for _, node := range s.nodes {
+		switch s.random.IntN(5) {
+		case 0, 1:
+			s.kill(node, s.random.IntN(2) == 0, s.randomDuration(4*time.Second))
+		case 2:
+			s.freeze(node, s.randomDuration(4*time.Second))
+		case 3:
+			s.isolate(s.partitioned, node, true, s.random.IntN(2) == 0)
+		}
+	}
+	s.schedule(s.randomDuration(4*time.Second), func() { clear(s.partitioned) })
+}
+
 // isolateLeader has the leader receive nothing for a few seconds; at times it can send.
 func (s *groupSim) isolateLeader() {
 	if leader := s.leader(); leader != nil {
--- a/internal/control/controlstate/sim_group_phases_test.go
+++ b/internal/control/controlstate/sim_group_phases_test.go
@@ -1,8 +1,11 @@
 package controlstate
 
 import (
+	"slices"
 	"strings"
 	"time"
+
+	"pebbleloom/internal/control/controlclient"
 )
 
 // longPartitionTime is how long a member stays isolated in longPartitionPhase.
@@ -16,6 +19,7 @@
 }{
 	{"isolated for 20 s", (*groupSim).longPartitionPhase},
 	{"isolated for 20 s", (*groupSim).longPartitionPhase},
+	{"split in halves", (*groupSim).halvesPhase},
 	{"storm of changes", (*groupSim).stormPhase},
 	{"planned replacements", (*groupSim).plannedReplacementPhase},
 	{"SIGTERM in turn", (*groupSim).rollingRestartPhase},
@@ -66,6 +70,43 @@
 	s.isolatedAddr = ""
 }
 
+// halvesPhase splits the core into halves for some seconds, whatever the site tolerates, with operators, readers and
+// lease holders on both sides. If no other fault comes, a half that holds a majority of the members serves.
+func (s *groupSim) halvesPhase() {
+	const splitTime, servesWithin = 10 * time.Second, 8 * time.Second
+	var members []string
+	if leader := s.leader(); leader != nil {
+		members, _, _ = leader.shard.core.Members()
+	}
+	half := s.splitInHalves(s.longPartition)
+	inHalf := 0
+	for _, node := range half {
+		if slices.ContainsFunc(members, func(member string) bool { return controlclient.MemberAddr(member) == node.addr }) {
+			inHalf++
+		}
+	}
+	hasMajority := 2*inHalf > len(members) || 2*(len(members)-inHalf) > len(members)
+	noOtherFaults := s.random.IntN(2) == 0
+	begun, acked, served := s.now, s.ackedCount, time.Duration(0)
+	for s.now-begun < splitTime && len(s.violations) == 0 {
+		s.actOnce(nil)
+		if served == 0 && s.ackedCount > acked+2 {
+			served = s.now - begun
+		}
+		if !noOtherFaults && s.random.IntN(500) == 0 {
+			s.injectFault()
+		}
+	}
+	if hasMajority && noOtherFaults && (served == 0 || served > servesWithin) {
+		s.traceStatus()
+		s.violationf("split in halves, the one with a majority acknowledged after %v (0: never)", served)
+	}
+	if !hasMajority && noOtherFaults {
+		s.count("halves without a majority")
+	}
+	clear(s.longPartition)
+}
+
 // scheduleRestarts has the isolated node, or some of the others, restart during the partition.
 func (s *groupSim) scheduleRestarts(node *groupSimNode) {
 	if s.random.IntN(2) == 0 {
