Tests: one loop for phases of partitions, one for flipped bits

Cause: duplicates showed the loops of the new phase and of the corrupted disks beside their twins. Change: timeToServe, forEachFlippedBit; assertions as before.

--- a/internal/control/controlstate/sim_group_phases_test.go
+++ b/internal/control/controlstate/sim_group_phases_test.go
@@ -51,16 +51,7 @@
 	if !noOtherFaults {
 		s.scheduleRestarts(node)
 	}
-	begun, acked, served := s.now, s.ackedCount, time.Duration(0)
-	for s.now-begun < longPartitionTime && len(s.violations) == 0 {
-		s.actOnce(nil)
-		if served == 0 && s.ackedCount > acked+2 {
-			served = s.now - begun
-		}
-		if !noOtherFaults && s.random.IntN(500) == 0 {
-			s.injectFault()
-		}
-	}
+	served := s.timeToServe(longPartitionTime, !noOtherFaults)
 	const bound = 8 * time.Second
 	if noOtherFaults && (served == 0 || served > bound) {
 		s.traceStatus()
@@ -87,16 +78,7 @@
 	}
 	hasMajority := 2*inHalf > len(members) || 2*(len(members)-inHalf) > len(members)
 	noOtherFaults := s.random.IntN(2) == 0
-	begun, acked, served := s.now, s.ackedCount, time.Duration(0)
-	for s.now-begun < splitTime && len(s.violations) == 0 {
-		s.actOnce(nil)
-		if served == 0 && s.ackedCount > acked+2 {
-			served = s.now - begun
-		}
-		if !noOtherFaults && s.random.IntN(500) == 0 {
-			s.injectFault()
-		}
-	}
+	served := s.timeToServe(splitTime, !noOtherFaults)
 	if hasMajority && noOtherFaults && (served == 0 || served > servesWithin) {
 		s.traceStatus()
 		s.violationf("split in halves, the one with a majority acknowledged after %v (0: never)", served)
@@ -107,6 +89,21 @@
 	clear(s.longPartition)
 }
 
+// timeToServe lets time pass, perhaps with single faults, and returns after how long changes were acknowledged; 0: never.
+func (s *groupSim) timeToServe(duration time.Duration, withFaults bool) (served time.Duration) {
+	begun, acked := s.now, s.ackedCount
+	for s.now-begun < duration && len(s.violations) == 0 {
+		s.actOnce(nil)
+		if served == 0 && s.ackedCount > acked+2 {
+			served = s.now - begun
+		}
+		if withFaults && s.random.IntN(500) == 0 {
+			s.injectFault()
+		}
+	}
+	return served
+}
+
 // scheduleRestarts has the isolated node, or some of the others, restart during the partition.
 func (s *groupSim) scheduleRestarts(node *groupSimNode) {
 	if s.random.IntN(2) == 0 {
--- a/internal/control/storage/disk_test.go
+++ b/internal/control/storage/disk_test.go
@@ -63,3 +63,24 @@
 	d.files[name] = d.files[name][:size]
 	return nil
 }
+
+// clone returns a disk of the same content, whose power isn't lost.
+func (d *memoryDisk) clone() *memoryDisk {
+	copied := newMemoryDisk(noLimit)
+	for name, content := range d.files {
+		copied.files[name] = bytes.Clone(content)
+	}
+	return copied
+}
+
+// forEachFlippedBit calls a function with a copy of the disk for each byte of each file, in which a bit of that byte is
+// flipped.
+func (d *memoryDisk) forEachFlippedBit(check func(name string, i int, disk *memoryDisk)) {
+	for name, content := range d.files {
+		for i := range content {
+			disk := d.clone()
+			disk.files[name][i] ^= 0x10
+			check(name, i, disk)
+		}
+	}
+}
--- a/internal/control/storage/replace_test.go
+++ b/internal/control/storage/replace_test.go
@@ -12,23 +12,16 @@
 // corruptedDisks returns every disk that differs from an intact one by a flipped bit, and is found to be corrupted.
 func corruptedDisks(t *testing.T, intact *memoryDisk) (disks []*memoryDisk) {
 	t.Helper()
-	for name, content := range intact.files {
-		for i := range content {
-			disk := newMemoryDisk(noLimit)
-			for name, content := range intact.files {
-				disk.files[name] = bytes.Clone(content)
-			}
-			disk.files[name][i] ^= 0x10
-			_, _, err := Open(disk)
-			if err == nil {
-				continue
-			}
-			if !errors.Is(err, ErrCorrupted) || errs.KindOf(err) != errs.DiskFailure {
-				t.Fatalf("%s byte %d: %v", name, i, err)
-			}
-			disks = append(disks, disk)
+	intact.forEachFlippedBit(func(name string, i int, disk *memoryDisk) {
+		_, _, err := Open(disk)
+		if err == nil {
+			return
 		}
-	}
+		if !errors.Is(err, ErrCorrupted) || errs.KindOf(err) != errs.DiskFailure {
+			t.Fatalf("%s byte %d: %v", name, i, err)
+		}
+		disks = append(disks, disk)
+	})
 	return disks
 }
 
@@ -44,10 +37,7 @@
 	replaced := 0
 	for _, corrupted := range disks {
 		for budget := 0; ; budget += 1 + budget/8 {
-			disk := newMemoryDisk(noLimit)
-			for name, content := range corrupted.files {
-				disk.files[name] = bytes.Clone(content)
-			}
+			disk := corrupted.clone()
 			disk.writeBudget = budget
 			done := replaceDisk(disk)
 			disk.writeBudget = noLimit
--- a/internal/control/storage/storage_test.go
+++ b/internal/control/storage/storage_test.go
@@ -1,7 +1,6 @@
 package storage
 
 import (
-	"bytes"
 	"fmt"
 	"testing"
 
@@ -76,30 +75,23 @@
 	intact := newMemoryDisk(noLimit)
 	want := runWorkload(intact)
 	rejected, torn := 0, 0
-	for name, content := range intact.files {
-		for i := range content {
-			disk := newMemoryDisk(noLimit)
-			for name, content := range intact.files {
-				disk.files[name] = bytes.Clone(content)
-			}
-			disk.files[name][i] ^= 0x10
-			_, recovered, err := Open(disk)
-			got := lastIndex(recovered)
-			switch {
-			case err != nil && errs.KindOf(err) != errs.DiskFailure:
-				t.Fatalf("%s byte %d: kind %s", name, i, errs.KindOf(err).Name)
-			case err != nil:
-				rejected++
-			case recovered.TornBytes > 0:
-				torn++
-				if got != want-1 {
-					t.Fatalf("%s byte %d: %d records recovered, want %d", name, i, got, want-1)
-				}
-			case got != want:
-				t.Fatalf("%s byte %d: %d of %d records recovered without an error", name, i, got, want)
+	intact.forEachFlippedBit(func(name string, i int, disk *memoryDisk) {
+		_, recovered, err := Open(disk)
+		got := lastIndex(recovered)
+		switch {
+		case err != nil && errs.KindOf(err) != errs.DiskFailure:
+			t.Fatalf("%s byte %d: kind %s", name, i, errs.KindOf(err).Name)
+		case err != nil:
+			rejected++
+		case recovered.TornBytes > 0:
+			torn++
+			if got != want-1 {
+				t.Fatalf("%s byte %d: %d records recovered, want %d", name, i, got, want-1)
 			}
+		case got != want:
+			t.Fatalf("%s byte %d: %d of %d records recovered without an error", name, i, got, want)
 		}
-	}
+	})
 	if rejected < 50 || torn == 0 {
 		t.Fatalf("rejected %d, torn %d: too few of the flipped bits had an effect", rejected, torn)
 	}
