--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -16,7 +16,7 @@
 	"pebbleloom/api/operator"
 	"pebbleloom/internal/control/serviceconfig"
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 func getConfig(ctx context.Context, c *operator.Client, _ *invocation, _ io.Reader) (any, error) {
@@ -232,7 +232,7 @@
 		for _, node := range result.Workers {
 			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\n", node.Name, node.Service, node.District, node.Addr, node.State, node.Weights, optional(node.Busy), optional(node.Queued), node.Slots)
 		}
-		for _, model := range queue.Keys(result.Named.Or(nil)) {
+		for _, model := range maputil.SortedKeys(result.Named.Or(nil)) {
 			fmt.Fprintf(table, "named weights of %s: %d\n", model, result.Named.Value[model])
 		}
 		fmt.Fprintf(table, "as seen by %s\n", result.SeenBy)
--- a/internal/control/clustermembership/merge.go
+++ b/internal/control/clustermembership/merge.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/wire"
 )
 
@@ -77,7 +77,7 @@
 	}
 	c.peers[report.Name] = &peer{
 		node:          clone(report),
-		position:      queue.Hash(report.Name),
+		position:      rendezvous.Hash(report.Name),
 		changedAt:     now,
 		lastContact:   now,
 		transmitsLeft: c.retransmitLimit(),
--- a/internal/control/clustermembership/ring.go
+++ b/internal/control/clustermembership/ring.go
@@ -4,7 +4,7 @@
 	"slices"
 	"sort"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/wire"
 )
 
@@ -17,7 +17,7 @@
 // ring lists all nodes that aren't dead, by position.
 func (c *Core) ring() []ringNode {
 	ring := make([]ringNode, 0, len(c.peers)+1)
-	ring = append(ring, ringNode{queue.Hash(c.self.Name), c.self})
+	ring = append(ring, ringNode{rendezvous.Hash(c.self.Name), c.self})
 	for _, p := range c.peers {
 		if p.node.State != Dead {
 			ring = append(ring, ringNode{p.position, p.node})
@@ -69,7 +69,7 @@
 	add := func(n *wire.Node, position uint64) {
 		sum += (position ^ n.Incarnation*incarnationFactor) * uint64(n.State*2+3)
 	}
-	add(c.self, queue.Hash(c.self.Name))
+	add(c.self, rendezvous.Hash(c.self.Name))
 	for _, p := range c.peers {
 		if p.node.State != Dead { // views forget dead nodes at different times
 			add(p.node, p.position)
--- a/internal/control/controlclient/shards.go
+++ b/internal/control/controlclient/shards.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 )
 
 // ShardCount is the number of shards of the control state. Shard 0 holds the configuration.
@@ -19,7 +19,7 @@
 // ShardOf returns the shard that holds a service's documents.
 //
 // Example: controlclient.ShardOf("appraisals")
-func ShardOf(service string) uint32 { return 1 + uint32(queue.Hash(service)%(ShardCount-1)) }
+func ShardOf(service string) uint32 { return 1 + uint32(rendezvous.Hash(service)%(ShardCount-1)) }
 
 // Members names the three of the four control nodes that replicate a shard; all, where there are fewer.
 //
--- a/internal/control/controllers/documents.go
+++ b/internal/control/controllers/documents.go
@@ -8,7 +8,7 @@
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -97,7 +97,7 @@
 // sequence is the order in which documents are written: the worker list first, so that a worker isn't
 // back in service before its weights are published.
 func (p pendingWrites) sequence() []string {
-	keys := queue.Keys(p.bodies)
+	keys := maputil.SortedKeys(p.bodies)
 	for i, key := range keys {
 		if key == fleet.WorkersKey {
 			copy(keys[1:i+1], keys[:i])
--- a/internal/control/controllers/machine_test.go
+++ b/internal/control/controllers/machine_test.go
@@ -13,7 +13,7 @@
 	"pebbleloom/internal/data/backend"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/wire"
 )
 
@@ -165,7 +165,7 @@
 func (m *coreMachine) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadResponse, error) {
 	response := &wire.ReadResponse{Outcome: wire.OutcomeDone}
 	err := m.call(ctx, callRead, func() error {
-		for _, key := range queue.Keys(m.site.documents) {
+		for _, key := range maputil.SortedKeys(m.site.documents) {
 			if key == request.Key || request.Prefix && strings.HasPrefix(key, request.Key) {
 				response.Documents = append(response.Documents, proto.Clone(m.site.documents[key]).(*wire.Document))
 			}
@@ -181,7 +181,7 @@
 		if site.listReads++; site.listDown {
 			return errs.New(errs.Overloaded, "called too often")
 		}
-		ids := queue.Keys(site.workers)
+		ids := maputil.SortedKeys(site.workers)
 		if i := slices.Index(ids, page); i > 0 {
 			ids = ids[i:]
 		}
--- a/internal/control/controllers/rollout.go
+++ b/internal/control/controllers/rollout.go
@@ -5,7 +5,7 @@
 
 	"pebbleloom/internal/data/backend"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/settings"
 )
 
@@ -132,7 +132,7 @@
 	if worker.Draining || !inputs.UpdatedServices[worker.Service] {
 		return "", 0
 	}
-	for _, model := range queue.Keys(worker.Weights) {
+	for _, model := range maputil.SortedKeys(worker.Weights) {
 		if named := inputs.NamedVersions[model]; named > worker.Weights[model] {
 			return model, named
 		}
@@ -154,7 +154,7 @@
 		}
 	}
 	r.pruneLoads(inputs, listed)
-	for _, service := range queue.Keys(byService) {
+	for _, service := range maputil.SortedKeys(byService) {
 		r.stepService(inputs, byService[service], &actions)
 	}
 	r.collectLoads(inputs.Now, &actions)
@@ -163,7 +163,7 @@
 
 // collectLoads adds the workers to cordon and the reports that are due.
 func (r *Rollout) collectLoads(now time.Duration, actions *RolloutActions) {
-	for _, id := range queue.Keys(r.loads) {
+	for _, id := range maputil.SortedKeys(r.loads) {
 		load := r.loads[id]
 		service := load.worker.Service
 		actions.Cordoned[service] = append(actions.Cordoned[service], id)
--- a/internal/control/controllers/site_test.go
+++ b/internal/control/controllers/site_test.go
@@ -14,7 +14,7 @@
 	"pebbleloom/internal/control/routingconfig"
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -153,7 +153,7 @@
 	processes := s.processes
 	s.mu.Unlock()
 	s.stopping.Wait()
-	for _, name := range queue.Keys(processes) {
+	for _, name := range maputil.SortedKeys(processes) {
 		if processes[name].Ctx.Err() == nil {
 			processes[name].Stop(0)
 		}
@@ -175,7 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var view clustermembership.View
-	for _, name := range queue.Keys(s.processes) {
+	for _, name := range maputil.SortedKeys(s.processes) {
 		node := &wire.Node{Name: clustermembership.RolePromptIndex + "/" + name, Role: clustermembership.RolePromptIndex}
 		if at, ok := s.dead[name]; ok && s.clock.Now()-at > 4*time.Second {
 			node.State = clustermembership.Dead
--- a/internal/control/controllers/workerlist.go
+++ b/internal/control/controllers/workerlist.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // WorkerList is the site's list of workers, as its document holds it. It follows the platform's list,
@@ -103,7 +103,7 @@
 // Example: body, err := json.Marshal(list.Document())
 func (l *WorkerList) Document() fleet.WorkerList {
 	document := fleet.WorkerList{Workers: make([]fleet.Worker, 0, len(l.entries))}
-	for _, id := range queue.Keys(l.entries) {
+	for _, id := range maputil.SortedKeys(l.entries) {
 		document.Workers = append(document.Workers, l.entries[id].worker)
 	}
 	return document
--- a/internal/control/controlstate/idempotency.go
+++ b/internal/control/controlstate/idempotency.go
@@ -7,7 +7,7 @@
 
 	"pebbleloom/internal/control/controlclient"
 	"pebbleloom/internal/control/routingconfig"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/wire"
 )
 
@@ -177,7 +177,7 @@
 
 // saveIdempotency returns the records of all documents, in the order of their keys.
 func (s *state) saveIdempotency() (all []*wire.AcceptedChanges) {
-	for _, key := range queue.Keys(s.idempotency) {
+	for _, key := range maputil.SortedKeys(s.idempotency) {
 		all = append(all, s.idempotency[key].save(key))
 	}
 	return all
--- a/internal/control/controlstate/read.go
+++ b/internal/control/controlstate/read.go
@@ -4,7 +4,7 @@
 	"context"
 	"strings"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/wire"
 )
 
@@ -65,13 +65,13 @@
 // keys.
 func (s *shard) selectDocuments(request *wire.ReadRequest) ([]*wire.Document, []*wire.Lease) {
 	var documents []*wire.Document
-	for _, key := range queue.Keys(s.state.documents) {
+	for _, key := range maputil.SortedKeys(s.state.documents) {
 		if key == request.Key || request.Prefix && strings.HasPrefix(key, request.Key) {
 			documents = append(documents, s.state.documents[key])
 		}
 	}
 	var leases []*wire.Lease
-	for _, key := range queue.Keys(s.state.leases) {
+	for _, key := range maputil.SortedKeys(s.state.leases) {
 		leases = append(leases, s.state.leases[key])
 	}
 	return documents, leases
--- a/internal/control/controlstate/sim_group_step_test.go
+++ b/internal/control/controlstate/sim_group_step_test.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pebbleloom/internal/control/controlclient"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/wire"
 )
 
@@ -169,7 +169,7 @@
 
 // gossip has a node and one that it knows exchange the addresses that they know.
 func (s *groupSim) gossip(node *groupSimNode) {
-	addrs := queue.Keys(node.knownAddrs)
+	addrs := maputil.SortedKeys(node.knownAddrs)
 	peer := s.node(addrs[s.random.IntN(len(addrs))])
 	if peer == node || !s.isRunning(peer) || s.callFails(node.addr, peer.addr) {
 		return
@@ -204,7 +204,7 @@
 
 // join requests to join from a node that this one knows of, then from the leader that it names.
 func (s *groupSim) join(node *groupSimNode) {
-	addrs := queue.Keys(node.knownAddrs)
+	addrs := maputil.SortedKeys(node.knownAddrs)
 	members, _, _ := node.shard.core.Members()
 	for _, member := range members {
 		addrs = append(addrs, controlclient.MemberAddr(member))
--- a/internal/control/controlstate/start_fixed.go
+++ b/internal/control/controlstate/start_fixed.go
@@ -12,6 +12,7 @@
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/wire"
 )
 
@@ -104,7 +105,7 @@
 		ElectionTicks:    fixedElectionTicks,
 		MaxBatchBytes:    maxMessageBatchBytes,
 		TrailingLogBytes: trailingLogBytes,
-		Rand:             rand.New(rand.NewPCG(n.process.Seed(), uint64(shardID)+queue.Hash(name))),
+		Rand:             rand.New(rand.NewPCG(n.process.Seed(), uint64(shardID)+rendezvous.Hash(name))),
 	}
 }
 
--- a/internal/control/controlstate/start_group.go
+++ b/internal/control/controlstate/start_group.go
@@ -10,7 +10,7 @@
 	"pebbleloom/internal/control/operatorapi"
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/data/backend"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -77,7 +77,7 @@
 			ElectionTicks:    electionTicks,
 			MaxBatchBytes:    maxMessageBatchBytes,
 			TrailingLogBytes: trailingLogBytes,
-			Rand:             rand.New(rand.NewPCG(process.Seed(), queue.Hash(process.Settings.Name))),
+			Rand:             rand.New(rand.NewPCG(process.Seed(), rendezvous.Hash(process.Settings.Name))),
 		},
 		initialSnapshot: func(lost bool) *wire.Snapshot {
 			return initialGroupSnapshot(site.FirstStart && !lost, address, process.Settings.Seeds, process.Seed)
--- a/internal/control/controlstate/state.go
+++ b/internal/control/controlstate/state.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -76,10 +76,10 @@
 // save encodes the state for a snapshot. Equal states have equal encodings.
 func (s *state) save() ([]byte, error) {
 	saved := &wire.ShardState{Format: stateFormat, Tokens: s.recentTokens, Claims: s.claims.save(), AgeNs: s.claims.age, Accepted: s.saveIdempotency()}
-	for _, key := range queue.Keys(s.documents) {
+	for _, key := range maputil.SortedKeys(s.documents) {
 		saved.Documents = append(saved.Documents, s.documents[key])
 	}
-	for _, name := range queue.Keys(s.leases) {
+	for _, name := range maputil.SortedKeys(s.leases) {
 		saved.Leases = append(saved.Leases, s.leases[name])
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(saved)
--- a/internal/control/operatorapi/group_status.go
+++ b/internal/control/operatorapi/group_status.go
@@ -9,7 +9,7 @@
 	"pebbleloom/internal/control/clustermembership"
 	"pebbleloom/internal/data/promptindex"
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/wire"
 )
 
@@ -104,10 +104,10 @@
 	}
 	report.addFact("workers", "%d: %d up, %d draining, %d set aside for new weights, %d behind the named weights", len(s.workers),
 		states[workerUp], states[workerDraining], states[workerRolling], states[workerOutdated])
-	for _, model := range queue.Keys(s.named) {
+	for _, model := range maputil.SortedKeys(s.named) {
 		report.addFact("weights of "+model, "version %d named, %d workers behind", s.named[model], outdated[model])
 	}
-	for _, model := range queue.Keys(outdated) {
+	for _, model := range maputil.SortedKeys(outdated) {
 		report.addProblem("older-weights", model, fmt.Sprintf("%d of %d workers aren't on the named weights %d yet", outdated[model], len(s.workers), s.named[model]),
 			"wait for the rollout; else see the log of the machine that holds the lease", runbookOutdatedWeights)
 	}
--- a/internal/control/operatorapi/group_workers.go
+++ b/internal/control/operatorapi/group_workers.go
@@ -7,7 +7,7 @@
 	"pebbleloom/internal/data/placement"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/wire"
 )
 
@@ -57,7 +57,7 @@
 
 // outdatedModel returns a model of which a worker serves older weights than are named; "" if none.
 func (s *workerDocuments) outdatedModel(worker fleet.Worker) string {
-	for _, model := range queue.Keys(worker.Weights) {
+	for _, model := range maputil.SortedKeys(worker.Weights) {
 		if worker.Weights[model] < s.named[model] {
 			return model
 		}
@@ -101,7 +101,7 @@
 	list := &operator.WorkerList{SeenBy: "the control state", Workers: []operator.WorkerListWorkersItem{}}
 	for _, worker := range state.workers {
 		model := state.outdatedModel(worker)
-		if models := queue.Keys(worker.Weights); model == "" && len(models) > 0 {
+		if models := maputil.SortedKeys(worker.Weights); model == "" && len(models) > 0 {
 			model = models[0]
 		}
 		list.Workers = append(list.Workers, operator.WorkerListWorkersItem{Name: worker.ID, Addr: worker.Addr, Service: worker.Service, District: worker.Zone,
--- a/internal/control/operatorapi/status.go
+++ b/internal/control/operatorapi/status.go
@@ -10,7 +10,7 @@
 	"pebbleloom/internal/control/controlclient"
 	"pebbleloom/internal/data/updatestream"
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/wire"
 )
 
@@ -133,7 +133,7 @@
 			}
 		}
 	}
-	for _, model := range queue.Keys(outdated) {
+	for _, model := range maputil.SortedKeys(outdated) {
 		named := snapshot.Weights[model].Version
 		report.addProblem("older-weights", model, fmt.Sprintf("%d of %d workers aren't on the named weights %d yet", outdated[model], modelWorkers, named),
 			"wait for the rollout; else see the placement controllers' logs", runbookOutdatedWeights)
--- a/internal/control/retire/abort.go
+++ b/internal/control/retire/abort.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"pebbleloom/internal/contract"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // advanceAbort makes a step of reverting a retirement: routes first, then requests that still run on the
@@ -27,7 +27,7 @@
 // revertedRoutes is the change of the routes that restores their previous targets.
 func (e *evaluation) revertedRoutes() jsonObject {
 	patch := jsonObject{}
-	for _, route := range queue.Keys(e.retirement.PreviousTargets) {
+	for _, route := range maputil.SortedKeys(e.retirement.PreviousTargets) {
 		if _, ok := e.observed.Config.Routes[route]; !ok {
 			continue
 		}
--- a/internal/control/retire/fleet_test.go
+++ b/internal/control/retire/fleet_test.go
@@ -9,7 +9,7 @@
 
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/control/serviceconfig"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 const (
@@ -76,7 +76,7 @@
 // report is what the node reports to have loaded; falselyReported says which of it isn't true.
 func (n *testNode) report() []contract.LoadedModel {
 	var report []contract.LoadedModel
-	for _, model := range queue.Keys(n.loaded) {
+	for _, model := range maputil.SortedKeys(n.loaded) {
 		loaded := n.loaded[model]
 		loaded.Adapters = maps.Clone(loaded.Adapters)
 		report = append(report, loaded)
--- a/internal/control/retire/phases.go
+++ b/internal/control/retire/phases.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"pebbleloom/internal/contract"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // jsonObject is a part of a patch of the service configuration; null removes a field.
@@ -156,7 +156,7 @@
 	if len(moves) == 0 {
 		return true
 	}
-	e.addBlocker(queue.Keys(moves)[0], "this route is answered on the old base again", noActionPrefix+": it is moved as well")
+	e.addBlocker(maputil.SortedKeys(moves)[0], "this route is answered on the old base again", noActionPrefix+": it is moved as well")
 	e.enterPhase(StateRunning, PhaseMove)
 	e.retirement.TrafficStep = len(e.retirement.trafficSteps()) - 1
 	return false
@@ -165,7 +165,7 @@
 // dropOldBase unloads the old base from the nodes, a few at once.
 func (e *evaluation) dropOldBase(ready bool) {
 	if moves := e.retirement.routeMoves(e.observed.Config); len(moves) > 0 {
-		e.addBlocker(queue.Keys(moves)[0], "this route is answered on the old base again, which is leaving", "lead it to "+e.retirement.NewBase+": pebblectl config patch")
+		e.addBlocker(maputil.SortedKeys(moves)[0], "this route is answered on the old base again, which is leaving", "lead it to "+e.retirement.NewBase+": pebblectl config patch")
 		return
 	}
 	loaded := e.nodesWithOldBase()
@@ -183,7 +183,7 @@
 		e.addBlocker(node, "it drops the old base", remedySeeWorkerLog)
 		e.addOrder(*loaded[node], contract.Order{Kind: OrderUnload, Model: e.retirement.OldBase})
 	}
-	for _, node := range queue.Keys(loaded) {
+	for _, node := range maputil.SortedKeys(loaded) {
 		if len(e.retirement.Dropping) >= e.retirement.concurrency() {
 			break
 		}
--- a/internal/control/retire/validate.go
+++ b/internal/control/retire/validate.go
@@ -7,7 +7,7 @@
 
 	"pebbleloom/internal/control/serviceconfig"
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // Limits of a retirement's fields.
@@ -108,7 +108,7 @@
 	if service.Model != r.OldBase {
 		fault("from", "service %s has base model %s: name that one", r.Service, service.Model)
 	}
-	for _, name := range queue.Keys(config.Services) {
+	for _, name := range maputil.SortedKeys(config.Services) {
 		if base := config.Services[name].Model; name != r.Service && (base == r.OldBase || base == r.NewBase) {
 			fault("service", "service %s has base model %s as well: hand it over first, so that one retirement holds for all its nodes", name, base)
 		}
@@ -127,7 +127,7 @@
 			fault("replace."+name, "adapter %s depends on %s and has no replacement: name the adapter that was built for %s", name, r.OldBase, r.NewBase)
 		}
 	}
-	for _, name := range queue.Keys(config.Adapters) {
+	for _, name := range maputil.SortedKeys(config.Adapters) {
 		if adapter := config.Adapters[name]; adapter.BaseModel == r.OldBase && !slices.Contains(adapter.Services, r.Service) {
 			fault("replace."+name, "adapter %s depends on %s and is held by no worker of %s: add the service to adapters.%s.services, or take the adapter out", name, r.OldBase, r.Service, name)
 		}
@@ -137,7 +137,7 @@
 // validateReplacements records every replacement that doesn't fit the adapter that it replaces.
 func (r *Retirement) validateReplacements(config *serviceconfig.Config, fault faultRecorder) {
 	replacedBy := map[string]string{}
-	for _, name := range queue.Keys(r.Replacements) {
+	for _, name := range maputil.SortedKeys(r.Replacements) {
 		path, replacement := "replace."+name, r.Replacements[name]
 		if adapter, ok := config.Adapters[name]; !ok || adapter.BaseModel != r.OldBase {
 			fault(path, "%s is no adapter on %s: leave it out", name, r.OldBase)
@@ -154,7 +154,7 @@
 		case replacedBy[replacement] != "":
 			fault(path, "%s replaces %s already: name one for each", replacement, replacedBy[replacement])
 		}
-		for _, tenant := range queue.Keys(config.Tenants) {
+		for _, tenant := range maputil.SortedKeys(config.Tenants) {
 			if ok && config.Allows(name, tenant) && !config.Allows(replacement, tenant) {
 				fault(path, "%s isn't for tenant %s, which %s is for: add the tenant to adapters.%s.tenants", replacement, tenant, name, replacement)
 			}
@@ -166,7 +166,7 @@
 // validateRoutes records every route that would be left without a model, including those of other services.
 func (r *Retirement) validateRoutes(config *serviceconfig.Config, fault faultRecorder) {
 	moves := r.routeMoves(config)
-	for _, name := range queue.Keys(config.Routes) {
+	for _, name := range maputil.SortedKeys(config.Routes) {
 		path, route := "ways."+name, config.Routes[name]
 		answeredBy := route.DefaultTarget(name)
 		newTarget, moved := moves[name]
--- a/internal/control/retire/weightset.go
+++ b/internal/control/retire/weightset.go
@@ -7,7 +7,7 @@
 
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/control/serviceconfig"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // fingerprintBytes is how many bytes of the hash a set's fingerprint keeps.
@@ -90,7 +90,7 @@
 // dependentAdapters lists a service's adapters on a base, sorted by name.
 func dependentAdapters(config *serviceconfig.Config, service, base string) []string {
 	var names []string
-	for _, name := range queue.Keys(config.Adapters) {
+	for _, name := range maputil.SortedKeys(config.Adapters) {
 		if adapter := config.Adapters[name]; adapter.BaseModel == base && slices.Contains(adapter.Services, service) {
 			names = append(names, name)
 		}
--- a/internal/control/routingconfig/lookup.go
+++ b/internal/control/routingconfig/lookup.go
@@ -4,7 +4,7 @@
 	"slices"
 	"strings"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 )
 
 // hostRoutes holds the routes of one host. A lookup probes once per slash of a path, and no further
@@ -130,7 +130,7 @@
 	if total == 0 {
 		return ""
 	}
-	remaining := int(queue.Hash(attemptID) % uint64(total))
+	remaining := int(rendezvous.Hash(attemptID) % uint64(total))
 	for _, weighted := range r.Split {
 		if remaining -= max(weighted.Weight, 0); remaining < 0 {
 			return weighted.Service
--- a/internal/control/serviceconfig/check.go
+++ b/internal/control/serviceconfig/check.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // Bounds of the values that operators may write.
@@ -60,7 +60,7 @@
 
 func (c *Config) checkTenants(faults faultRecorder) {
 	tenantOf := map[string]string{} // by key
-	for _, name := range queue.Keys(c.Tenants) {
+	for _, name := range maputil.SortedKeys(c.Tenants) {
 		tenant, path := c.Tenants[name], "tenants."+name
 		faults.checkName(path, name)
 		if tenant.RequestsPerSecond < 0 || tenant.MaxInFlight < 0 {
@@ -81,13 +81,13 @@
 // checkModels reports the faults of all models' names and weights first, and then those of their
 // memory, in the order of the first release.
 func (c *Config) checkModels(faults faultRecorder) {
-	for _, name := range queue.Keys(c.Models) {
+	for _, name := range maputil.SortedKeys(c.Models) {
 		faults.checkName("models."+name, name)
 		if c.Models[name].Weights == 0 {
 			faults.add("models."+name+".weights", "missing: name the weights' version, from 1")
 		}
 	}
-	for _, name := range queue.Keys(c.Models) {
+	for _, name := range maputil.SortedKeys(c.Models) {
 		if memory := c.Models[name].MemoryMB; memory < 0 {
 			faults.add("models."+name+".room", giveMemory, memory)
 		}
@@ -95,7 +95,7 @@
 }
 
 func (c *Config) checkAdapters(faults faultRecorder) {
-	for _, name := range queue.Keys(c.Adapters) {
+	for _, name := range maputil.SortedKeys(c.Adapters) {
 		adapter, path := c.Adapters[name], "adapters."+name
 		faults.checkName(path, name)
 		if _, ok := c.Models[name]; ok {
@@ -127,7 +127,7 @@
 }
 
 func (c *Config) checkServices(faults faultRecorder) {
-	for _, name := range queue.Keys(c.Services) {
+	for _, name := range maputil.SortedKeys(c.Services) {
 		service, path := c.Services[name], "services."+name
 		faults.checkName(path, name)
 		if _, ok := c.Models[service.Model]; !ok {
@@ -156,7 +156,7 @@
 }
 
 func (c *Config) checkRoutes(faults faultRecorder) {
-	for _, name := range queue.Keys(c.Routes) {
+	for _, name := range maputil.SortedKeys(c.Routes) {
 		route, path := c.Routes[name], "ways."+name
 		if _, ok := c.Services[route.Service]; !ok {
 			faults.add(path+".service", nameAService, route.Service)
--- a/internal/control/serviceconfig/lookup.go
+++ b/internal/control/serviceconfig/lookup.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 )
 
 // Target is the set of weights that answers one request.
@@ -15,7 +15,7 @@
 }
 
 // percentOf maps a key to 0..99, the same on all machines.
-func percentOf(key string) int { return int(queue.Hash(key) % 100) }
+func percentOf(key string) int { return int(rendezvous.Hash(key) % 100) }
 
 // ServiceFor returns the service of one request: a request ID always gets the same service under one
 // configuration.
--- a/internal/control/serviceconfig/render.go
+++ b/internal/control/serviceconfig/render.go
@@ -12,7 +12,7 @@
 	jsonpatch "github.com/evanphx/json-patch/v5"
 
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // Template is a service configuration with parameters: strings in it may contain {{.name}}. A string
@@ -90,14 +90,14 @@
 }
 
 func (r *renderer) checkParameters() {
-	for _, name := range queue.Keys(r.known) {
+	for _, name := range maputil.SortedKeys(r.known) {
 		if _, ok := r.parameters[name]; !ok {
 			r.faults.Addf(errs.BadInput, "parameter %s is missing (%s): give --set %s=…", name, r.known[name], name)
 		}
 	}
-	for _, name := range queue.Keys(r.parameters) {
+	for _, name := range maputil.SortedKeys(r.parameters) {
 		if _, ok := r.known[name]; !ok {
-			r.faults.Addf(errs.BadInput, "parameter %s is unknown: this template takes %v", name, queue.Keys(r.known))
+			r.faults.Addf(errs.BadInput, "parameter %s is unknown: this template takes %v", name, maputil.SortedKeys(r.known))
 		}
 	}
 }
--- a/internal/control/serviceconfig/successor.go
+++ b/internal/control/serviceconfig/successor.go
@@ -2,7 +2,7 @@
 
 import (
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // CheckSuccessor checks an encoded service configuration against the one in force: the version of a
@@ -23,7 +23,7 @@
 		return err
 	}
 	var faults errs.Batch
-	for _, name := range queue.Keys(newConfig.Models) {
+	for _, name := range maputil.SortedKeys(newConfig.Models) {
 		oldWeights, newWeights := oldConfig.Models[name].Weights, newConfig.Models[name].Weights
 		if newWeights < oldWeights {
 			faults.Addf(errs.BadInput, "models.%s.weights: %d are older than %d in force: name a later version", name, newWeights, oldWeights)
--- a/internal/data/agent/table.go
+++ b/internal/data/agent/table.go
@@ -11,7 +11,7 @@
 	"pebbleloom/internal/data/backend"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -73,7 +73,7 @@
 	for _, key := range []string{routingconfig.DocumentKey, fleet.WorkersKey, fleet.WeightsKey, fleet.PlacementKey} {
 		request.Known = append(request.Known, &wire.KnownVersion{Key: key, Version: t.versions[key]})
 	}
-	for _, key := range queue.Keys(t.versions) {
+	for _, key := range maputil.SortedKeys(t.versions) {
 		if isPlacement(key) {
 			request.Known = append(request.Known, &wire.KnownVersion{Key: key, Version: t.versions[key]})
 		}
--- a/internal/data/indexclient/table.go
+++ b/internal/data/indexclient/table.go
@@ -7,7 +7,8 @@
 
 	"pebbleloom/internal/data/prefix"
 	"pebbleloom/internal/data/promptindex"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/wire"
 )
 
@@ -119,7 +120,7 @@
 
 // bestNode is the index node to ask next; "" if there is none.
 func (t *table) bestNode(keyCounts map[string]int, now time.Duration) (best string) {
-	for _, node := range queue.Keys(keyCounts) {
+	for _, node := range maputil.SortedKeys(keyCounts) {
 		if best == "" || t.isPreferred(node, best, keyCounts, now) {
 			best = node
 		}
@@ -140,7 +141,7 @@
 	if t.sameZone[a] != t.sameZone[b] {
 		return t.sameZone[a]
 	}
-	return queue.Hash(t.client.name+a) > queue.Hash(t.client.name+b)
+	return rendezvous.Hash(t.client.name+a) > rendezvous.Hash(t.client.name+b)
 }
 
 // recordResult records whether an index node responded in time, with all answers, and warm.
--- a/internal/data/nodeagent/updates.go
+++ b/internal/data/nodeagent/updates.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pebbleloom/internal/data/updatestream"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/wire"
 )
 
@@ -115,10 +115,10 @@
 		return response
 	}
 	response.Nodes, response.Workers = t.membership.Nodes, t.rows
-	for _, service := range queue.Keys(t.placements) {
+	for _, service := range maputil.SortedKeys(t.placements) {
 		response.Placements = append(response.Placements, t.placements[service])
 	}
-	for _, class := range queue.Keys(t.links) {
+	for _, class := range maputil.SortedKeys(t.links) {
 		link := t.links[class]
 		response.Links = append(response.Links, &wire.LinkThroughput{Class: link.Class, Tokens: link.Tokens, ElapsedNs: link.ElapsedNs})
 	}
--- a/internal/data/nodeagent/workers.go
+++ b/internal/data/nodeagent/workers.go
@@ -8,7 +8,7 @@
 
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/data/updatestream"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/wire"
 )
@@ -137,7 +137,7 @@
 //
 // Example: for _, worker := range w.StartProbes() { go probe(worker) }
 func (workers *WorkerTable) StartProbes() (due []contract.ListedWorker) {
-	for _, name := range queue.Keys(workers.workers) {
+	for _, name := range maputil.SortedKeys(workers.workers) {
 		if known := workers.workers[name]; !known.isProbing {
 			known.isProbing = true
 			due = append(due, known.listed)
@@ -178,7 +178,7 @@
 //
 // Example: rows := w.Rows(config.Draining, now)
 func (workers *WorkerTable) Rows(draining map[string]bool, now time.Duration) (rows []*wire.Worker) {
-	for _, name := range queue.Keys(workers.workers) {
+	for _, name := range maputil.SortedKeys(workers.workers) {
 		known := workers.workers[name]
 		state := known.state
 		rows = append(rows, &wire.Worker{Name: name, Addr: known.listed.Addr, Service: known.listed.Service, Model: state.Model, Zone: known.listed.Zone,
--- a/internal/data/placement/placement.go
+++ b/internal/data/placement/placement.go
@@ -11,7 +11,7 @@
 	"pebbleloom/internal/control/serviceconfig"
 	"pebbleloom/internal/data/prefix"
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 )
 
 // Mode is how a service's prefixes are placed, as the service configuration names it.
@@ -96,5 +96,5 @@
 //
 // Example: shardWorker := placement.RankShardWorkers(entry.Key, names)[0]
 func RankShardWorkers(key prefix.Key, workers []string) []string {
-	return queue.Rendezvous(key.String(), workers)
+	return rendezvous.Order(key.String(), workers)
 }
--- a/internal/data/promptindex/eventfollower.go
+++ b/internal/data/promptindex/eventfollower.go
@@ -8,7 +8,7 @@
 	"pebbleloom/internal/data/backend"
 	"pebbleloom/internal/data/prefix"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 )
 
 // Timing of the polls of a site's workers, as ratios of the heal bound: each call costs the worker.
@@ -151,7 +151,7 @@
 func (f *eventFollower) poll(c *Core, target pollTarget, now time.Duration) {
 	due, isKnown := f.nextPoll[target.name]
 	if !isKnown {
-		due = now + time.Duration(queue.Hash(f.node.name+target.name)%uint64(f.bound(firstPollRatio)))
+		due = now + time.Duration(rendezvous.Hash(f.node.name+target.name)%uint64(f.bound(firstPollRatio)))
 		f.nextPoll[target.name] = due
 	}
 	if f.isPolling[target.name] || now < due {
--- a/internal/data/promptindex/serving.go
+++ b/internal/data/promptindex/serving.go
@@ -2,7 +2,7 @@
 
 import (
 	"pebbleloom/internal/control/clustermembership"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/wire"
 )
 
@@ -31,7 +31,7 @@
 	wanted := max(minServingNodes, (len(names)+1)/2)
 	usedZones, isSelected := map[string]bool{}, map[string]bool{}
 	for _, otherZonesOnly := range []bool{true, false} {
-		for _, name := range queue.Rendezvous("serving", names) {
+		for _, name := range rendezvous.Order("serving", names) {
 			node := byName[name]
 			if len(serving) == wanted || isSelected[name] || otherZonesOnly && usedZones[node.Zone] {
 				continue
--- a/internal/data/promptindex/shards.go
+++ b/internal/data/promptindex/shards.go
@@ -8,7 +8,8 @@
 	"time"
 
 	"pebbleloom/internal/data/prefix"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/wire"
 )
 
@@ -37,7 +38,7 @@
 	}
 	sort.Strings(names)
 	for shard := range shards.nodes {
-		ranked := queue.Rendezvous(string([]byte{byte(shard)}), names)
+		ranked := rendezvous.Order(string([]byte{byte(shard)}), names)
 		if len(ranked) == 0 {
 			continue
 		}
@@ -172,7 +173,7 @@
 		}
 	}
 	merged := make([]*wire.HotPrefix, 0, len(byKey))
-	for _, key := range queue.Keys(byKey) {
+	for _, key := range maputil.SortedKeys(byKey) {
 		merged = append(merged, byKey[key])
 	}
 	return merged
--- a/internal/data/selection/choice.go
+++ b/internal/data/selection/choice.go
@@ -2,7 +2,7 @@
 
 import (
 	"pebbleloom/internal/data/prefix"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 )
 
 // newChoice applies the placement to the selected worker, and remembers what the selection expects of the
@@ -56,7 +56,7 @@
 		if s.table.unavailableStores[store.service.Name] {
 			continue
 		}
-		if weight := rendezvousWeight(part, queue.Hash(store.service.Name)); best < 0 || weight > greatest {
+		if weight := rendezvousWeight(part, rendezvous.Hash(store.service.Name)); best < 0 || weight > greatest {
 			best, greatest = i, weight
 		}
 	}
--- a/internal/data/selection/layout.go
+++ b/internal/data/selection/layout.go
@@ -5,7 +5,7 @@
 
 	"pebbleloom/internal/control/routingconfig"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 )
 
 // candidate is one worker of a service, with what this edge machine knows of it.
@@ -99,7 +99,7 @@
 		worker := &snapshot.Workers[i]
 		if group := laidOut.groups[worker.Service]; group != nil {
 			group.index[worker.ID] = len(group.candidates)
-			group.candidates = append(group.candidates, candidate{worker, carried.stats(worker.ID, worker.Service), queue.Hash(worker.ID), uint32(i)})
+			group.candidates = append(group.candidates, candidate{worker, carried.stats(worker.ID, worker.Service), rendezvous.Hash(worker.ID), uint32(i)})
 		}
 	}
 	for _, group := range laidOut.groups {
--- a/internal/data/selection/leastloaded.go
+++ b/internal/data/selection/leastloaded.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 )
 
 // selectLeastLoaded selects for a service without a prompt cache: the less loaded of two, of the request's
@@ -17,7 +17,7 @@
 		}
 	}
 	lessLoadedOfTwo := func(candidates []int) (index int, load float64) {
-		hash := queue.Hash(request.ID)
+		hash := rendezvous.Hash(request.ID)
 		first := candidates[hash%uint64(len(candidates))]
 		second := candidates[(hash>>32)%uint64(len(candidates))]
 		firstLoad := t.effectiveLoad(&group.candidates[first], snapshot.EdgeCount, now)
--- a/internal/data/selection/scorer.go
+++ b/internal/data/selection/scorer.go
@@ -8,7 +8,7 @@
 	"pebbleloom/internal/data/prefix"
 	"pebbleloom/internal/data/promptindex"
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/wire"
 )
 
@@ -51,7 +51,7 @@
 	}
 
 	best, bestIndex := workerCost{totalMs: math.Inf(1)}, -1
-	s.requestHash = queue.Hash(s.request.ID)
+	s.requestHash = rendezvous.Hash(s.request.ID)
 	try := func(index int) {
 		prompt := promptOf(prompts, s.versions.byCandidate[index])
 		if cost := s.score(index, prompt, best.totalMs); cost.totalMs < best.totalMs {
@@ -104,7 +104,7 @@
 	if parts := s.request.parts(); len(parts) > 0 {
 		id = parts[max(0, len(parts)-2)].ID
 	}
-	if float64(queue.Hash(id)>>11)/(1<<53) < ratio*rolloutTuning.assignedMultiple {
+	if float64(rendezvous.Hash(id)>>11)/(1<<53) < ratio*rolloutTuning.assignedMultiple {
 		s.assignedVersion = newest
 	}
 }
--- a/internal/queue/ring.go
+++ b/internal/queue/ring.go
@@ -1,6 +1,5 @@
 // Package queue provides what goroutines hand each other work with: Ring, a bounded queue, and Actor, which runs
-// commands on a table one at a time. It also holds the rendezvous hashing that distributes keys over nodes, and
-// Keys for ordered iteration over maps.
+// commands on a table one at a time.
 package queue
 
 // Ring is a bounded queue between goroutines. A full ring rejects items; it never grows.
--- a/internal/queue/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -1,16 +1,16 @@
-package queue
+// Package rendezvous assigns keys to nodes by highest random weight hashing, so that nodes that know the same names agree
+// without talking to each other.
+package rendezvous
 
 import (
 	"hash/fnv"
-	"maps"
-	"slices"
 	"sort"
 )
 
 // Hash returns a hash of a string that is evenly distributed over 64 bits. Nodes of different releases must agree
 // on it: it never changes.
 //
-// Example: queue.Hash("edge-1")
+// Example: rendezvous.Hash("edge-1")
 func Hash(s string) uint64 {
 	fnvHash := fnv.New64a()
 	fnvHash.Write([]byte(s))
@@ -23,11 +23,11 @@
 	return hash ^ hash>>33
 }
 
-// Rendezvous returns names in the order of their weights for a key, the highest first (highest random weight
-// hashing, Thaler and Ravishankar 1998): when a name is removed, only the keys that it was first for move.
+// Order returns names in the order of their weights for a key, the highest first (highest random weight hashing,
+// Thaler and Ravishankar 1998): when a name is removed, only the keys that it was first for move.
 //
-// Example: queue.Rendezvous("key", []string{"a", "b"})[0]
-func Rendezvous(key string, names []string) []string {
+// Example: rendezvous.Order("key", []string{"a", "b"})[0]
+func Order(key string, names []string) []string {
 	ordered := append([]string(nil), names...)
 	weights := make(map[string]uint64, len(ordered))
 	for _, name := range ordered {
@@ -41,8 +41,3 @@
 	})
 	return ordered
 }
-
-// Keys returns the keys of a map, sorted.
-//
-// Example: for _, key := range queue.Keys(m) { use(key, m[key]) }
-func Keys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/runbook/parameters.go
+++ b/internal/runbook/parameters.go
@@ -4,7 +4,7 @@
 	"regexp"
 
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 var parameterPattern = regexp.MustCompile(`\{([a-z_]+)\}`)
@@ -13,7 +13,7 @@
 func (s *Step) parameters() []string {
 	texts := []string{s.Text}
 	for _, values := range []map[string]string{s.Match, s.Args} {
-		for _, key := range queue.Keys(values) {
+		for _, key := range maputil.SortedKeys(values) {
 			texts = append(texts, values[key])
 		}
 	}
@@ -32,14 +32,14 @@
 // Example: substituted, err := b.Substitute(map[string]string{"worker": "worker-3"})
 func (b *Runbook) Substitute(values map[string]string) (*Runbook, error) {
 	var faults errs.Batch
-	for _, name := range queue.Keys(b.Params) {
+	for _, name := range maputil.SortedKeys(b.Params) {
 		if values[name] == "" {
 			faults.Addf(errs.BadInput, "parameter %s is missing (%s): give --set %s=…", name, b.Params[name], name)
 		}
 	}
-	for _, name := range queue.Keys(values) {
+	for _, name := range maputil.SortedKeys(values) {
 		if _, known := b.Params[name]; !known {
-			faults.Addf(errs.BadInput, "parameter %s is unknown: this runbook takes %v", name, queue.Keys(b.Params))
+			faults.Addf(errs.BadInput, "parameter %s is unknown: this runbook takes %v", name, maputil.SortedKeys(b.Params))
 		}
 	}
 	if err := faults.Err(); err != nil {
--- a/internal/runbook/run.go
+++ b/internal/runbook/run.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // Environment is what a run reads and changes.
@@ -64,7 +64,7 @@
 // formatPairs formats a map as "key=value …" in the order of the keys.
 func formatPairs(values map[string]string) string {
 	var pairs []string
-	for _, key := range queue.Keys(values) {
+	for _, key := range maputil.SortedKeys(values) {
 		pairs = append(pairs, key+"="+values[key])
 	}
 	return strings.Join(pairs, " ")
--- a/internal/runbook/validate.go
+++ b/internal/runbook/validate.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // maxWaitSeconds bounds a step that waits.
@@ -39,7 +39,7 @@
 			fault("type: %q: give check, wait, do or confirm", step.Type)
 		}
 	}
-	for _, name := range queue.Keys(b.Params) {
+	for _, name := range maputil.SortedKeys(b.Params) {
 		if !used[name] {
 			faults.Addf(errs.BadInput, "params.%s: no step uses it: remove it", name)
 		}
@@ -61,7 +61,7 @@
 func (s *Step) validateAction(fault func(format string, args ...any)) {
 	required, known := Actions()[s.Action]
 	if !known {
-		fault("action: %q: give one of %s", s.Action, strings.Join(queue.Keys(Actions()), ", "))
+		fault("action: %q: give one of %s", s.Action, strings.Join(maputil.SortedKeys(Actions()), ", "))
 	}
 	for _, name := range required {
 		if s.Args[name] == "" {
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // Decode reads a settings file into p. Each unknown key and each wrong type is added to faults.
@@ -21,7 +21,7 @@
 		"operator": &process.Operator, "operator_key": &process.OperatorKey, "seeds": &process.Seeds, "core": &process.Core, "data": &process.Data,
 		"runner": &process.NodeAgent, "rank": &process.WorkerList, "extra": &process.Options}
 	var bounds map[string]json.RawMessage
-	for _, key := range queue.Keys(top) {
+	for _, key := range maputil.SortedKeys(top) {
 		if key == "bounds" {
 			if err := json.Unmarshal(top[key], &bounds); err != nil {
 				faults.Addf(errs.BadInput, "%s: bounds: not an object: write {\"setup_ms\": 2000, …}", file)
@@ -30,7 +30,7 @@
 		}
 		field, known := fields[key]
 		if !known {
-			faults.Addf(errs.BadInput, "%s: %s: unknown field: remove it (known: %s)", file, key, strings.Join(queue.Keys(fields), " "))
+			faults.Addf(errs.BadInput, "%s: %s: unknown field: remove it (known: %s)", file, key, strings.Join(maputil.SortedKeys(fields), " "))
 			continue
 		}
 		if err := json.Unmarshal(top[key], field); err != nil {
@@ -45,10 +45,10 @@
 		"weights_ms": &b.WeightsMs, "heal_ms": &b.HealMs, "try_share": &b.RetryPercent, "try_span_ms": &b.RetryWindowMs,
 		"try_allow": &b.RetryAllowance, "once_ms": &b.RequestIDRetentionMs, "body_kb": &b.MaxBodyKB,
 		"waiting": &b.MaxConcurrentRequests, "entries": &b.MaxIndexEntries}
-	for _, key := range queue.Keys(raw) {
+	for _, key := range maputil.SortedKeys(raw) {
 		field, known := fields[key]
 		if !known {
-			faults.Addf(errs.BadInput, "%s: bounds.%s: unknown field: remove it (known: %s)", file, key, strings.Join(queue.Keys(fields), " "))
+			faults.Addf(errs.BadInput, "%s: bounds.%s: unknown field: remove it (known: %s)", file, key, strings.Join(maputil.SortedKeys(fields), " "))
 		} else if err := json.Unmarshal(raw[key], field); err != nil {
 			faults.Addf(errs.BadInput, "%s: bounds.%s: not a whole number: give one", file, key)
 		}
--- a/internal/sim/clustersim/cluster.go
+++ b/internal/sim/clustersim/cluster.go
@@ -29,7 +29,7 @@
 	"pebbleloom/internal/data/promptindex"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/programs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/rendezvous"
 	"pebbleloom/internal/settings"
 	"pebbleloom/internal/sim/appservicesim"
 	"pebbleloom/internal/sim/loadgen"
@@ -116,7 +116,7 @@
 func (c *Cluster) machine(name string) *machine {
 	m := c.machines[name]
 	if m == nil {
-		random := rand.New(rand.NewPCG(c.seed, queue.Hash(name)))
+		random := rand.New(rand.NewPCG(c.seed, rendezvous.Hash(name)))
 		m = &machine{name: name, begin: c.begin, bootOffset: time.Duration(1+random.Int64N(3600*100)) * time.Second, drift: (random.Float64() - 0.5) / 5000,
 			disk: map[string][]byte{}, lastWriter: map[string]*proc{}}
 		c.machines[name] = m
@@ -211,7 +211,7 @@
 		return errs.New(errs.Internal, "%s runs already", process.Name)
 	}
 	c.starts++
-	proc := newProc(c, process, machine, c.seed^queue.Hash(fmt.Sprint(process.Name, c.starts)))
+	proc := newProc(c, process, machine, c.seed^rendezvous.Hash(fmt.Sprint(process.Name, c.starts)))
 	c.processes[process.Name] = proc
 	c.mu.Unlock()
 	configuration := process.Settings
--- a/internal/sim/history/check.go
+++ b/internal/sim/history/check.go
@@ -8,7 +8,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // Result is what Check found.
@@ -32,7 +32,7 @@
 		}
 	}
 	var result Result
-	for _, key := range queue.Keys(byKey) {
+	for _, key := range maputil.SortedKeys(byKey) {
 		ops, indeterminate := operations(byKey[key], true)
 		result.Operations += len(byKey[key])
 		result.Indeterminate += indeterminate
--- a/internal/sim/testbed/fencing.go
+++ b/internal/sim/testbed/fencing.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/sim/workersim"
 )
 
@@ -12,7 +12,7 @@
 // next holder's first order has reached another worker: tokens are ordered for each worker only.
 func checkFencing(orders map[string][]workersim.Run) (faults []string) {
 	holder := map[uint64]string{}
-	for _, worker := range queue.Keys(orders) {
+	for _, worker := range maputil.SortedKeys(orders) {
 		highest := uint64(0)
 		for _, order := range orders[worker] {
 			if first, ok := holder[order.FencingToken]; ok && first != order.Holder {
--- a/internal/sim/testbed/retire.go
+++ b/internal/sim/testbed/retire.go
@@ -12,8 +12,8 @@
 	"pebbleloom/internal/control/retire"
 	"pebbleloom/internal/control/serviceconfig"
 	"pebbleloom/internal/errs"
+	"pebbleloom/internal/maputil"
 	"pebbleloom/internal/programs"
-	"pebbleloom/internal/queue"
 	"pebbleloom/internal/sim/workersim"
 )
 
@@ -129,7 +129,7 @@
 		return nil
 	}
 	retiredBase, base, adapters := retirement.OldBase, retirement.NewBase, []string{}
-	for _, worker := range queue.Keys(retirement.Replacements) {
+	for _, worker := range maputil.SortedKeys(retirement.Replacements) {
 		adapters = append(adapters, map[retire.State]string{retire.StateDone: retirement.Replacements[worker], retire.StateAborted: worker}[retirement.State])
 	}
 	if retirement.State == retire.StateAborted {
@@ -140,7 +140,7 @@
 	}
 	backends := contract.NewBackends(run.fleet.env.Dial)
 	defer backends.Close()
-	for _, worker := range queue.Keys(run.fleet.Site.Workers) {
+	for _, worker := range maputil.SortedKeys(run.fleet.Site.Workers) {
 		state, err := backends.State(ctx, run.fleet.Site.Workers[worker])
 		if err != nil {
 			continue // it is down, and catches up after its restart
@@ -181,7 +181,7 @@
 	}
 	model := run.fleet.Site.Traffic.Model
 	firstUnloadMs, orderedWorker := int64(math.MaxInt64), ""
-	for _, worker := range queue.Keys(orders) {
+	for _, worker := range maputil.SortedKeys(orders) {
 		for _, order := range orders[worker] {
 			if order.Kind == "unload" && order.Model == model && order.AtMs < firstUnloadMs {
 				firstUnloadMs, orderedWorker = order.AtMs, worker
@@ -191,7 +191,7 @@
 	if orderedWorker == "" {
 		return nil
 	}
-	for _, worker := range queue.Keys(journals) {
+	for _, worker := range maputil.SortedKeys(journals) {
 		for _, adapter := range []string{"", nextBuild(run.fleet.Site.Traffic.Kinds[0].Name), nextBuild(run.fleet.Site.Traffic.Kinds[1].Name)} {
 			answered := false
 			for _, workerRun := range journals[worker] {
--- a/internal/sim/testbed/tally.go
+++ b/internal/sim/testbed/tally.go
@@ -10,7 +10,7 @@
 	"strings"
 
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // Line formats a run's report as one line, which Tally parses.
@@ -62,7 +62,7 @@
 		return errs.New(errs.BadInput, "no line of a run in the input: give the output of `testbed play` or of the simulated cluster")
 	}
 	fmt.Fprintln(out, "| scenario | site | runs | faults | sealed | during | after | extra runs |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
-	for _, key := range queue.Keys(rows) {
+	for _, key := range maputil.SortedKeys(rows) {
 		group := rows[key]
 		column := func(value func(tallyRow) float64) string {
 			var values []float64
--- a/internal/sim/workersim/memory.go
+++ b/internal/sim/workersim/memory.go
@@ -7,7 +7,7 @@
 
 	"pebbleloom/internal/contract"
 	"pebbleloom/internal/errs"
-	"pebbleloom/internal/queue"
+	"pebbleloom/internal/maputil"
 )
 
 // memory is a worker's weight memory: base models and the adapters on them. The first base model is the worker's model
@@ -88,7 +88,7 @@
 		return nil
 	}
 	models := []contract.LoadedModel{}
-	for _, base := range append([]string{w.model}, queue.Keys(w.bases)...) {
+	for _, base := range append([]string{w.model}, maputil.SortedKeys(w.bases)...) {
 		loaded := contract.LoadedModel{Model: base, Weights: w.weightsOf(base), Busy: w.busy[base]}
 		for adapter, build := range w.adapters[base] {
 			if loaded.Adapters == nil {
@@ -178,7 +178,7 @@
 		return
 	}
 	w.model, w.weights = "", 0
-	for _, next := range queue.Keys(w.bases) { // the next base model becomes the worker's model
+	for _, next := range maputil.SortedKeys(w.bases) { // the next base model becomes the worker's model
 		w.model, w.weights = next, w.bases[next]
 		delete(w.bases, next)
 		break
