Histories of real nodes on virtual time: operators, readers, weights, a lease and an edge, with machines failing

Cause: the group's simulator does step by step what the nodes do in goroutines; shard.change, changeOnLeader, the control client, transports and long polls were outside of any judged history.

--- a/internal/control/mutation/histories_test.go
+++ b/internal/control/mutation/histories_test.go
@@ -3,6 +3,9 @@
 // manySeeds bounds the search, which ends soon after the first seed that fails.
 var manySeeds = []string{"SIM_SEED=0", "SIM_SEEDS=120"}
 
+// manyHistories bounds the search over runs of real nodes.
+var manyHistories = []string{"HISTORY_SEED=0", "HISTORY_SEEDS=60"}
+
 // Faults that only a check of histories, or a seed of the group's simulator, finds. How many seeds each
 // takes is logged; docs/control.md lists it.
 var _ = register(
@@ -22,6 +25,16 @@
 		original:    "			s.pendingReads[readID] = confirmation\n",
 		replacement: "			confirmation <- true\n",
 		pkg:         statePackage, run: "TestSimGroup$", env: manySeeds},
+	mutant{point: 1, name: "a read is served after its confirmation has failed",
+		file:        "internal/control/controlstate/read.go",
+		original:    "	if !confirmed {\n",
+		replacement: "	if !confirmed && response.Leader != \"\" {\n",
+		pkg:         statePackage, run: "TestHistoriesOfRealNodes$", env: manyHistories},
+	mutant{point: 1, name: "a lease is held from when the grant was answered",
+		file:        "internal/control/controlclient/lease.go",
+		original:    "l.deadline = max(l.deadline, requestedAt+l.TTL-margin)",
+		replacement: "l.deadline = max(l.deadline, l.clock.Now()+2*l.TTL-margin)",
+		pkg:         statePackage, run: "TestHistoriesOfRealNodes$", env: manyHistories},
 	mutant{point: 2, name: "a snapshot has no idempotency records",
 		file:        "internal/control/controlstate/state.go",
 		original:    "Tokens: s.recentTokens, Claims: s.claims.save(), AgeNs: s.claims.age, Accepted: s.saveIdempotency()}",
