proxy: the test of fresh proofs makes a site for each setting, instead of changing one that runs

Cause: the test set EnforceRevocation while the server read it without a lock; it waited for the first read only. Change: the site is made with the setting; the same ten cases, each under the setting that it names.

--- a/internal/data/proxy/request_test.go
+++ b/internal/data/proxy/request_test.go
@@ -177,31 +177,37 @@
 
 // A key is accepted only under a plan that was proven newest less than a ratio of the bound ago.
 func TestKeyNeedsFreshProof(t *testing.T) {
-	withSite(t, []workerScript{respondWith(okResponse)}, func(site *testSite) {
-		synctest.Wait() // the server has read its settings, which the cases change
-		bound := time.Duration(float64(site.process.Settings.Bounds.KeyRevocationMs)*keyProofRatio) * time.Millisecond
-		for _, test := range []struct {
-			route, key string
-			age        time.Duration
-			revokes    bool
-			want       int
-		}{
-			{"private", "good", bound - time.Millisecond, true, 200}, {"private", "good", bound, true, 503}, {"private", "good", bound + time.Hour, false, 200},
-			{"private", "bad", bound - time.Millisecond, true, 401}, {"private", "bad", bound, true, 503}, {"private", "bad", bound, false, 503},
-			{"private", "", 0, true, 401}, {"once", "", bound + time.Hour, true, 200}, {"nowhere", "good", 0, true, 404}, {"nowhere", "good", bound, true, 503},
-		} {
-			site.process.Settings.Site.EnforceRevocation = test.revokes
-			site.set(func(snapshot *fleet.Snapshot) { snapshot.ProofAt = site.process.Clock.Now() - test.age })
-			if test.age > site.process.Clock.Now() {
-				site.set(func(snapshot *fleet.Snapshot) { snapshot.ProofAt = 0 })
-			}
-			ran := site.workers[0].runs()
-			response := site.send(postRequest(test.route, "a1", "b", "Authorization: Bearer "+test.key))
-			if response.status != test.want || (response.head.Get("Retry-After") != "") != (test.want == 503) || site.workers[0].runs()-ran != map[bool]int{true: 1}[test.want == 200] {
-				t.Errorf("%+v: %d, Retry-After %q, ran %d", test, response.status, response.head.Get("Retry-After"), site.workers[0].runs()-ran)
-			}
+	for _, enforced := range []bool{true, false} {
+		withRevocation(t, enforced, []workerScript{respondWith(okResponse)}, func(site *testSite) { checkKeysNeedProof(t, site, enforced) })
+	}
+}
+
+// checkKeysNeedProof checks the cases of a site that enforces revocations, or doesn't.
+func checkKeysNeedProof(t *testing.T, site *testSite, enforced bool) {
+	bound := time.Duration(float64(site.process.Settings.Bounds.KeyRevocationMs)*keyProofRatio) * time.Millisecond
+	for _, test := range []struct {
+		route, key string
+		age        time.Duration
+		revokes    bool
+		want       int
+	}{
+		{"private", "good", bound - time.Millisecond, true, 200}, {"private", "good", bound, true, 503}, {"private", "good", bound + time.Hour, false, 200},
+		{"private", "bad", bound - time.Millisecond, true, 401}, {"private", "bad", bound, true, 503}, {"private", "bad", bound, false, 503},
+		{"private", "", 0, true, 401}, {"once", "", bound + time.Hour, true, 200}, {"nowhere", "good", 0, true, 404}, {"nowhere", "good", bound, true, 503},
+	} {
+		if test.revokes != enforced {
+			continue
 		}
-	})
+		site.set(func(snapshot *fleet.Snapshot) { snapshot.ProofAt = site.process.Clock.Now() - test.age })
+		if test.age > site.process.Clock.Now() {
+			site.set(func(snapshot *fleet.Snapshot) { snapshot.ProofAt = 0 })
+		}
+		ran := site.workers[0].runs()
+		response := site.send(postRequest(test.route, "a1", "b", "Authorization: Bearer "+test.key))
+		if response.status != test.want || (response.head.Get("Retry-After") != "") != (test.want == 503) || site.workers[0].runs()-ran != map[bool]int{true: 1}[test.want == 200] {
+			t.Errorf("%+v: %d, Retry-After %q, ran %d", test, response.status, response.head.Get("Retry-After"), site.workers[0].runs()-ran)
+		}
+	}
 }
 
 // A plan that revokes the key while the body is read takes effect.
--- a/internal/data/proxy/site_test.go
+++ b/internal/data/proxy/site_test.go
@@ -70,15 +70,22 @@
 		Limits:  routingconfig.Limits{HeaderBytes: 16 << 10, BodyBytes: 100 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}}).BuildIndex()
 }
 
-// withSite starts a site with a worker for each script, and calls act in its synctest bubble.
+// withSite starts a site with a worker for each script, which enforces revocations, and calls act in its synctest
+// bubble.
 func withSite(t *testing.T, scripts []workerScript, act func(s *testSite)) {
+	t.Helper()
+	withRevocation(t, true, scripts, act)
+}
+
+// withRevocation is withSite for a site that enforces revocations of keys, or doesn't.
+func withRevocation(t *testing.T, enforced bool, scripts []workerScript, act func(s *testSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		site := &testSite{t: t, network: &pipeNetwork{listeners: map[string]*pipeListener{}, dials: map[string]int{}}, selector: &fakeSelector{}}
 		bounds := settings.DefaultBounds()
 		bounds.RetryPercent, bounds.RetryAllowance = 100, 100
 		processSettings := settings.Process{Name: "e1", Zone: "d", Listen: "10.0.0.1:7000", Public: front, Bounds: bounds, Options: []string{"log=off"},
-			Site: &settings.Site{ReadinessListen: readyAt, MemoryLimitMB: 256, GraceMs: 8000, TransitMs: 120, EnforceRevocation: true}}
+			Site: &settings.Site{ReadinessListen: readyAt, MemoryLimitMB: 256, GraceMs: 8000, TransitMs: 120, EnforceRevocation: enforced}}
 		clk := clock.Synctest()
 		site.process = daemon.NewIn(daemon.Environment{Clock: clk, Listen: site.network.Listen, Dial: site.network.Dial}, "edge", processSettings)
 		snap := &fleet.Snapshot{Plan: testPlan(), ProofAt: clk.Now(), EdgeCount: 1}
