--- a/internal/codecheck/platform_test.go
+++ b/internal/codecheck/platform_test.go
@@ -115,19 +115,19 @@
 		}
 		for text, at := range positions {
 			found := map[string]bool{}
-			for _, word := range nameInString.FindAllString(text, -1) {
-				if names[word] || folded[strings.ToLower(word)] {
-					found[word] = true
+			for _, term := range nameInString.FindAllString(text, -1) {
+				if names[term] || folded[strings.ToLower(term)] {
+					found[term] = true
 				}
 			}
 			if m := path.FindStringSubmatch(text); m != nil && m[1] != "" {
 				found[m[1]] = true
 			}
-			for _, word := range slices.Sorted(maps.Keys(found)) {
-				if slices.Contains(ownNames[file], strings.TrimPrefix(word, "X-")) {
+			for _, term := range slices.Sorted(maps.Keys(found)) {
+				if slices.Contains(ownNames[file], strings.TrimPrefix(term, "X-")) {
 					continue
 				}
-				stray = append(stray, strings.Join(at, ", ")+": "+word)
+				stray = append(stray, strings.Join(at, ", ")+": "+term)
 			}
 		}
 	}
--- a/internal/control/consensus/model_invariants_test.go
+++ b/internal/control/consensus/model_invariants_test.go
@@ -90,13 +90,13 @@
 
 // addVotes checks that a member votes once in a term, also across restarts, and never in an earlier term than
 // before (paper, section 5.2). A vote is dropped once a later term is on the voter's disk.
-func (history *observedHistory) addVotes(s *space, result *stepResult) (changed bool, fault string) {
+func (history *observedHistory) addVotes(all *space, result *stepResult) (changed bool, fault string) {
 	votes := maps.Clone(history.votes)
 	if votes == nil {
 		votes = map[string]castVote{}
 	}
 	for _, id := range result.messages {
-		message := s.messages[id]
+		message := all.messages[id]
 		if message.votesFor == "" {
 			continue
 		}
@@ -106,7 +106,7 @@
 		}
 		votes[message.Incarnation] = castVote{message.Term, message.votesFor}
 	}
-	if node := s.nodes[result.node]; !node.wiped {
+	if node := all.nodes[result.node]; !node.wiped {
 		incarnation := node.core.hardState.Incarnation
 		if vote, voted := votes[incarnation]; voted && node.disk.term() > vote.term {
 			delete(votes, incarnation)
--- a/internal/control/controlclient/lease_test.go
+++ b/internal/control/controlclient/lease_test.go
@@ -12,7 +12,7 @@
 func TestLeaseEndsAtHolderBeforeNextGrant(t *testing.T) {
 	clk := &clock.Manual{Time: time.Minute}
 	lease := NewLease(nil, clk, "d", 1, "a", 8*time.Second)
-	if _, held := lease.FencingToken(); held {
+	if _, ok := lease.FencingToken(); ok {
 		t.Fatal("held before it was requested")
 	}
 	requestedAt := clk.Time
@@ -20,13 +20,13 @@
 	lease.HandleResponse(requestedAt, &wire.ChangeResponse{Outcome: wire.OutcomeDone, Fence: 3})
 	for after, want := range map[time.Duration]bool{0: true, 5 * time.Second: true, 6 * time.Second: false, time.Hour: false} {
 		clk.Time = requestedAt + time.Second + after
-		if token, held := lease.FencingToken(); held != want || token != 3 {
-			t.Errorf("%v after the response: held %v, fencing token %d", after, held, token)
+		if token, ok := lease.FencingToken(); ok != want || token != 3 {
+			t.Errorf("%v after the response: held %v, fencing token %d", after, ok, token)
 		}
 	}
 	clk.Time = requestedAt + 2*time.Second
 	lease.HandleResponse(clk.Time, &wire.ChangeResponse{Outcome: wire.OutcomeConflict, Fence: 4, Leader: "b"})
-	if _, held := lease.FencingToken(); held || lease.GrantRequest().IfFence != 4 {
+	if _, ok := lease.FencingToken(); ok || lease.GrantRequest().IfFence != 4 {
 		t.Error("held here although another process holds it")
 	}
 }
@@ -37,11 +37,11 @@
 	lease := NewLease(nil, clk, "d", 1, "a", 8*time.Second)
 	lease.HandleResponse(clk.Time, &wire.ChangeResponse{Outcome: wire.OutcomeDone, Fence: 5})
 	lease.HandleResponse(clk.Time, &wire.ChangeResponse{Outcome: wire.OutcomeConflict, Fence: 4, Leader: "b"})
-	if token, held := lease.FencingToken(); !held || token != 5 || lease.GrantRequest().IfFence != 5 {
-		t.Errorf("held %v with fencing token %d", held, token)
+	if token, ok := lease.FencingToken(); !ok || token != 5 || lease.GrantRequest().IfFence != 5 {
+		t.Errorf("held %v with fencing token %d", ok, token)
 	}
 	lease.HandleResponse(clk.Time, &wire.ChangeResponse{Outcome: wire.OutcomeConflict, Fence: 6, Leader: "b"})
-	if token, held := lease.FencingToken(); held || token != 6 {
-		t.Errorf("another process holds it: held %v with fencing token %d", held, token)
+	if token, ok := lease.FencingToken(); ok || token != 6 {
+		t.Errorf("another process holds it: held %v with fencing token %d", ok, token)
 	}
 }
--- a/internal/data/callerproxy/select_test.go
+++ b/internal/data/callerproxy/select_test.go
@@ -53,7 +53,7 @@
 		name string
 		run  func(t *testing.T)
 	}{
-		{"a cold entry prefers its shard worker, and is saved to the store once it is accessed again", testColdEntry},
+		{"a cold entry prefers its shard worker, and is saved to the store once it is accessed again", testUncachedEntry},
 		{"an overloaded shard worker isn't preferred", testOverloadedShardWorker},
 		{"a holder is preferred to an idle worker", testHolder},
 		{"a replicated entry lets load decide", testReplicatedEntry},
@@ -68,7 +68,7 @@
 	}
 }
 
-func testColdEntry(t *testing.T) {
+func testUncachedEntry(t *testing.T) {
 	home := shardWorkers()
 	entries := testQuery(false, nil).Entries[1]
 	query := testQuery(false, nil)
@@ -143,13 +143,13 @@
 
 func testSessionPrefix(t *testing.T) {
 	for _, test := range []struct {
-		name    string
-		opening int
-		hot     float64
-		floor   float64
-		want    bool
+		name        string
+		prefixBytes int
+		hot         float64
+		floor       float64
+		want        bool
 	}{{"long and hot", 100, 3, 1, true}, {"shorter than the shared part", 3000, 3, 1, false}, {"colder than the coldest cached", 100, 1, 1.2, false}} {
-		entries := prefix.Chain("shared", "m", 1, []string{strings.Repeat("o", test.opening), strings.Repeat("s", 2000), "question"})
+		entries := prefix.Chain("shared", "m", 1, []string{strings.Repeat("o", test.prefixBytes), strings.Repeat("s", 2000), "question"})
 		query := testQuery(false, nil)
 		query.Entries = map[uint64][]prefix.Entry{1: entries}
 		query.Found = map[prefix.Key]*wire.LookupResult{entries[0].Key: {Hotness: 40}, entries[1].Key: {Hotness: test.hot}}
--- a/internal/data/proxy/retrybudget_test.go
+++ b/internal/data/proxy/retrybudget_test.go
@@ -72,8 +72,8 @@
 		for _, worker := range s.workers {
 			arrivals += worker.runs()
 		}
-		if extra, atMost := arrivals-requests, int(allowance*misdirectedAllowanceRatio+requests*share*misdirectedRatio); extra < 1 || extra > atMost {
-			t.Errorf("%d attempts beyond the first of %d requests: at least 1, at most %d", extra, requests, atMost)
+		if extra, limit := arrivals-requests, int(allowance*misdirectedAllowanceRatio+requests*share*misdirectedRatio); extra < 1 || extra > limit {
+			t.Errorf("%d attempts beyond the first of %d requests: at least 1, at most %d", extra, requests, limit)
 		}
 	})
 }
--- a/internal/data/proxy/shutdown_test.go
+++ b/internal/data/proxy/shutdown_test.go
@@ -16,19 +16,19 @@
 // closes each connection with its response, and interrupts no request in flight.
 func TestGracefulShutdown(t *testing.T) {
 	var release chan struct{}
-	streamUntilReleased := func(c net.Conn, r *http.Request, body string) bool {
+	streamUntilReleased := func(conn net.Conn, r *http.Request, body string) bool {
 		if !strings.HasPrefix(r.RequestURI, "/stream/") {
-			return respondWith(okResponse)(c, r, body)
+			return respondWith(okResponse)(conn, r, body)
 		}
-		respondWith(strings.Replace(streamHead, "SEAL", "s", 1)+chunk(streamedEvent(1)))(c, r, "")
+		respondWith(strings.Replace(streamHead, "SEAL", "s", 1)+chunk(streamedEvent(1)))(conn, r, "")
 		<-release
-		_, err := io.WriteString(c, chunk(streamedEvent(2))+"0\r\n\r\n")
+		_, err := io.WriteString(conn, chunk(streamedEvent(2))+"0\r\n\r\n")
 		return err == nil
 	}
 	withSite(t, []workerScript{streamUntilReleased}, func(site *testSite) {
 		release = make(chan struct{})
-		if n := site.getReadyPage("/up"); n != 200 {
-			t.Errorf("ready page: %d", n)
+		if status := site.getReadyPage("/up"); status != 200 {
+			t.Errorf("ready page: %d", status)
 		}
 		persistent, streaming := site.dialClient(), site.dialClient()
 		if response := persistent.roundTrip(postRequest("once", "a0", "b")); response.status != 200 || response.closes {
@@ -42,8 +42,8 @@
 		began := site.process.Clock.Now()
 		go func() { site.stop(); stopped <- site.process.Clock.Now() - began }()
 		synctest.Wait()
-		if n := site.getReadyPage("/up"); n != 503 {
-			t.Errorf("ready page after the signal: %d", n)
+		if status := site.getReadyPage("/up"); status != 503 {
+			t.Errorf("ready page after the signal: %d", status)
 		}
 		for range 3 {
 			if response := site.send(postRequest("once", "a1", "b")); response.status != 200 || !response.closes || response.err != nil {
@@ -55,8 +55,8 @@
 			t.Errorf("%+v", response)
 		}
 		time.Sleep(time.Second)
-		if c, err := site.network.Dial(t.Context(), "tcp", front); err == nil {
-			c.Close()
+		if conn, err := site.network.Dial(t.Context(), "tcp", front); err == nil {
+			conn.Close()
 			t.Error("it still takes connections")
 		}
 		time.Sleep(2 * time.Second)
--- a/internal/data/proxy/stream_test.go
+++ b/internal/data/proxy/stream_test.go
@@ -21,9 +21,9 @@
 // streamScript streams the events after the one that the request names, up to n, and closes the connection
 // after so many bytes of them. Below 0 it streams all and ends properly.
 func streamScript(seal string, n, bytesBeforeClose int) workerScript {
-	return func(c net.Conn, r *http.Request, _ string) bool {
+	return func(conn net.Conn, r *http.Request, _ string) bool {
 		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		if !respondWith(strings.Replace(streamHead, "SEAL", seal, 1))(c, r, "") {
+		if !respondWith(strings.Replace(streamHead, "SEAL", seal, 1))(conn, r, "") {
 			return false
 		}
 		left := bytesBeforeClose
@@ -31,19 +31,19 @@
 			e := streamedEvent(i)
 			if bytesBeforeClose >= 0 && left < len(e) {
 				if left > 0 {
-					_, _ = io.WriteString(c, chunk(e[:left]))
+					_, _ = io.WriteString(conn, chunk(e[:left]))
 				}
 				return false
 			}
 			left -= len(e)
-			if _, err := io.WriteString(c, chunk(e)); err != nil {
+			if _, err := io.WriteString(conn, chunk(e)); err != nil {
 				return false
 			}
 		}
 		if bytesBeforeClose >= 0 {
 			return false
 		}
-		_, err := io.WriteString(c, "0\r\n\r\n")
+		_, err := io.WriteString(conn, "0\r\n\r\n")
 		return err == nil
 	}
 }
--- a/internal/data/proxy/workerconn_test.go
+++ b/internal/data/proxy/workerconn_test.go
@@ -243,7 +243,7 @@
 	bad := errors.New("bad")
 	for _, test := range []struct {
 		name string
-		f    fakeConn
+		fake fakeConn
 		do   func(conn *workerConn)
 		want bool
 	}{
@@ -252,7 +252,7 @@
 		{"some accepted", fakeConn{n: 1, err: bad}, func(conn *workerConn) { _, _ = conn.Write([]byte("xy")) }, false},
 		{"all accepted", fakeConn{n: 9}, func(conn *workerConn) { _, _ = conn.Write([]byte("xy")) }, false},
 	} {
-		conn := newWorkerConn(&test.f, time.Hour, func() {})
+		conn := newWorkerConn(&test.fake, time.Hour, func() {})
 		conn.acquire(1)
 		test.do(conn)
 		if got := conn.discard(1); got != test.want {
@@ -263,8 +263,8 @@
 		}
 	}
 	// The kernel may still accept a write in progress.
-	f := &fakeConn{n: 1, wait: make(chan struct{})}
-	conn := newWorkerConn(f, time.Hour, func() {})
+	fake := &fakeConn{n: 1, wait: make(chan struct{})}
+	conn := newWorkerConn(fake, time.Hour, func() {})
 	conn.acquire(1)
 	done := make(chan struct{})
 	go func() { defer close(done); _, _ = conn.Write([]byte("x")) }()
@@ -276,7 +276,7 @@
 	if conn.discard(1) {
 		t.Error("nothing was sent, though a write is in progress")
 	}
-	close(f.wait)
+	close(fake.wait)
 	<-done
 }
 
--- a/internal/runbook/runbook_test.go
+++ b/internal/runbook/runbook_test.go
@@ -36,13 +36,13 @@
 
 func (f *fakeEnvironment) Pause(int) {}
 
-func atLeast(n int) *int { return &n }
+func minimum(n int) *int { return &n }
 
 var sample = &Runbook{Name: "b", When: "x", Params: map[string]string{"worker": "the worker"}, Steps: []Step{
-	{Type: Check, Text: "here", View: "workers", Match: map[string]string{"name": "{worker}"}, Min: atLeast(1)},
+	{Type: Check, Text: "here", View: "workers", Match: map[string]string{"name": "{worker}"}, Min: minimum(1)},
 	{Type: Do, Text: "drain", Action: "drain", Args: map[string]string{"worker": "{worker}"}},
 	{Type: Confirm, Text: "sure?"},
-	{Type: Wait, Text: "drained", View: "workers", Match: map[string]string{"name": "{worker}", "state": "draining"}, Min: atLeast(1), WithinSeconds: 5},
+	{Type: Wait, Text: "drained", View: "workers", Match: map[string]string{"name": "{worker}", "state": "draining"}, Min: minimum(1), WithinSeconds: 5},
 	{Type: Do, Text: "back", Action: "undrain", Args: map[string]string{"worker": "{worker}"}},
 }}
 
