Tests: a machine is shut down by one piece of code, under the cluster's lock

Cause: read once more, the histories of real nodes had a copy of testCluster.stop with a longer grace time; the original deleted the node without the lock that its readers take. Change: stopWithin serves both, with their grace times; assertions as before.

--- a/internal/control/controlstate/node_history_test.go
+++ b/internal/control/controlstate/node_history_test.go
@@ -24,6 +24,7 @@
 	historyOperators = 3
 	historyReaders   = 2
 	historyRunTime   = 25 * time.Second // with faults
+	shutdownGrace    = 4 * time.Second
 	weightsModel     = "model"
 )
 
@@ -229,7 +230,9 @@
 	{"kill", func(w *nodeHistoryWorld, machine int) { w.restart([]int{machine}, w.kill) }},
 	{"kill the leader", func(w *nodeHistoryWorld, machine int) { w.restart([]int{max(1, w.leader())}, w.kill) }},
 	{"all killed", func(w *nodeHistoryWorld, _ int) { w.restart([]int{1, 2, 3, 4}, w.kill) }},
-	{"SIGTERM", func(w *nodeHistoryWorld, machine int) { w.restart([]int{machine}, w.shutDown) }},
+	{"SIGTERM", func(w *nodeHistoryWorld, machine int) {
+		w.restart([]int{machine}, func(i int) { w.stopWithin(i, shutdownGrace) })
+	}},
 	{"isolated", func(w *nodeHistoryWorld, machine int) { w.partition(machine) }},
 	{"leader isolated", func(w *nodeHistoryWorld, _ int) { w.partition(max(1, w.leader())) }},
 	{"in halves", func(w *nodeHistoryWorld, machine int) { w.partition(machine, machine%historyMachines+1) }},
@@ -253,15 +256,6 @@
 	}
 }
 
-// shutDown stops a machine's process as SIGTERM does.
-func (w *nodeHistoryWorld) shutDown(machine int) {
-	process := w.processes[w.addr(machine)]
-	process.Stop(4 * time.Second)
-	w.testCluster.mu.Lock()
-	defer w.testCluster.mu.Unlock()
-	delete(w.nodes, w.addr(machine))
-}
-
 // partition cuts the links between some machines and all others, in one direction or both.
 func (w *nodeHistoryWorld) partition(machines ...int) {
 	direction := w.intN(4)
--- a/internal/control/controlstate/test_cluster_test.go
+++ b/internal/control/controlstate/test_cluster_test.go
@@ -240,8 +240,13 @@
 }
 
 // stop shuts a machine down.
-func (c *testCluster) stop(i int) {
-	c.processes[c.addr(i)].Stop(time.Second)
+func (c *testCluster) stop(i int) { c.stopWithin(i, time.Second) }
+
+// stopWithin shuts a machine down with a grace time.
+func (c *testCluster) stopWithin(i int, grace time.Duration) {
+	c.processes[c.addr(i)].Stop(grace)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.nodes, c.addr(i))
 }
 
