--- a/internal/tools/ciresult/main.go
+++ b/internal/tools/ciresult/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 )
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -40,11 +41,22 @@
 	if collected.printTotals(out) == 0 {
 		faults = append(faults, "no test passed: the runs of go test were empty")
 	}
-	for _, file := range faults {
-		fmt.Fprintln(errors, "ciresult:", file)
+	if len(faults) == 0 {
+		return 0
 	}
-	if len(faults) > 0 {
-		return 1
+	printFaults(errors, faults)
+	return 1
+}
+
+// printFaults prints why CI fails: each fault with its output, and at the end the first line of each, for
+// a record that keeps the end alone.
+func printFaults(out io.Writer, faults []string) {
+	for _, fault := range faults {
+		fmt.Fprintln(out, "ciresult:", fault)
+	}
+	fmt.Fprintf(out, "ciresult: CI fails for %d reasons:\n", len(faults))
+	for _, fault := range faults {
+		summary, _, _ := strings.Cut(fault, "\n")
+		fmt.Fprintln(out, "ciresult:", strings.TrimSuffix(summary, ":"))
 	}
-	return 0
 }
--- a/internal/tools/ciresult/results.go
+++ b/internal/tools/ciresult/results.go
@@ -69,7 +69,23 @@
 // testState counts the outcomes of the runs of a top-level test.
 type testState struct {
 	running, passed, failed, skipped int
-	output                           []string
+	output                           []outputLine      // of the test and its subtests
+	lastActions                      map[string]string // the newest action by test or subtest
+}
+
+// outputLine is a line that a test or a subtest printed.
+type outputLine struct{ test, text string }
+
+// failureOutput returns what the tests and subtests that didn't pass printed. CI's record may show the end
+// of its output alone, so the lines of the subtests that passed are left out.
+func (t *testState) failureOutput() string {
+	var text strings.Builder
+	for _, line := range t.output {
+		if t.lastActions[line.test] != "pass" {
+			text.WriteString(line.text)
+		}
+	}
+	return text.String()
 }
 
 // packageState is the outcome of the runs of a package.
@@ -145,13 +161,16 @@
 	key := folderOf(event.Package) + "." + name
 	t := r.tests[key]
 	if t == nil {
-		t = &testState{}
+		t = &testState{lastActions: map[string]string{}}
 		r.tests[key] = t
 	}
 	if event.Action == "output" {
-		t.output = append(t.output, event.Output)
+		t.output = append(t.output, outputLine{event.Test, event.Output})
 		return
 	}
+	if t.lastActions[event.Test] != "fail" { // a test that fails in one of the runs has failed
+		t.lastActions[event.Test] = event.Action
+	}
 	if sub != "" {
 		return // the test itself fails with it
 	}
@@ -240,9 +259,9 @@
 		switch {
 		case excused[key]:
 		case unfinished:
-			faults = append(faults, fmt.Sprintf("%s didn't end:\n%s", key, strings.Join(t.output, "")))
+			faults = append(faults, fmt.Sprintf("%s didn't end:\n%s", key, t.failureOutput()))
 		default:
-			faults = append(faults, fmt.Sprintf("%s failed:\n%s", key, strings.Join(t.output, "")))
+			faults = append(faults, fmt.Sprintf("%s failed:\n%s", key, t.failureOutput()))
 		}
 	}
 	for _, folder := range sortedKeys(r.packages) {
--- a/internal/tools/ciresult/results_test.go
+++ b/internal/tools/ciresult/results_test.go
@@ -93,6 +93,30 @@
 	}
 }
 
+// The output of a failed test shows the subtests that failed, not those that passed, and ends with a line
+// for each failure.
+func TestFailureOutputIsShort(t *testing.T) {
+	const passedToo = `{"Action":"run","Package":"pebbleloom/internal/b","Test":"TestBad/two"}
+{"Action":"output","Package":"pebbleloom/internal/b","Test":"TestBad/two","Output":"a subtest that passed\n"}
+{"Action":"pass","Package":"pebbleloom/internal/b","Test":"TestBad/two","Elapsed":0.1}
+`
+	events := filepath.Join(t.TempDir(), "events")
+	passesInAnotherRun := strings.ReplaceAll(red, `"fail"`, `"pass"`)
+	if err := os.WriteFile(events, []byte(green+passedToo+red+passesInAnotherRun+`{"Action":"exit","Elapsed":1}`+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errors bytes.Buffer
+	if code := run([]string{"none", events}, &out, &errors); code != 1 {
+		t.Errorf("exit code %d with a failed test", code)
+	}
+	if printed := errors.String(); strings.Contains(printed, "a subtest that passed") || !strings.Contains(printed, "the reason\n") {
+		t.Errorf("printed %q", printed)
+	}
+	if !strings.HasSuffix(errors.String(), "\nciresult: CI fails for 1 reasons:\nciresult: internal/b.TestBad failed\n") {
+		t.Errorf("printed %q", errors.String())
+	}
+}
+
 // The last line is the number of tests that passed, failed and were skipped.
 func TestTotalsArePrinted(t *testing.T) {
 	events := filepath.Join(t.TempDir(), "events")
