--- a/api/operator/oas_client_gen.go
+++ b/api/operator/oas_client_gen.go
@@ -81,6 +81,10 @@
 	//
 	// POST /v1/retirements
 	PlanRetirement(ctx context.Context, request *NewRetirement) (*Changed, error)
+	// RestoreGroup invokes restoreGroup operation.
+	//
+	// POST /v1/group/restore
+	RestoreGroup(ctx context.Context, request *GroupRestore) (*GroupRestored, error)
 	// RevokeKey invokes revokeKey operation.
 	//
 	// POST /v1/keys/revoke
@@ -908,6 +912,50 @@
 	return result, nil
 }
 
+// RestoreGroup invokes restoreGroup operation.
+//
+// POST /v1/group/restore
+func (c *Client) RestoreGroup(ctx context.Context, request *GroupRestore) (*GroupRestored, error) {
+	res, err := c.sendRestoreGroup(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendRestoreGroup(ctx context.Context, request *GroupRestore) (res *GroupRestored, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/group/restore"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeRestoreGroupRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeRestoreGroupResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // RevokeKey invokes revokeKey operation.
 //
 // POST /v1/keys/revoke
--- a/api/operator/oas_handlers_gen.go
+++ b/api/operator/oas_handlers_gen.go
@@ -1325,6 +1325,99 @@
 	}
 }
 
+// handleRestoreGroupRequest handles restoreGroup operation.
+//
+// POST /v1/group/restore
+func (s *Server) handleRestoreGroupRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: RestoreGroupOperation,
+			ID:   "restoreGroup",
+		}
+	)
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeRestoreGroupRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *GroupRestored
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    RestoreGroupOperation,
+			OperationSummary: "",
+			OperationID:      "restoreGroup",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = *GroupRestore
+			Params   = struct{}
+			Response = *GroupRestored
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.RestoreGroup(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.RestoreGroup(ctx, request)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*DeniedStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeRestoreGroupResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleRevokeKeyRequest handles revokeKey operation.
 //
 // POST /v1/keys/revoke
--- a/api/operator/oas_json_gen.go
+++ b/api/operator/oas_json_gen.go
@@ -759,6 +759,338 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *GroupRestore) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *GroupRestore) encodeFields(e *jx.Encoder) {
+	{
+		if s.Confirm.Set {
+			e.FieldStart("confirm")
+			s.Confirm.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfGroupRestore = [1]string{
+	0: "confirm",
+}
+
+// Decode decodes GroupRestore from json.
+func (s *GroupRestore) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode GroupRestore to nil")
+	}
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "confirm":
+			if err := func() error {
+				s.Confirm.Reset()
+				if err := s.Confirm.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"confirm\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode GroupRestore")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *GroupRestore) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *GroupRestore) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *GroupRestored) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *GroupRestored) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("restored")
+		e.Bool(s.Restored)
+	}
+	{
+		e.FieldStart("member")
+		e.Str(s.Member)
+	}
+	{
+		e.FieldStart("members")
+		e.ArrStart()
+		for _, elem := range s.Members {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("silent")
+		e.ArrStart()
+		for _, elem := range s.Silent {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("objections")
+		e.ArrStart()
+		for _, elem := range s.Objections {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("log_term")
+		e.Int64(s.LogTerm)
+	}
+	{
+		e.FieldStart("log_index")
+		e.Int64(s.LogIndex)
+	}
+	{
+		e.FieldStart("plan_version")
+		e.Int64(s.PlanVersion)
+	}
+	{
+		e.FieldStart("times_restored")
+		e.Int64(s.TimesRestored)
+	}
+}
+
+var jsonFieldsNameOfGroupRestored = [9]string{
+	0: "restored",
+	1: "member",
+	2: "members",
+	3: "silent",
+	4: "objections",
+	5: "log_term",
+	6: "log_index",
+	7: "plan_version",
+	8: "times_restored",
+}
+
+// Decode decodes GroupRestored from json.
+func (s *GroupRestored) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode GroupRestored to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "restored":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Bool()
+				s.Restored = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"restored\"")
+			}
+		case "member":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Member = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"member\"")
+			}
+		case "members":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Members = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Members = append(s.Members, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"members\"")
+			}
+		case "silent":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				s.Silent = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Silent = append(s.Silent, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"silent\"")
+			}
+		case "objections":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				s.Objections = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Objections = append(s.Objections, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"objections\"")
+			}
+		case "log_term":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Int64()
+				s.LogTerm = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"log_term\"")
+			}
+		case "log_index":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Int64()
+				s.LogIndex = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"log_index\"")
+			}
+		case "plan_version":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Int64()
+				s.PlanVersion = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"plan_version\"")
+			}
+		case "times_restored":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int64()
+				s.TimesRestored = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"times_restored\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode GroupRestored")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfGroupRestored) {
+					name = jsonFieldsNameOfGroupRestored[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *GroupRestored) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *GroupRestored) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Lookup) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/api/operator/oas_operations_gen.go
+++ b/api/operator/oas_operations_gen.go
@@ -21,6 +21,7 @@
 	LookUpOperation          OperationName = "LookUp"
 	NameWeightsOperation     OperationName = "NameWeights"
 	PlanRetirementOperation  OperationName = "PlanRetirement"
+	RestoreGroupOperation    OperationName = "RestoreGroup"
 	RevokeKeyOperation       OperationName = "RevokeKey"
 	WriteMoveOperation       OperationName = "WriteMove"
 )
--- a/api/operator/oas_request_decoders_gen.go
+++ b/api/operator/oas_request_decoders_gen.go
@@ -393,6 +393,85 @@
 	}
 }
 
+func (s *Server) decodeRestoreGroupRequest(r *http.Request) (
+	req *GroupRestore,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request GroupRestore
+		if err := func() error {
+			if err := request.Decode(d); err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		if err := func() error {
+			if err := request.Validate(); err != nil {
+				return err
+			}
+			return nil
+		}(); err != nil {
+			return req, rawBody, close, errors.Wrap(err, "validate")
+		}
+		return &request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
+
 func (s *Server) decodeRevokeKeyRequest(r *http.Request) (
 	req *Revoke,
 	rawBody []byte,
--- a/api/operator/oas_request_encoders_gen.go
+++ b/api/operator/oas_request_encoders_gen.go
@@ -80,6 +80,20 @@
 	return nil
 }
 
+func encodeRestoreGroupRequest(
+	req *GroupRestore,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
+
 func encodeRevokeKeyRequest(
 	req *Revoke,
 	r *http.Request,
--- a/api/operator/oas_response_decoders_gen.go
+++ b/api/operator/oas_response_decoders_gen.go
@@ -1321,6 +1321,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeRestoreGroupResponse(resp *http.Response) (res *GroupRestored, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response GroupRestored
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *DeniedStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Denial
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &DeniedStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeRevokeKeyResponse(resp *http.Response) (res *Changed, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/operator/oas_response_encoders_gen.go
+++ b/api/operator/oas_response_encoders_gen.go
@@ -205,6 +205,19 @@
 	return nil
 }
 
+func encodeRestoreGroupResponse(response *GroupRestored, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeRevokeKeyResponse(response *Changed, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/operator/oas_router_gen.go
+++ b/api/operator/oas_router_gen.go
@@ -17,10 +17,13 @@
 	rn15AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
+	rn29AllowedHeaders = map[string]string{
+		"POST": "Content-Type",
+	}
 	rn26AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn29AllowedHeaders = map[string]string{
+	rn30AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 	rn24AllowedHeaders = map[string]string{
@@ -258,6 +261,31 @@
 					return
 				}
 
+			case 'g': // Prefix: "group/restore"
+
+				if l := len("group/restore"); len(elem) >= l && elem[0:l] == "group/restore" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "POST":
+						s.handleRestoreGroupRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "POST",
+							allowedHeaders: rn29AllowedHeaders,
+							acceptPost:     "application/json",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'i': // Prefix: "index"
 
 				if l := len("index"); len(elem) >= l && elem[0:l] == "index" {
@@ -299,7 +327,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "POST",
-							allowedHeaders: rn29AllowedHeaders,
+							allowedHeaders: rn30AllowedHeaders,
 							acceptPost:     "application/json",
 							acceptPatch:    "",
 						})
@@ -885,6 +913,31 @@
 					}
 				}
 
+			case 'g': // Prefix: "group/restore"
+
+				if l := len("group/restore"); len(elem) >= l && elem[0:l] == "group/restore" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "POST":
+						r.name = RestoreGroupOperation
+						r.summary = ""
+						r.operationID = "restoreGroup"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/group/restore"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'i': // Prefix: "index"
 
 				if l := len("index"); len(elem) >= l && elem[0:l] == "index" {
--- a/api/operator/oas_schemas_gen.go
+++ b/api/operator/oas_schemas_gen.go
@@ -326,6 +326,124 @@
 	s.Holders = val
 }
 
+// Ref: #/components/schemas/GroupRestore
+type GroupRestore struct {
+	Confirm OptString `json:"confirm"`
+}
+
+// GetConfirm returns the value of Confirm.
+func (s *GroupRestore) GetConfirm() OptString {
+	return s.Confirm
+}
+
+// SetConfirm sets the value of Confirm.
+func (s *GroupRestore) SetConfirm(val OptString) {
+	s.Confirm = val
+}
+
+// Ref: #/components/schemas/GroupRestored
+type GroupRestored struct {
+	Restored      bool     `json:"restored"`
+	Member        string   `json:"member"`
+	Members       []string `json:"members"`
+	Silent        []string `json:"silent"`
+	Objections    []string `json:"objections"`
+	LogTerm       int64    `json:"log_term"`
+	LogIndex      int64    `json:"log_index"`
+	PlanVersion   int64    `json:"plan_version"`
+	TimesRestored int64    `json:"times_restored"`
+}
+
+// GetRestored returns the value of Restored.
+func (s *GroupRestored) GetRestored() bool {
+	return s.Restored
+}
+
+// GetMember returns the value of Member.
+func (s *GroupRestored) GetMember() string {
+	return s.Member
+}
+
+// GetMembers returns the value of Members.
+func (s *GroupRestored) GetMembers() []string {
+	return s.Members
+}
+
+// GetSilent returns the value of Silent.
+func (s *GroupRestored) GetSilent() []string {
+	return s.Silent
+}
+
+// GetObjections returns the value of Objections.
+func (s *GroupRestored) GetObjections() []string {
+	return s.Objections
+}
+
+// GetLogTerm returns the value of LogTerm.
+func (s *GroupRestored) GetLogTerm() int64 {
+	return s.LogTerm
+}
+
+// GetLogIndex returns the value of LogIndex.
+func (s *GroupRestored) GetLogIndex() int64 {
+	return s.LogIndex
+}
+
+// GetPlanVersion returns the value of PlanVersion.
+func (s *GroupRestored) GetPlanVersion() int64 {
+	return s.PlanVersion
+}
+
+// GetTimesRestored returns the value of TimesRestored.
+func (s *GroupRestored) GetTimesRestored() int64 {
+	return s.TimesRestored
+}
+
+// SetRestored sets the value of Restored.
+func (s *GroupRestored) SetRestored(val bool) {
+	s.Restored = val
+}
+
+// SetMember sets the value of Member.
+func (s *GroupRestored) SetMember(val string) {
+	s.Member = val
+}
+
+// SetMembers sets the value of Members.
+func (s *GroupRestored) SetMembers(val []string) {
+	s.Members = val
+}
+
+// SetSilent sets the value of Silent.
+func (s *GroupRestored) SetSilent(val []string) {
+	s.Silent = val
+}
+
+// SetObjections sets the value of Objections.
+func (s *GroupRestored) SetObjections(val []string) {
+	s.Objections = val
+}
+
+// SetLogTerm sets the value of LogTerm.
+func (s *GroupRestored) SetLogTerm(val int64) {
+	s.LogTerm = val
+}
+
+// SetLogIndex sets the value of LogIndex.
+func (s *GroupRestored) SetLogIndex(val int64) {
+	s.LogIndex = val
+}
+
+// SetPlanVersion sets the value of PlanVersion.
+func (s *GroupRestored) SetPlanVersion(val int64) {
+	s.PlanVersion = val
+}
+
+// SetTimesRestored sets the value of TimesRestored.
+func (s *GroupRestored) SetTimesRestored(val int64) {
+	s.TimesRestored = val
+}
+
 // Ref: #/components/schemas/Lookup
 type Lookup struct {
 	Model  string   `json:"model"`
--- a/api/operator/oas_server_gen.go
+++ b/api/operator/oas_server_gen.go
@@ -68,6 +68,10 @@
 	//
 	// POST /v1/retirements
 	PlanRetirement(ctx context.Context, req *NewRetirement) (*Changed, error)
+	// RestoreGroup implements restoreGroup operation.
+	//
+	// POST /v1/group/restore
+	RestoreGroup(ctx context.Context, req *GroupRestore) (*GroupRestored, error)
 	// RevokeKey implements revokeKey operation.
 	//
 	// POST /v1/keys/revoke
--- a/api/operator/oas_validators_gen.go
+++ b/api/operator/oas_validators_gen.go
@@ -136,6 +136,93 @@
 	return nil
 }
 
+func (s *GroupRestore) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Confirm.Get(); ok {
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(value)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "confirm",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *GroupRestored) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Members == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "members",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Silent == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "silent",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Objections == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "objections",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Lookup) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,8 @@
   pebblectl runbook list
   pebblectl runbook run --name worker-gone --set worker=worker-3 (--dry-run, --resume RECORD, --yes)
   pebblectl explain --request r1
+  pebblectl group restore --node 10.1.0.17:7362               (a majority of the members is lost for good: shows what would
+                                                              be kept; --confirm MEMBER does it)
   pebblectl index lookup --model lector --tenant hotline --part "opening" --part "question"
 
 exit codes: 0 done, 1 something is wrong (status, retire status, runbook), 2 bad input, 3 bad key, 4 not found, 5 version conflict, 6 rejected for now,
@@ -47,7 +49,7 @@
 // invocation is a parsed command line.
 type invocation struct {
 	node, file, token, model, tenant, key, worker, service, request, name string
-	record, resume, keyFile                                               string
+	record, resume, keyFile, confirmedMember                              string
 	asJSON, undrain, dryRun, assumeYes                                    bool
 	ifVersion, weights                                                    int64
 	parts, parameters, overlays                                           []string
@@ -93,6 +95,7 @@
 		{"runbook check", "check a runbook, shipped or a .json file", checkRunbook},
 		{"runbook run", "run a runbook step by step", runRunbook},
 		{"explain", "show how a request was routed", explainRequest},
+		{"group restore", "restore a group that lost its majority from the named node (--confirm MEMBER: do it)", restoreGroup},
 		{"index lookup", "show the holders of a prompt's prefixes", queryIndex},
 	}
 }
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -250,6 +250,8 @@
 		for _, attempt := range result.Goes {
 			fmt.Fprintln(table, indent(attempt))
 		}
+	case *operator.GroupRestored:
+		formatGroupRestored(table, result)
 	case *operator.Found:
 		fmt.Fprintf(table, "KEY\tTOKENS\tHOTNESS\tHOLDERS\n")
 		for _, problem := range result.Prefixes {
--- a/internal/cli/parse.go
+++ b/internal/cli/parse.go
@@ -44,6 +44,7 @@
 	parser.StringSlice(&inv.overlays, "", "overlay", "with config render: a partial configuration to merge in; repeatable")
 	parser.StringSlice(&inv.parameters, "", "set", "a parameter, name=value")
 	parser.String(&inv.request, "r", "request", "request id")
+	parser.String(&inv.confirmedMember, "", "confirm", "with group restore: the member that goes on alone, as the command names it")
 	parser.StringSlice(&inv.parts, "p", "part", "prompt part, in order")
 	set.AddFirstNames(parser)
 	return parser
--- a/internal/cli/site_test.go
+++ b/internal/cli/site_test.go
@@ -80,6 +80,8 @@
 			{"retire abort --service s --name n", "", 10, "pebblectl config patch"},
 			{"workers", "", 0, "as seen by the control state"},
 			{"explain --request r1", "", 10, "/metrics"},
+			{"group restore", "", 0, "a majority of the members answers"},
+			{"group restore --confirm x", "", 5, "can't be restored"},
 			{"index lookup --model daka --tenant t --part x", "", 0, "HOTNESS"},
 			{"index lookup --model daka --tenant nobody --part x", "", 4, "nobody"},
 			{"index lookup --model none --tenant t --part x", "", 4, "none"},
--- a/internal/control/consensus/core.go
+++ b/internal/control/consensus/core.go
@@ -14,7 +14,8 @@
 // One concern stands in one file: step.go dispatches messages, election.go holds roles, votes and
 // elections, replication.go the leader's side of replication and append.go the follower's, log.go the
 // log in memory, read_index.go linearizable reads, snapshot_send.go and snapshot_receive.go snapshot
-// transfer, membership.go membership changes, learner.go learners and rejoin.go lost disks of fixed members.
+// transfer, membership.go membership changes, learner.go learners, rejoin.go lost disks of fixed members and
+// restore.go groups that were restored from one member.
 package consensus
 
 import (
@@ -87,6 +88,8 @@
 	peerStates      map[string]*wire.Message // by peer: its state, sent under the chosen generation
 	rejoinFailure   string                   // why rejoining can't complete; empty: it can
 
+	supersededBy uint64 // a later restore generation that this member isn't one of; 0: none is known (restore.go)
+
 	ready Ready
 }
 
@@ -215,7 +218,22 @@
 
 // saveHardState persists a term and the vote given in it.
 func (c *Core) saveHardState(term uint64, vote string) {
-	c.persistHardState(&wire.HardState{Term: term, Vote: vote, Incarnation: c.hardState.Incarnation, DiskState: c.hardState.DiskState, KnownIncarnations: c.hardState.KnownIncarnations})
+	hardState := c.nextHardState()
+	hardState.Term, hardState.Vote = term, vote
+	c.persistHardState(hardState)
+}
+
+// nextHardState returns a copy of the hard state, to be changed and persisted.
+func (c *Core) nextHardState() *wire.HardState {
+	return &wire.HardState{
+		Term:              c.hardState.Term,
+		Vote:              c.hardState.Vote,
+		Incarnation:       c.hardState.Incarnation,
+		DiskState:         c.hardState.DiskState,
+		KnownIncarnations: c.hardState.KnownIncarnations,
+		RestoreGeneration: c.hardState.RestoreGeneration,
+		RestoredFrom:      c.hardState.RestoredFrom,
+	}
 }
 
 func (c *Core) persistHardState(hardState *wire.HardState) {
@@ -231,6 +249,7 @@
 // has a term of its own.
 func (c *Core) send(message *wire.Message) {
 	message.Shard, message.From, message.Incarnation, message.DiskState = c.cfg.Shard, c.cfg.Self, c.hardState.Incarnation, c.hardState.DiskState
+	message.RestoreGeneration = c.hardState.RestoreGeneration
 	if message.Term == 0 {
 		message.Term = c.hardState.Term
 	}
--- a/internal/control/consensus/model_actions_test.go
+++ b/internal/control/consensus/model_actions_test.go
@@ -22,6 +22,9 @@
 		}
 		state.nodes[slot] = s.internNode(startNode(s.config(name), modelDisk{snapshot: first}))
 	}
+	if s.restored() { // nobody has this name before
+		state.nodes[s.restoredSlot()] = s.internNode(&modelNode{name: slotNames[s.restoredSlot()], wiped: true})
+	}
 	if s.elected || s.contested || s.pendingChange != (modelEvent{}) {
 		s.electFirstLeader(state)
 	}
@@ -168,6 +171,9 @@
 	l.addWithin(restarts, slot, modelEvent{kind: restart})
 	l.addWithin(wipes, slot, modelEvent{kind: wipe})
 	l.addWithin(compactions, slot, modelEvent{kind: compact})
+	if l.space.restored() {
+		l.addWithin(restores, slot, modelEvent{kind: restoreGroup, arg: int32(l.space.restoredSlot())})
+	}
 	l.addWithin(reads, slot, modelEvent{kind: requestRead, arg: int32(len(l.space.histories[l.state.history].committed))})
 	l.addWithin(proposals, slot, modelEvent{kind: propose, arg: int32('1' + l.state.used[proposals])})
 }
@@ -231,6 +237,9 @@
 			return nil, false, ""
 		}
 		next.nodes[slot] = result.node
+		if result.eventOutcome.restored != nil {
+			next.nodes[s.restoredSlot()] = result.restored
+		}
 		next.history, fault = s.recordStep(state.history, result)
 		s.updateInFlight(next, action, result.messages)
 		if fault == "" {
--- a/internal/control/consensus/model_node_test.go
+++ b/internal/control/consensus/model_node_test.go
@@ -52,6 +52,7 @@
 	compact
 	requestRead
 	flush
+	restoreGroup // from the member's disk alone
 )
 
 // eventNames describe events in the trace of a search.
@@ -71,6 +72,7 @@
 	compact:         "compacts its log",
 	requestRead:     "begins a read",
 	flush:           "persists and sends what was delayed",
+	restoreGroup:    "goes on alone, as the restored group",
 }
 
 // modelEvent is an event at a node. Equal events at equal nodes have equal outcomes.
@@ -91,6 +93,9 @@
 	committed []*wire.Entry
 	term      uint64 // the node's term when it committed them
 	fault     string // the invariant that this step violates; empty: none
+
+	restored *modelNode    // the member that goes on alone where this one was; nil: the group wasn't restored
+	survived []*wire.Entry // the entries that it goes on with and hadn't applied, and one for its first snapshot
 }
 
 // startNode starts a member from its disk.
@@ -170,6 +175,8 @@
 		return &eventOutcome{node: after.loseDisk()}
 	case compact:
 		return after.compact()
+	case restoreGroup:
+		return after.restoreGroup(slotNames[event.arg])
 	case flush:
 		return after.flush()
 	case deliver:
@@ -274,8 +281,12 @@
 	return true
 }
 
-// flush carries out what the core asks for, as the driver does: persist, send, apply.
+// flush carries out what the core asks for, as the driver does: persist, send, apply. A member of an earlier
+// restore generation sends nothing more, and its disk counts as lost.
 func (node *modelNode) flush() *eventOutcome {
+	if node.core.supersededBy != 0 {
+		return &eventOutcome{node: node.loseDisk()}
+	}
 	ready := node.core.Ready()
 	if ready.Snapshot != nil {
 		node.disk = modelDisk{snapshot: ready.Snapshot}
--- a/internal/control/consensus/model_test.go
+++ b/internal/control/consensus/model_test.go
@@ -12,6 +12,8 @@
 //   - model_node_test.go: a member with its disk and driver, and the events that can happen to it
 //   - model_space_test.go: states of a group, and the messages in flight between its members
 //   - model_actions_test.go: what may happen next in a state, and what becomes of the state
+//   - model_restore_test.go: the restore of a group from one member, and what its invariants need
+//   - model_freshness_test.go: an agent that asks the members for a proof of freshness
 //   - model_invariants_test.go: the invariants, and what an observer has to remember to check them
 //   - model_search_test.go: the breadth-first search, and the trace to a violation
 //   - model_encoding_test.go: copying, encoding and fingerprints of states
@@ -93,6 +95,18 @@
 	{"steps that sync together",
 		bounds{terms: 2, elected: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, delayedFlushes: 1, compactions: 1}},
 		bounds{terms: 2, elected: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, delayedFlushes: 1, proposals: 1}}},
+	{"restored from one of two",
+		bounds{founders: 2, terms: 3, elected: true, learner: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, learners: 2, changes: 1, restores: 1}},
+		bounds{founders: 2, terms: 3, elected: true, learner: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, learners: 2, changes: 2, proposals: 1, restores: 1}}},
+	{"restored from one of three",
+		bounds{terms: 3, elected: true, learner: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, learners: 1, restores: 1}},
+		bounds{terms: 3, elected: true, learner: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, proposals: 1, learners: 1, restores: 1}}},
+	{"restored while the others go on",
+		bounds{terms: 3, elected: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, proposals: 1, restores: 1}},
+		bounds{terms: 3, elected: true, limits: [budgets]uint8{elections: 2, duplicates: unlimited, proposals: 1, restores: 1}}},
+	{"proofs and a restored group",
+		bounds{founders: 2, terms: 3, elected: true, limits: [budgets]uint8{elections: 1, duplicates: unlimited, proposals: 2, restores: 1, freshnessQueries: 1, freshnessAttestations: 2}},
+		bounds{terms: 3, elected: true, limits: [budgets]uint8{elections: 2, duplicates: unlimited, proposals: 2, restores: 1, freshnessQueries: 1, freshnessAttestations: 3}}},
 	{"fixed members and a lost disk",
 		bounds{terms: 2, fixed: true, elected: true, limits: [budgets]uint8{elections: 1, heartbeats: 1, wipes: 1}},
 		bounds{terms: 1, fixed: true, elected: true, limits: [budgets]uint8{heartbeats: 1, wipes: 1, proposals: 1, duplicates: 1}}},
--- a/internal/control/consensus/rejoin.go
+++ b/internal/control/consensus/rejoin.go
@@ -29,7 +29,9 @@
 			incarnations = append(incarnations, known)
 		}
 	}
-	c.persistHardState(&wire.HardState{Term: c.hardState.Term, Vote: c.hardState.Vote, Incarnation: c.hardState.Incarnation, DiskState: c.hardState.DiskState, KnownIncarnations: incarnations})
+	hardState := c.nextHardState()
+	hardState.KnownIncarnations = incarnations
+	c.persistHardState(hardState)
 }
 
 // Incarnations returns this member's own incarnation and the recorded ones of its peers.
--- a/internal/control/consensus/status.go
+++ b/internal/control/consensus/status.go
@@ -15,8 +15,13 @@
 	RejoinFailure    string // why it can't rejoin, in English; empty: no reason is known
 	Applied          uint64 // index of the last entry handed to the driver
 	LastIndex        uint64 // index of the last entry in the log
+	LastLogTerm      uint64 // term of that entry
 	LogEntries       int    // number of entries after the snapshot
 	TicksSinceLeader int    // ticks since the last contact with a leader, or since the start
+
+	RestoreGeneration uint64 // of the group as this member knows it; 0: it was never restored
+	RestoredFrom      string // this member's name before the group was restored from it; empty: it wasn't
+	SupersededBy      uint64 // a later restore generation, which this member isn't one of; 0: none is known
 }
 
 // Status returns the member's current status.
@@ -33,6 +38,11 @@
 		LastIndex:        c.lastIndex(),
 		LogEntries:       len(c.log),
 		TicksSinceLeader: c.ticks - c.lastLeaderContact,
+
+		LastLogTerm:       c.lastTerm(),
+		RestoreGeneration: c.hardState.RestoreGeneration,
+		RestoredFrom:      c.hardState.RestoredFrom,
+		SupersededBy:      c.supersededBy,
 	}
 }
 
--- a/internal/control/consensus/step.go
+++ b/internal/control/consensus/step.go
@@ -25,18 +25,20 @@
 	wire.MessageKind_APPEND_REQUEST:  {handle: (*Core).handleAppendRequest},
 	wire.MessageKind_APPEND_RESPONSE: {handle: (*Core).handleAppendResponse, isResponse: true},
 
+	wire.MessageKind_RESTORE_NOTICE: {keepsTerm: true}, // its generation says it all
+
 	wire.MessageKind_SNAPSHOT_REQUEST:        {handle: (*Core).handleSnapshotRequest},
 	wire.MessageKind_SNAPSHOT_CHUNK_REQUEST:  {handle: (*Core).handleChunkRequest},
 	wire.MessageKind_SNAPSHOT_CHUNK_RESPONSE: {handle: (*Core).handleChunkResponse, isResponse: true},
 }
 
 // Step handles one received message. Messages may be lost, delayed, duplicated and reordered; those of
-// other shards, of senders that aren't known and of superseded incarnations are ignored. The message
-// must not be changed afterwards.
+// other shards, of other restore generations, of senders that aren't known and of superseded incarnations
+// are ignored. The message must not be changed afterwards.
 //
 // Example: c.Step(message); drive(c.Ready())
 func (c *Core) Step(message *wire.Message) {
-	if !c.isRecipient(message) {
+	if c.supersededBy != 0 || message.Shard != c.cfg.Shard || !c.isOfThisGeneration(message) || !c.isRecipient(message) {
 		return
 	}
 	handler := messageHandlers[message.Kind]
@@ -64,7 +66,7 @@
 // isRecipient reports whether a message is for this member. With fixed members its sender must be one of
 // them; in a group anyone may send, since logs may differ in which members they name.
 func (c *Core) isRecipient(message *wire.Message) bool {
-	return message.To == c.cfg.Self && message.Shard == c.cfg.Shard && message.From != c.cfg.Self &&
+	return message.To == c.cfg.Self && message.From != c.cfg.Self &&
 		(c.cfg.DynamicMembership || c.IsVoter(message.From))
 }
 
--- a/internal/control/controlstate/follow.go
+++ b/internal/control/controlstate/follow.go
@@ -50,11 +50,8 @@
 // alone, that it holds no newer version of the proof document; agent.FreshnessProof says what a
 // majority of such attestations proves.
 func (v *publishedView) followResponse(request *wire.FollowRequest) *wire.FollowResponse {
-	response := &wire.FollowResponse{Member: v.self, Members: v.members, MembersTerm: v.term, MembersIndex: v.index, Leader: v.leader}
-	known := make(map[string]uint64, len(request.Known))
-	for _, item := range request.Known {
-		known[item.Key] = item.Version
-	}
+	response := &wire.FollowResponse{Member: v.self, Members: v.members, MembersTerm: v.term, MembersIndex: v.index, Leader: v.leader, RestoreGeneration: v.generation}
+	known := v.knownVersions(request)
 	proofVersion := known[request.ProofKey]
 	documents := v.documents
 	if request.AcceptsCompressed {
@@ -63,7 +60,7 @@
 	for _, item := range request.Known {
 		if strings.HasSuffix(item.Key, "/") {
 			response.Documents = appendUnknown(response.Documents, documents, item.Key, known)
-		} else if document := documents[item.Key]; document.GetVersion() > item.Version {
+		} else if document := documents[item.Key]; document.GetVersion() > known[item.Key] {
 			response.Documents = append(response.Documents, document)
 			if item.Key == request.ProofKey {
 				proofVersion = document.Version
@@ -74,6 +71,19 @@
 	return response
 }
 
+// knownVersions are the versions that a client knows, by key. A restored group may have lost those that the client
+// knows from an earlier generation, so they count as unknown.
+func (v *publishedView) knownVersions(request *wire.FollowRequest) map[string]uint64 {
+	known := make(map[string]uint64, len(request.Known))
+	if request.RestoreGeneration < v.generation {
+		return known
+	}
+	for _, item := range request.Known {
+		known[item.Key] = item.Version
+	}
+	return known
+}
+
 // appendUnknown appends the documents below a prefix that the client doesn't list as known.
 func appendUnknown(unknown []*wire.Document, documents map[string]*wire.Document, prefix string, known map[string]uint64) []*wire.Document {
 	for key, document := range documents {
--- a/internal/control/controlstate/group.go
+++ b/internal/control/controlstate/group.go
@@ -34,6 +34,10 @@
 	stopping        bool           // this process stops
 
 	replacementAllowed bool // a corrupted disk may be replaced: the group serves without it
+
+	superseded   bool            // the group was restored without this member
+	noticeTicks  int             // between two notices of a restored group to nodes outside it
+	controlNodes func() []string // addresses of the control nodes in the cluster membership
 }
 
 // openGroupShard makes a new shard the one of a group. If its disk can't be opened, the shard runs without taking
@@ -96,7 +100,7 @@
 		s.log.Debug("disk still fails", "error", errs.Text(err))
 		return
 	}
-	s.failure, s.replacementAllowed = nil, false
+	s.failure, s.replacementAllowed, s.superseded = nil, false, false
 	s.log.Info("disk works again", "incarnation", s.core.Self())
 	s.publishRecovered()
 }
@@ -112,6 +116,7 @@
 		s.retryReopen()
 		return
 	}
+	s.sendRestoreNotices()
 	next := s.nextMembership()
 	if next == nil {
 		return
@@ -144,12 +149,17 @@
 // know it of each other.
 const bootstrapIncarnation = "/0"
 
+// newIncarnation is the name of a new member at an address.
+func newIncarnation(addr string, random func() uint64) string {
+	return fmt.Sprintf("%s/%016x", addr, random())
+}
+
 // initialGroupSnapshot is the first snapshot of an empty disk. At the first start of the whole system
 // the seeds bootstrap the group. Any other empty disk has lost what it had, or is new: its member starts
 // as a learner under an incarnation of its own.
 func initialGroupSnapshot(isFirstStart bool, self string, seeds []string, random func() uint64) *wire.Snapshot {
 	if !isFirstStart || !slices.Contains(seeds, self) {
-		return consensus.LearnerSnapshot(fmt.Sprintf("%s/%016x", self, random()))
+		return consensus.LearnerSnapshot(newIncarnation(self, random))
 	}
 	var members []string
 	for _, seed := range seeds {
--- a/internal/control/controlstate/persistence.go
+++ b/internal/control/controlstate/persistence.go
@@ -18,14 +18,25 @@
 // snapshotFormat is the version of the snapshots that this program reads and writes.
 const snapshotFormat = 1
 
-// load recovers snapshot, log and state from the disk. An empty disk gets an initial snapshot. So does a corrupted
-// one, as a disk that was lost, once that is allowed (see replaceCorruptedDisk).
+// load recovers snapshot, log and state from the disk. An empty disk gets an initial snapshot. So does one that counts
+// as lost: a corrupted one, once that is allowed (see replaceCorruptedDisk), and that of a member which the group was
+// restored without.
 func (s *shard) load(disk storage.Disk, initialSnapshot func(lost bool) *wire.Snapshot) (recovered storage.Recovered, err error) {
 	s.store, recovered, err = storage.Open(disk)
-	lost := errors.Is(err, storage.ErrCorrupted)
-	if lost && s.group != nil && s.replacementAllowed {
-		s.log.Warn("a corrupted disk counts as lost: copies of its files are kept beside them", "error", err)
-		s.store, err = storage.Replace(disk)
+	lost := false
+	switch {
+	case s.group == nil:
+	case errors.Is(err, storage.ErrCorrupted):
+		lost = true
+		if s.replacementAllowed {
+			s.log.Warn("a corrupted disk counts as lost: copies of its files are kept beside them", "error", err)
+			s.store, err = storage.Replace(disk, storage.CorruptedCopies)
+		}
+	case err == nil && s.superseded:
+		lost = true
+		s.log.Warn("the disk of a member which the group was restored without counts as lost: copies of its files are kept beside them")
+		recovered = storage.Recovered{}
+		s.store, err = storage.Replace(disk, storage.SupersededCopies)
 	}
 	if err != nil {
 		return recovered, errs.Wrap(err, "open shard")
--- a/internal/control/controlstate/published_view.go
+++ b/internal/control/controlstate/published_view.go
@@ -21,6 +21,7 @@
 	compressedDocuments map[string]*wire.Document // the same, for clients that accept them
 	unappliedVersions   map[string]uint64         // by key: see highestVersions
 	members             []string                  // of the newest membership that this member knows
+	generation          uint64                    // of the group: how often it was restored
 	term, index         uint64                    // of that membership
 	isVoter             bool                      // this member is a voter, and its disk works
 	leader              string
@@ -60,6 +61,7 @@
 	view := &publishedView{self: s.core.Self(), leader: status.Leader, isLeader: isLeader}
 	view.unappliedVersions = highestVersions(s.core.UnappliedEntries())
 	view.members, view.term, view.index = s.core.Members()
+	view.generation = status.RestoreGeneration
 	view.isVoter = s.failure == nil && s.core.IsVoter(view.self)
 	if isReplaced || containsCommand(ready.CommittedEntries) {
 		view.documents = maps.Clone(s.state.documents)
@@ -87,7 +89,7 @@
 
 // isNewerThan reports whether a client that has seen the previous view learns something from this one.
 func (v *publishedView) isNewerThan(previous *publishedView) bool {
-	if v.term != previous.term || v.index != previous.index || v.isVoter != previous.isVoter {
+	if v.generation != previous.generation || v.term != previous.term || v.index != previous.index || v.isVoter != previous.isVoter {
 		return true
 	}
 	for key, document := range v.documents {
--- a/internal/control/controlstate/shard.go
+++ b/internal/control/controlstate/shard.go
@@ -114,6 +114,9 @@
 // applies committed entries. A message may say that its sender holds something, so none is sent before
 // the disk does. A failed write takes the member out: it acknowledges and sends nothing more.
 func (s *shard) handleReady() {
+	if s.group != nil && s.failure == nil {
+		s.yieldToRestoredGroup()
+	}
 	if s.failure != nil {
 		return
 	}
@@ -153,17 +156,22 @@
 	}
 }
 
-// halt takes this member out after a failure of its disk. Pending reads, watches and proposals end; the
-// outcome of these is unknown, since the other members may still commit their entries.
+// halt takes this member out, after a failure of its disk for example.
 func (s *shard) halt(err error) {
 	s.failure = err
 	s.log.Error("member is out", "error", errs.Text(err))
+	s.endWaits()
+	s.publish(consensus.Ready{})
+}
+
+// endWaits ends pending reads, watches and proposals; the outcome of these is unknown, since the other members may
+// still commit their entries.
+func (s *shard) endWaits() {
 	for id := range s.pendingReads {
 		s.completeRead(id, false)
 	}
 	s.abandonProposals()
 	s.notifyWatchers()
-	s.publish(consensus.Ready{})
 }
 
 func (s *shard) notifyWatchers() {
--- a/internal/control/controlstate/shard_status.go
+++ b/internal/control/controlstate/shard_status.go
@@ -29,9 +29,11 @@
 		AppliedIndex: status.Applied,
 		LastIndex:    status.LastIndex,
 		Term:         status.Term,
+		LastLogTerm:  status.LastLogTerm,
 		StateBytes:   uint64(s.state.documentBytes),
 		LogBytes:     uint64(s.store.LogBytes()),
 	}
+	response.RestoreGeneration = status.RestoreGeneration
 	if s.failure != nil {
 		response.Failure = errs.Text(s.failure)
 	}
--- a/internal/control/controlstate/start_group.go
+++ b/internal/control/controlstate/start_group.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	if process.Settings.Operator != "" {
-		if err := operatorapi.ServeGroup(process, node.controlClient, node.membership.View, node.clients, codec.Read); err != nil {
+		if err := operatorapi.ServeGroup(process, node.controlClient, node.membership.View, node.clients, codec.Read, node); err != nil {
 			return err
 		}
 	}
@@ -67,11 +67,13 @@
 	shard.claimRetention = process.Settings.Bounds.RequestIDRetention(1)
 	shard.confirmTimeout = settings.Fraction(site.AckTimeoutMs, operatorTimeoutRatio*confirmTimeoutRatio)
 	openGroupShard(shard, &group{
-		codec:       codec,
-		disk:        shardDisk(process, groupShardDirectory),
-		zoneOf:      n.zoneOf,
-		targetSize:  2*site.ToleratedFailures + 1,
-		reopenTicks: int(reopenIntervalRatio / groupTick),
+		codec:        codec,
+		disk:         shardDisk(process, groupShardDirectory),
+		zoneOf:       n.zoneOf,
+		targetSize:   2*site.ToleratedFailures + 1,
+		reopenTicks:  int(reopenIntervalRatio / groupTick),
+		noticeTicks:  int(noticeIntervalRatio / groupTick),
+		controlNodes: n.controlNodeAddrs,
 		consensusConfig: consensus.Config{
 			HeartbeatTicks:   heartbeatTicks,
 			ElectionTicks:    electionTicks,
@@ -103,6 +105,14 @@
 	return nil
 }
 
+// controlNodeAddrs are the addresses of the control nodes in the cluster membership.
+func (n *Node) controlNodeAddrs() (addrs []string) {
+	for _, member := range n.membership.View().WithRole(clustermembership.RoleControlNode) {
+		addrs = append(addrs, member.Addr)
+	}
+	return addrs
+}
+
 // zoneOf is the zone of a control node by the cluster membership; "" if it isn't known.
 func (n *Node) zoneOf(addr string) string {
 	for _, member := range n.membership.View().WithRole(clustermembership.RoleControlNode) {
--- a/internal/control/operatorapi/group_members.go
+++ b/internal/control/operatorapi/group_members.go
@@ -107,7 +107,7 @@
 	}
 	if !hasLeader {
 		report.addProblem("part-unowned", entireSite, "no responding core machine leads the control state: nothing can be read or changed",
-			"see that a majority of the members run and reach each other", runbookCorePartitioned)
+			"see that a majority of the members run and reach each other; if most of their disks are lost for good, see runbook group-lost", runbookCorePartitioned)
 	}
 	return hasLeader
 }
--- a/internal/control/operatorapi/group_server.go
+++ b/internal/control/operatorapi/group_server.go
@@ -27,6 +27,7 @@
 type groupServer struct {
 	*Server
 	site       *settings.Site
+	restorer   GroupRestorer
 	name       string // of this node
 	decodePlan func(body []byte) (*routingconfig.Plan, error)
 }
@@ -34,12 +35,13 @@
 // ServeGroup serves the operators' API of a site with a group. The API's handler is built at the first
 // request: until then it costs one listener.
 //
-// Example: err := operatorapi.ServeGroup(process, control, member.View, clients, codec.Read)
+// Example: err := operatorapi.ServeGroup(process, control, member.View, clients, codec.Read, node)
 func ServeGroup(process *daemon.Process, control *controlclient.Client, view func() clustermembership.View, clients *daemon.Clients,
-	decodePlan func([]byte) (*routingconfig.Plan, error)) error {
+	decodePlan func([]byte) (*routingconfig.Plan, error), restorer GroupRestorer) error {
 	s := &groupServer{
 		Server:     newServer(process, control, view, clients, routingconfig.DocumentKey),
 		site:       process.Settings.Site,
+		restorer:   restorer,
 		name:       clustermembership.RoleControlNode + "/" + process.Settings.Name,
 		decodePlan: decodePlan,
 	}
--- a/internal/data/agent/agent.go
+++ b/internal/data/agent/agent.go
@@ -177,7 +177,7 @@
 // handleResponse applies one member's response, and reports whether it had an update.
 func (a *Agent) handleResponse(response *wire.FollowResponse, requested uint64, requestedAt time.Duration) (isUpdate bool) {
 	a.actor.Ask(func(t *table) {
-		term, index, hadNoProof := t.proof.term, t.proof.index, t.snapshot.ProofAt == 0
+		generation, term, index, hadNoProof := t.proof.generation, t.proof.term, t.proof.index, t.snapshot.ProofAt == 0
 		var err error
 		isUpdate, err = t.applyResponse(response, requested, requestedAt, a.process.Clock.Now())
 		if err != nil {
@@ -188,7 +188,7 @@
 		if hadNoProof && t.snapshot.ProofAt > 0 {
 			a.process.Log.Info("first plan proved", "version", t.snapshot.Plan.Version, "workers", len(t.snapshot.Workers))
 		}
-		if t.proof.term != term || t.proof.index != index {
+		if t.proof.generation != generation || t.proof.term != term || t.proof.index != index {
 			a.updateFollowed(t)
 		}
 	})
--- a/internal/data/agent/freshnessproof.go
+++ b/internal/data/agent/freshnessproof.go
@@ -35,11 +35,16 @@
 //     truncated M from its log for good, against (b). (Without (b) this case fails: from {1,2,3,4},
 //     {a,3,4} of the lost {1,2,3,4,a} never intersects {1,2} of {1,2,3}.)
 //
+// A group that was restored from one member (restore generation) is another group: what it doesn't hold was
+// given up. So memberships rank by restore generation first. A member that was given up has another name than
+// any voter of the restored group, so what it says doesn't count once that group is known.
+//
 // A proof is about the past, so it stays valid when members change, and a proof for v is one for any newer
 // plan. It is none for an older one: an attestation for v says nothing about plans between u and v, so it
 // doesn't count while u is in use.
 type FreshnessProof struct {
-	term, index  uint64 // of the newest membership that any member reported
+	generation   uint64 // the newest restore generation that any member reported
+	term, index  uint64 // of the newest membership of that generation
 	members      []string
 	attestations map[string]attestation // by member of that membership
 	freshUntil   time.Duration
@@ -64,6 +69,11 @@
 // Example: for _, member := range p.Members() { follow(member) }
 func (p *FreshnessProof) Members() []string { return p.members }
 
+// Generation is the newest known restore generation of the group.
+//
+// Example: request.RestoreGeneration = p.Generation()
+func (p *FreshnessProof) Generation() uint64 { return p.generation }
+
 // AddResponse records a response to a request that was sent at an instant. version is the newest plan
 // that the member was sent or returned.
 //
@@ -86,6 +96,9 @@
 
 // isNewerMembership reports whether a response has a newer membership than the newest known.
 func (p *FreshnessProof) isNewerMembership(response *wire.FollowResponse) bool {
+	if response.RestoreGeneration != p.generation {
+		return response.RestoreGeneration > p.generation
+	}
 	if response.MembersTerm != p.term {
 		return response.MembersTerm > p.term
 	}
@@ -94,6 +107,7 @@
 
 // setMembers takes a response's membership over. Members that were removed attest nothing any more.
 func (p *FreshnessProof) setMembers(response *wire.FollowResponse) {
+	p.generation = response.RestoreGeneration
 	p.term, p.index, p.members = response.MembersTerm, response.MembersIndex, slices.Clone(response.Members)
 	for member := range p.attestations {
 		if !slices.Contains(p.members, member) {
--- a/internal/data/agent/table.go
+++ b/internal/data/agent/table.go
@@ -69,7 +69,7 @@
 
 // newRequest makes the next request to a member.
 func (t *table) newRequest(longPollTime time.Duration) *wire.FollowRequest {
-	request := &wire.FollowRequest{MaxWaitNs: uint64(longPollTime), ProofKey: routingconfig.DocumentKey, AcceptsCompressed: true}
+	request := &wire.FollowRequest{MaxWaitNs: uint64(longPollTime), ProofKey: routingconfig.DocumentKey, AcceptsCompressed: true, RestoreGeneration: t.proof.Generation()}
 	for _, key := range []string{routingconfig.DocumentKey, fleet.WorkersKey, fleet.WeightsKey, fleet.PlacementKey} {
 		request.Known = append(request.Known, &wire.KnownVersion{Key: key, Version: t.versions[key]})
 	}
@@ -95,6 +95,13 @@
 // instant. It reports whether there was a newer document. An error says which documents can't be read; the
 // others are applied.
 func (t *table) applyResponse(response *wire.FollowResponse, requested uint64, requestedAt, now time.Duration) (changed bool, err error) {
+	switch known := t.proof.Generation(); {
+	case response.RestoreGeneration < known:
+		return false, nil // of a group that was given up
+	case response.RestoreGeneration > known && len(response.Members) > 0:
+		t.forgetDocuments()
+		requested, changed = 0, true
+	}
 	var faults errs.Batch
 	version := requested
 	for _, document := range response.Documents {
@@ -113,6 +120,14 @@
 	return changed, faults.Err()
 }
 
+// forgetDocuments prepares the table for the documents of a group that was restored: it may have lost versions that
+// this agent has received. The plan and the workers stay in use until it sends others; the plan isn't proved by then.
+func (t *table) forgetDocuments() {
+	clear(t.versions)
+	t.snapshot.Placements = nil
+	t.snapshot.NamedVersions, t.snapshot.NamedAt, t.snapshot.EarlierVersions = nil, nil, nil
+}
+
 // updateProof sets up to when the plan in use is proved to be the newest.
 func (t *table) updateProof() {
 	if t.snapshot.Plan != nil {
