Placement controller: no crash when a lease is acquired again during a roll-out

Cause: a holder whose lease expired, or whose last write of the placement failed, keeps the placement of before and forgets the document it was read from. The next step of the roll-out came before the document was read again; if it changed the batch, it wrote onto the version of no document, and the process ended with a nil pointer.

Change: the roll-out waits until the document is read again, as it does at the first acquisition.

Ruled out: a write without a version (it would replace what another holder has written meanwhile).

Test: TestRolloutWaitsForStoredPlacement, which ended with the nil pointer before.

--- a/internal/control/placementcontroller/orders.go
+++ b/internal/control/placementcontroller/orders.go
@@ -19,8 +19,8 @@
 
 // stepRollout advances the service's workers to the named weights.
 func (c *Controller) stepRollout(svc *serviceController, snapshot *updatestream.Snapshot, config serviceconfig.Service) error {
-	if svc.placement == nil {
-		return nil // the stored placement isn't read yet
+	if svc.document == nil || svc.placement == nil {
+		return nil // the stored placement isn't read yet, or not again since the lease was acquired or a write failed
 	}
 	workers := slices.DeleteFunc(languageModelWorkers(snapshot, svc.name), func(worker *wire.Worker) bool {
 		return worker.Model != config.Model && worker.Model != "" // it has another base model
