Orders name the lease whose fencing token they carry

Cause: each service has a lease of its own, and a worker compared the tokens of all of them. A worker that the platform moved to another service rejected that one's orders for as long as its lease had changed hands less often than the first one's: its weights weren't rolled out. The rig's check took one token of two leases for two holders.

The contract says so.

Ruled out: one counter of tokens for all services (their leases are in different shards, agreed on separately).

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -82,6 +82,7 @@
 // Order is a command to a worker, under the fencing token of the lease that its sender holds.
 type Order struct {
 	FencingToken uint64 `json:"fence"`
+	Lease        string `json:"lease,omitempty"`  // its name; tokens of different leases can't be compared
 	Holder       string `json:"holder,omitempty"` // the lease's holder, for the logs
 	Kind         string `json:"kind"`             // weights, load, unload
 	Weights      uint64 `json:"weights,omitempty"`
--- a/internal/control/placementcontroller/actions.go
+++ b/internal/control/placementcontroller/actions.go
@@ -52,7 +52,7 @@
 	case action.Patch != nil:
 		return b.patchConfig(ctx, action.Patch, b.configVersion, "")
 	case action.Order != nil:
-		action.Order.FencingToken, action.Order.Holder = token, b.svc.lease.Holder
+		action.Order.FencingToken, action.Order.Lease, action.Order.Holder = token, b.svc.lease.Name, b.svc.lease.Holder
 		return b.backends.Order(ctx, b.addrs[action.Node], *action.Order)
 	default:
 		return b.proveNode(ctx, b.retirement, action, b.addrs[action.Node])
--- a/internal/control/placementcontroller/orders.go
+++ b/internal/control/placementcontroller/orders.go
@@ -66,6 +66,6 @@
 	if !ok {
 		return nil
 	}
-	order := contract.Order{FencingToken: token, Holder: lease.Holder, Kind: loadWeightsOrder, Weights: weights}
+	order := contract.Order{FencingToken: token, Lease: lease.Name, Holder: lease.Holder, Kind: loadWeightsOrder, Weights: weights}
 	return errs.Wrap(c.backends.Order(ctx, worker.Addr, order), "order "+worker.Name)
 }
--- a/internal/sim/workersim/worker_test.go
+++ b/internal/sim/workersim/worker_test.go
@@ -98,6 +98,22 @@
 	}
 }
 
+// Tokens of different leases aren't compared: a worker that is moved to another service obeys its lease, and still rejects
+// lower tokens of the first one.
+func TestFencingTokensOfTwoLeases(t *testing.T) {
+	w := startWorker(t)
+	for _, sent := range []struct {
+		lease          string
+		token, weights uint64
+		accepted       bool
+	}{{"main", 5, 2, true}, {"two", 1, 3, true}, {"main", 4, 4, false}, {"two", 1, 5, true}, {"two", 0, 6, false}, {"main", 5, 6, true}} {
+		order := contract.Order{FencingToken: sent.token, Lease: sent.lease, Kind: "weights", Weights: sent.weights}
+		if err := w.backends.Order(context.Background(), w.addr, order); (err == nil) != sent.accepted {
+			t.Errorf("%+v: %v", sent, err)
+		}
+	}
+}
+
 // checkCacheDomains checks that a prompt is cached for its cache domain only.
 func (w *workerTest) checkCacheDomains() {
 	w.Helper()
