Runbooks: a machine that doesn't answer hasn't caught up

Cause: disk-lost, core-gone and core-replaced waited until the machine was blank in no shard. The status lists no shard of a machine that doesn't answer, so the wait ended at once when it was slow; the next runbook then met a blank member. TestRunbooksOnASite failed so on a busy machine (load 57 and more).

Ruled out: longer waits (the step was over too early, not too late).

--- a/internal/runbook/runbook_test.go
+++ b/internal/runbook/runbook_test.go
@@ -167,3 +167,26 @@
 		t.Errorf("an invalid runbook's faults: %v", err)
 	}
 }
+
+// A step that waits for one machine's shards isn't done while the machine doesn't answer: the status then lists none of
+// them, so a step that only limits the number of bad ones would pass.
+func TestWaitForShardsNeedsAnswer(t *testing.T) {
+	runbooks, err := Builtin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	checked := 0
+	for _, book := range runbooks {
+		for _, step := range book.Steps {
+			if step.Type != Wait || step.View != "parts" || step.Match["member"] != "{machine}" || step.Match["state"] == "out" {
+				continue
+			}
+			if checked++; step.Min == nil || *step.Min < 1 {
+				t.Errorf("%s: %q is done while the machine doesn't answer", book.Name, step.Text)
+			}
+		}
+	}
+	if checked != 3 {
+		t.Errorf("%d steps checked", checked)
+	}
+}
