Group simulator: a lost majority, a restore, and old members that return

Cause: restores were tested by scripted orders of real nodes and by the model checker; not under faults, leases, readers and an edge at once.

--- a/internal/control/controlstate/sim_group_clients_test.go
+++ b/internal/control/controlstate/sim_group_clients_test.go
@@ -26,7 +26,7 @@
 
 // readAt begins a read at a node, and calls then with what it returns.
 func (s *groupSim) readAt(node *groupSimNode, then func(version uint64, body string)) {
-	if !s.isHealthy(node) {
+	if !s.isHealthy(node) || s.isAbandoned(node) {
 		return
 	}
 	begun, generation, confirmed := s.now, node.generation, make(chan bool, 1)
@@ -94,7 +94,7 @@
 
 // proposeCommand is sendCommand that also reports whether the answer comes from a committed entry.
 func (s *groupSim) proposeCommand(node *groupSimNode, request *wire.ChangeRequest, done func(response *wire.ChangeResponse, committed bool)) {
-	if !s.isRunning(node) || s.random.Float64() < s.lossRate {
+	if !s.isRunning(node) || s.isAbandoned(node) || s.random.Float64() < s.lossRate {
 		return
 	}
 	pending, response := node.shard.propose(request, nil)
@@ -234,7 +234,7 @@
 // forwardTarget is where a node sends a change: itself where it leads, else the leader that it knows.
 // Without all faults it forwards nothing.
 func (s *groupSim) forwardTarget(node *groupSimNode) *groupSimNode {
-	if !s.isRunning(node) {
+	if !s.isRunning(node) || s.isAbandoned(node) {
 		return nil
 	}
 	view := node.shard.published.current()
--- a/internal/control/controlstate/sim_group_edge_test.go
+++ b/internal/control/controlstate/sim_group_edge_test.go
@@ -12,6 +12,7 @@
 // newest, as an edge does.
 type simEdge struct {
 	version, membersIndex, membersTerm uint64
+	restoreGeneration                  uint64 // the newest that it has heard of
 	members                            []string
 	confirmedAt                        map[string]time.Duration // when the request was sent that a member answered with nothing newer
 	abandoned                          map[string]bool          // addresses whose poll isn't renewed (plantedLostPoll)
@@ -19,6 +20,12 @@
 
 // handleResponse takes in newer members and versions, and a confirmation that nothing is newer.
 func (e *simEdge) handleResponse(sentAt time.Duration, response *wire.FollowResponse) {
+	if response.RestoreGeneration < e.restoreGeneration {
+		return
+	}
+	if response.RestoreGeneration > e.restoreGeneration {
+		*e = simEdge{restoreGeneration: response.RestoreGeneration, confirmedAt: map[string]time.Duration{}, abandoned: e.abandoned}
+	}
 	if len(response.Members) > 0 && (response.MembersTerm > e.membersTerm || response.MembersTerm == e.membersTerm && response.MembersIndex > e.membersIndex) {
 		e.members, e.membersTerm, e.membersIndex = response.Members, response.MembersTerm, response.MembersIndex
 	}
@@ -64,10 +71,10 @@
 // poll is the edge's long poll of one member, held open for a time, and the check of the edge's proof.
 func (s *groupSim) poll(node *groupSimNode, maxWait time.Duration) {
 	edge, sentAt, end, generation := s.edge, s.now, s.now+maxWait, node.generation
-	if edge.abandoned[node.addr] {
-		return
+	if edge.abandoned[node.addr] || s.isAbandoned(node) && edge.restoreGeneration < s.restoreGeneration {
+		return // an edge that hasn't heard of a restore believes members that were given up
 	}
-	request := &wire.FollowRequest{Known: []*wire.KnownVersion{{Key: routingconfig.DocumentKey, Version: edge.version}}, ProofKey: routingconfig.DocumentKey}
+	request := &wire.FollowRequest{RestoreGeneration: edge.restoreGeneration, Known: []*wire.KnownVersion{{Key: routingconfig.DocumentKey, Version: edge.version}}, ProofKey: routingconfig.DocumentKey}
 	poll := func() bool {
 		if s.plantedFault == plantedLostPoll && node.generation != generation {
 			edge.abandoned[node.addr] = true
--- a/internal/control/controlstate/sim_group_phases_test.go
+++ b/internal/control/controlstate/sim_group_phases_test.go
@@ -233,7 +233,8 @@
 	}
 }
 
-// updateSeeds draws new seeds among the machines that aren't removed.
+// updateSeeds draws new seeds among the machines that aren't removed. Running processes learn of them, too
+// (daemon.Process.OnSettingsChanged): otherwise machines that start with seeds among themselves would never hear of the rest.
 func (s *groupSim) updateSeeds() {
 	s.seeds = nil
 	for _, index := range s.random.Perm(len(s.nodes)) {
@@ -241,6 +242,13 @@
 			s.seeds = append(s.seeds, node.addr)
 		}
 	}
+	for _, node := range s.nodes {
+		for _, seed := range s.seeds {
+			if node.knownAddrs != nil {
+				node.knownAddrs[seed] = true
+			}
+		}
+	}
 }
 
 // loseMachines destroys as many machines or disks of a complete group as a site tolerates at once: as
--- a/internal/control/controlstate/sim_group_test.go
+++ b/internal/control/controlstate/sim_group_test.go
@@ -66,6 +66,7 @@
 type groupSim struct {
 	simBase             // its partitions last until some fault ends them
 	founding            bool
+	restoreGeneration   uint64 // of the group that operators use
 	toleratedLosses     int
 	seeds               []string
 	nodes               []*groupSimNode
@@ -184,6 +185,12 @@
 		}
 		return initialGroupSnapshot(s.founding && !lost, node.addr, s.seeds, s.random.Uint64)
 	})
+	config.controlNodes = func() (addrs []string) {
+		for _, peer := range s.nodes {
+			addrs = append(addrs, peer.addr)
+		}
+		return addrs
+	}
 	config.targetSize = 2*s.toleratedLosses + 1
 	config.reopenTicks = int(reopenIntervalRatio / groupTick)
 	config.consensusConfig.TrailingLogBytes = s.tailBytes
@@ -241,7 +248,7 @@
 func (s *groupSim) leader() *groupSimNode {
 	var leader *groupSimNode
 	for _, node := range s.nodes {
-		if s.isHealthy(node) && node.shard.core.Status().IsLeader && (leader == nil || node.shard.core.Status().Term > leader.shard.core.Status().Term) {
+		if s.isHealthy(node) && !s.isAbandoned(node) && node.shard.core.Status().IsLeader && (leader == nil || node.shard.core.Status().Term > leader.shard.core.Status().Term) {
 			leader = node
 		}
 	}
