--- a/internal/runbook/runbook_test.go
+++ b/internal/runbook/runbook_test.go
@@ -176,13 +176,13 @@
 		t.Fatal(err)
 	}
 	checked := 0
-	for _, book := range runbooks {
-		for _, step := range book.Steps {
+	for _, builtin := range runbooks {
+		for _, step := range builtin.Steps {
 			if step.Type != Wait || step.View != "parts" || step.Match["member"] != "{machine}" || step.Match["state"] == "out" {
 				continue
 			}
 			if checked++; step.Min == nil || *step.Min < 1 {
-				t.Errorf("%s: %q is done while the machine doesn't answer", book.Name, step.Text)
+				t.Errorf("%s: %q is done while the machine doesn't answer", builtin.Name, step.Text)
 			}
 		}
 	}
