--- a/internal/cli/group_test.go
+++ b/internal/cli/group_test.go
@@ -50,11 +50,8 @@
 func TestGroupRestore(t *testing.T) {
 	skipUnderRace(t)
 	synctest.Test(t, func(t *testing.T) {
-		site := startSite(t)
+		site := startSiteWithPlan(t)
 		defer site.stopAll()
-		if code, out, bad := site.runOn(2, `{"version":3}`, "config apply --file -"); code != 0 {
-			t.Fatalf("exit %d: %s%s", code, out, bad)
-		}
 		code, out, bad := site.runOn(1, "", "group restore")
 		if code != 0 || !strings.Contains(out, "a majority of the members answers") {
 			t.Errorf("in a group that serves: exit %d, %s%s", code, out, bad)
@@ -95,11 +92,8 @@
 func TestRunbookForALostGroup(t *testing.T) {
 	skipUnderRace(t)
 	synctest.Test(t, func(t *testing.T) {
-		site := startSite(t)
+		site := startSiteWithPlan(t)
 		defer site.stopAll()
-		if code, out, bad := site.runOn(2, `{"version":3}`, "config apply --file -"); code != 0 {
-			t.Fatalf("exit %d: %s%s", code, out, bad)
-		}
 		runbook := func(steps ...func()) (int, string) {
 			var out, bad bytes.Buffer
 			record := filepath.Join(t.TempDir(), "run.jsonl")
--- a/internal/cli/site_test.go
+++ b/internal/cli/site_test.go
@@ -33,6 +33,16 @@
 	return site
 }
 
+// startSiteWithPlan starts a site whose plan is version 3.
+func startSiteWithPlan(t *testing.T) *testSite {
+	t.Helper()
+	site := startSite(t)
+	if code, out, bad := site.runOn(2, `{"version":3}`, "config apply --file -"); code != 0 {
+		t.Fatalf("exit %d: %s%s", code, out, bad)
+	}
+	return site
+}
+
 // Every command that has a meaning on a site with agreed membership is answered by any core
 // machine; every other one says that it has none there and what to use instead. All give JSON.
 func TestCommandsOnASite(t *testing.T) {
@@ -166,11 +176,8 @@
 func TestStatusFollowsASite(t *testing.T) {
 	skipUnderRace(t)
 	synctest.Test(t, func(t *testing.T) {
-		site := startSite(t)
+		site := startSiteWithPlan(t)
 		defer site.stopAll()
-		if code, out, bad := site.runOn(2, `{"version":3}`, "config apply --file -"); code != 0 {
-			t.Fatalf("exit %d: %s%s", code, out, bad)
-		}
 		site.waitUntil("all is well", 20*time.Second, func() bool { return site.query(3, "status").Ok })
 		checkHealthySite(t, site)
 		checkCachedPrefixes(t, site)
@@ -258,11 +265,8 @@
 func TestStatusReportsALostQuorum(t *testing.T) {
 	skipUnderRace(t)
 	synctest.Test(t, func(t *testing.T) {
-		site := startSite(t)
+		site := startSiteWithPlan(t)
 		defer site.stopAll()
-		if code, out, bad := site.runOn(2, `{"version":3}`, "config apply --file -"); code != 0 {
-			t.Fatalf("exit %d: %s%s", code, out, bad)
-		}
 		for _, i := range []int{2, 3, 4} { // killed without a shutdown: no hand-over
 			site.processes[fmt.Sprint("state", i)].Stop(0)
 			delete(site.processes, fmt.Sprint("state", i))
--- a/internal/control/controlstate/restore_test.go
+++ b/internal/control/controlstate/restore_test.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// startSurvivor starts a site of three with version 1, of which the first machine alone is left.
+func startSurvivor(t *testing.T) *testCluster {
+	t.Helper()
+	cluster := newTestCluster(t)
+	cluster.startFounders(3)
+	cluster.putVersion(1)
+	cluster.stop(2)
+	cluster.stop(3)
+	return cluster
+}
+
 // loseDisk removes the disk of a stopped machine.
 func (c *testCluster) loseDisk(i int) { delete(c.disks, c.addr(i)) }
 
@@ -174,12 +185,8 @@
 // group's generation only newer ones.
 func TestFollowAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cluster := newTestCluster(t)
+		cluster := startSurvivor(t)
 		defer cluster.stopAll()
-		cluster.startFounders(3)
-		cluster.putVersion(1)
-		cluster.stop(2)
-		cluster.stop(3)
 		cluster.restoreFrom(1)
 		request := &wire.FollowRequest{ProofKey: routingconfig.DocumentKey, Known: []*wire.KnownVersion{{Key: routingconfig.DocumentKey, Version: 7}}}
 		response, err := cluster.node(1).Follow(context.Background(), request)
@@ -270,12 +277,8 @@
 // group as it was, or restored, and never something between.
 func TestDiskFailsDuringRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cluster := newTestCluster(t)
+		cluster := startSurvivor(t)
 		defer cluster.stopAll()
-		cluster.startFounders(3)
-		cluster.putVersion(1)
-		cluster.stop(2)
-		cluster.stop(3)
 		disk := cluster.disks[cluster.addr(1)]
 		report, err := cluster.node(1).RestoreGroup(context.Background(), "")
 		if err != nil {
