A member that a group was restored without keeps its disk until the restored group serves

Cause: read once more, a single message with a wrong restore generation would have had every member of a group set its disk aside at once, and the group would have been gone.

Change: such a member takes no part, as before, but its disk is replaced only after a leader of that generation has served it a read that a quorum confirmed, as with corrupted disks.

Ruled out: ignoring generations that are far higher (two restores within a moment may be far apart; a bound would be arbitrary).

--- a/internal/control/controlstate/corrupted_disk.go
+++ b/internal/control/controlstate/corrupted_disk.go
@@ -17,8 +17,11 @@
 // hasCorruptedDisk reports whether this member is out because its disk is corrupted.
 func (s *shard) hasCorruptedDisk() bool { return errors.Is(s.failure, storage.ErrCorrupted) }
 
-// allowReplacement has the next attempt to open the disk replace what it holds, if it is still corrupted.
-func (s *shard) allowReplacement() { s.replacementAllowed = s.hasCorruptedDisk() }
+// allowReplacement has the next attempt to open the disk replace what it holds, if it is still corrupted, or that of a
+// member which the group was restored without.
+func (s *shard) allowReplacement() {
+	s.replacementAllowed = s.hasCorruptedDisk() || s.supersededBy != 0
+}
 
 // replaceCorruptedDisk allows this member's corrupted disk to be replaced if the group serves without it.
 func (n *Node) replaceCorruptedDisk() {
--- a/internal/control/controlstate/group.go
+++ b/internal/control/controlstate/group.go
@@ -33,9 +33,9 @@
 	leaving         map[string]int // by incarnation: the tick in which it last announced that it stops
 	stopping        bool           // this process stops
 
-	replacementAllowed bool // a corrupted disk may be replaced: the group serves without it
+	replacementAllowed bool   // the disk counts as lost and may be replaced: the group serves without it
+	supersededBy       uint64 // the restore generation of the group that was restored without this member; 0: none
 
-	superseded   bool            // the group was restored without this member
 	noticeTicks  int             // between two notices of a restored group to nodes outside it
 	controlNodes func() []string // addresses of the control nodes in the cluster membership
 }
@@ -100,7 +100,7 @@
 		s.log.Debug("disk still fails", "error", errs.Text(err))
 		return
 	}
-	s.failure, s.replacementAllowed, s.superseded = nil, false, false
+	s.failure, s.replacementAllowed, s.supersededBy = nil, false, 0
 	s.log.Info("disk works again", "incarnation", s.core.Self())
 	s.publishRecovered()
 }
--- a/internal/control/controlstate/join.go
+++ b/internal/control/controlstate/join.go
@@ -35,9 +35,10 @@
 type rejoinNeed int
 
 const (
-	nothingNeeded   rejoinNeed = iota // a leader replicates to it, or it waits for its disk or an election
-	joinNeeded                        // no leader replicates to it
-	diskReplacement                   // its disk is corrupted
+	nothingNeeded         rejoinNeed = iota // a leader replicates to it, or it waits for its disk or an election
+	joinNeeded                              // no leader replicates to it
+	diskReplacement                         // its disk is corrupted
+	supersededReplacement                   // the group was restored without it
 )
 
 // joinLoop asks the group to replicate to this member whenever no leader does, and replaces a corrupted disk.
@@ -51,6 +52,8 @@
 		switch need {
 		case diskReplacement:
 			n.replaceCorruptedDisk()
+		case supersededReplacement:
+			n.replaceSupersededDisk()
 		case joinNeeded:
 			view := shard.published.current()
 			n.controlClient.HintLeader(view.leader)
@@ -63,6 +66,8 @@
 	switch {
 	case s.hasCorruptedDisk():
 		return diskReplacement
+	case s.supersededBy != 0:
+		return supersededReplacement
 	case s.needsJoin():
 		return joinNeeded
 	}
--- a/internal/control/controlstate/persistence.go
+++ b/internal/control/controlstate/persistence.go
@@ -32,7 +32,9 @@
 			s.log.Warn("a corrupted disk counts as lost: copies of its files are kept beside them", "error", err)
 			s.store, err = storage.Replace(disk, storage.CorruptedCopies)
 		}
-	case err == nil && s.superseded:
+	case err == nil && s.supersededBy != 0 && !s.replacementAllowed:
+		return recovered, errSuperseded
+	case err == nil && s.supersededBy != 0:
 		lost = true
 		s.log.Warn("the disk of a member which the group was restored without counts as lost: copies of its files are kept beside them")
 		recovered = storage.Recovered{}
--- a/internal/control/controlstate/restore.go
+++ b/internal/control/controlstate/restore.go
@@ -274,13 +274,43 @@
 	}
 }
 
+// errSuperseded takes a member out that the group was restored without.
+var errSuperseded = errs.New(errs.Conflict, "the group was restored without this member: its disk counts as lost once the restored group serves")
+
 // yieldToRestoredGroup takes this member out once it has learned that the group was restored without it. Its disk
-// counts as lost: the machine joins the restored group as a new member, and copies of the files are kept.
+// counts as lost, and the machine joins the restored group as a new member, but only once that is known to serve
+// (replaceSupersededDisk): a wrong number in a message must not have a group set all of its disks aside.
 func (s *shard) yieldToRestoredGroup() {
-	generation := s.core.Status().SupersededBy
-	if generation == 0 {
-		return
+	if s.supersededBy = s.core.Status().SupersededBy; s.supersededBy != 0 {
+		s.halt(errSuperseded)
+	}
+}
+
+// replaceSupersededDisk allows the disk of a member which the group was restored without to be replaced, if a leader
+// of that restore generation, or a later one, serves a read that a quorum has confirmed.
+func (n *Node) replaceSupersededDisk() {
+	shard := n.shards[0]
+	ctx, cancel := context.WithTimeout(n.process.Ctx, n.process.Settings.Bounds.Heal(surveyTimeoutRatio))
+	defer cancel()
+	generation := query(ctx, shard, 0, func() uint64 { return shard.supersededBy })
+	for _, addr := range n.controlClient.Addresses() {
+		if generation != 0 && n.servesGeneration(ctx, addr, generation) {
+			shard.commands.Offer(shard.allowReplacement)
+			return
+		}
+	}
+}
+
+// servesGeneration reports whether the node at an address leads a group of a restore generation, or a later one, and a
+// quorum confirms that.
+func (n *Node) servesGeneration(ctx context.Context, addr string, generation uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, n.process.Settings.Bounds.Heal(joinTimeoutRatio))
+	defer cancel()
+	client := n.clients.ControlNode(addr)
+	follow, err := client.Follow(ctx, &wire.FollowRequest{})
+	if err != nil || follow.RestoreGeneration < generation {
+		return false
 	}
-	s.superseded = true
-	s.halt(errs.New(errs.Conflict, "the group was restored without this member: its disk counts as lost, and copies of its files are kept"))
+	read, err := client.Read(ctx, &wire.ReadRequest{})
+	return err == nil && read.Outcome == wire.OutcomeDone
 }
--- a/internal/control/controlstate/restore_return_test.go
+++ b/internal/control/controlstate/restore_return_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pebbleloom/internal/control/consensus"
+	"pebbleloom/internal/wire"
 )
 
 // returnScenario is when the majority that was given up comes back with its disks.
@@ -119,3 +121,37 @@
 	}
 	return true
 }
+
+// A restore generation that no group has, by a fault, takes members out; but no group of it serves, so their disks stay as
+// they are, and the group serves again once the members are restarted.
+func TestUnknownGenerationReplacesNoDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t)
+		defer cluster.stopAll()
+		cluster.startFounders(3)
+		cluster.putVersion(1)
+		wrong := &wire.Message{Kind: wire.MessageKind_RESTORE_NOTICE, From: "10.0.0.9:7360/1", RestoreGeneration: restoredTokenStep * 7}
+		for i := 1; i <= 3; i++ {
+			if _, err := cluster.node(i).Deliver(context.Background(), &wire.MessageBatch{Format: messageFormat, Messages: []*wire.Message{wrong}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		for i := 1; i <= 3; i++ {
+			status, err := cluster.node(i).Status(context.Background(), &wire.StatusRequest{})
+			if err != nil || !strings.Contains(status.Shards[0].Failure, "restored without this member") {
+				t.Errorf("machine %d: %v, %v", i, status, err)
+			}
+			for name := range cluster.filesOf(i) {
+				if strings.HasPrefix(name, "superseded-") {
+					t.Errorf("machine %d: the disk was replaced: %s", i, name)
+				}
+			}
+		}
+		for i := 1; i <= 3; i++ {
+			cluster.stop(i)
+			cluster.start(i, false)
+		}
+		cluster.waitUntil("the group", 15*time.Second, func() bool { return len(cluster.members()) == 3 && cluster.allRead(1) })
+	})
+}
--- a/internal/control/controlstate/sim_group_step_test.go
+++ b/internal/control/controlstate/sim_group_step_test.go
@@ -155,7 +155,7 @@
 		node.nextJoin = s.now + 800*time.Millisecond
 		s.join(node)
 	}
-	if s.isRunning(node) && s.now >= node.nextJoin && node.shard.hasCorruptedDisk() {
+	if s.isRunning(node) && s.now >= node.nextJoin && (node.shard.hasCorruptedDisk() || node.shard.supersededBy != 0) {
 		node.nextJoin = s.now + time.Second
 		s.confirmReplacement(node)
 	}
@@ -183,8 +183,8 @@
 	}
 }
 
-// confirmReplacement has a node with a corrupted disk replace it, once a read is confirmed at the leader that another
-// node names.
+// confirmReplacement has a node replace its disk, if that is corrupted or of a group that was given up, once a read is
+// confirmed at the leader that another node names.
 func (s *groupSim) confirmReplacement(node *groupSimNode) {
 	generation := node.generation
 	peer := s.randomNode()
