Tests: bad values for every field of a settings file, another type for every field of a calendar entry

Cause: not every field of every input had a test row; a field that is added without one wasn't noticed.

--- a/internal/control/calendar/entry_test.go
+++ b/internal/control/calendar/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -37,3 +38,19 @@
 		t.Errorf("%v %v", entry, err)
 	}
 }
+
+// A value of another type is rejected in each field of an entry, and the error names the field.
+func TestEveryFieldRejectsOtherTypes(t *testing.T) {
+	fields := reflect.TypeFor[Entry]()
+	for i := range fields.NumField() {
+		name, _, _ := strings.Cut(fields.Field(i).Tag.Get("json"), ",")
+		value := "{}"
+		if fields.Field(i).Type.Kind() != reflect.String {
+			value = `"text"`
+		}
+		_, err := Decode([]byte(`{"` + name + `": ` + value + `}`))
+		if err == nil || errs.KindOf(err) != errs.BadInput || !strings.Contains(err.Error(), "Entry."+name) {
+			t.Errorf("%s: %s: %v", name, value, err)
+		}
+	}
+}
--- a/internal/settings/process_test.go
+++ b/internal/settings/process_test.go
@@ -26,13 +26,9 @@
 
 // The keys of settings files and of their bounds are those that running sites use.
 func TestEveryKeyIsAccepted(t *testing.T) {
-	const file = `{"name":"edge-1","district":"d","listen":"127.0.0.1:1","tell":"127.0.0.1:2","public":"127.0.0.1:3","operator":"127.0.0.1:4",
-		"operator_key":"0123456789abcdef","seeds":["127.0.0.1:5","127.0.0.1:6","127.0.0.1:7"],"core":["a","b","c","d"],"data":"/d",
-		"runner":"127.0.0.1:8","rank":"127.0.0.1:9","extra":["k=v"],"bounds":{"setup_ms":2001,"key_ms":5001,"leave_ms":3001,"weights_ms":20001,
-		"heal_ms":12001,"try_share":21,"try_span_ms":10001,"try_allow":11,"once_ms":1800001,"body_kb":513,"waiting":257,"entries":60001}}`
 	var faults errs.Batch
 	process := Process{Bounds: DefaultBounds()}
-	Decode([]byte(file), "x.json", &process, &faults)
+	Decode([]byte(completeFile), "x.json", &process, &faults)
 	Validate(&process, Required{true, true, true, true, true, true, true}, "x.json", &faults)
 	if err := faults.Err(); err != nil {
 		t.Fatal(err)
