Actor: a call that its end overtakes waits for the command that is running

Cause: Ask returned false when the actor was stopped while the call's command was running. Callers read what the command writes: at the end of a process some twenty places of the product raced with their own command, cluster membership's heartbeats among them.

Change: a command is claimed once, by the actor that runs it or by the call that gives it up. If the actor has begun, the call waits for its end; if not, the command never runs. What a command writes may be read in either case.

Ruled out: a check of the result at each of the forty calls (the next one would forget it); a lock for each command.

Tests: TestAskAndItsCommandEndTogether, TestAskRacesWithStop; both failed before, the second by the race detector.

--- a/internal/queue/actor.go
+++ b/internal/queue/actor.go
@@ -1,6 +1,9 @@
 package queue
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // Actor guards a table: commands run on it one at a time, on the actor's own goroutine, so the table needs no lock.
 type Actor[T any] struct {
@@ -47,21 +50,33 @@
 	}
 }
 
-// Ask queues a command and waits until it has run. It returns false if the actor is stopped before that; the
-// command may then still be running. It must not be called from a command of the same actor.
+// Ask queues a command and waits until it has run. It returns false if the actor is stopped before the command
+// begins; the command then never runs. Either way the caller may read what the command writes. It must not be
+// called from a command of the same actor.
 //
 // Example: actor.Ask(func(t *table) { count = t.count })
 func (a *Actor[T]) Ask(command func(*T)) bool {
+	var claimed atomic.Bool // by the actor, which then runs the command, or by this call, which then gives it up
 	done := make(chan struct{})
-	if !a.Send(func(table *T) { command(table); close(done) }) {
+	runIfClaimed := func(table *T) {
+		if claimed.CompareAndSwap(false, true) {
+			command(table)
+			close(done)
+		}
+	}
+	if !a.Send(runIfClaimed) {
 		return false
 	}
 	select {
 	case <-done:
 		return true
 	case <-a.stopped:
+	}
+	if claimed.CompareAndSwap(false, true) {
 		return false
 	}
+	<-done
+	return true
 }
 
 // Stop ends the actor's goroutine after the command that is running. Queued commands aren't run any more. It
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 )
@@ -85,3 +86,57 @@
 		}
 	})
 }
+
+// A call that the actor's end overtakes either waits for its command, or the command never runs: so what the command
+// writes may be read after the call, whatever it returns.
+func TestAskAndItsCommandEndTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		actor := NewActor(new(int), 4)
+		release := make(chan struct{})
+		type result struct{ ran, returned bool }
+		results := [2]result{}
+		var calls sync.WaitGroup
+		for call := range results {
+			calls.Go(func() {
+				results[call].returned = actor.Ask(func(*int) {
+					<-release
+					results[call].ran = true
+				})
+			})
+			synctest.Wait() // the first command runs, the second is queued
+		}
+		actor.Stop()
+		synctest.Wait()
+		close(release)
+		calls.Wait()
+		synctest.Wait()
+		for call, outcome := range results {
+			if outcome.ran != outcome.returned {
+				t.Errorf("call %d: %+v", call, outcome)
+			}
+		}
+		if !results[0].ran {
+			t.Error("the command that was running was given up")
+		}
+	})
+}
+
+// Calls that race with the actor's end: the race detector finds a command that still writes what its caller reads.
+func TestAskRacesWithStop(t *testing.T) {
+	const rounds, callers = 2000, 4
+	for range rounds {
+		actor := NewActor(new(int), callers)
+		var calls sync.WaitGroup
+		for range callers {
+			calls.Go(func() {
+				seen := 0
+				ok := actor.Ask(func(*int) { seen = 1 })
+				if ok != (seen == 1) {
+					t.Errorf("returned %v, the command has run: %d", ok, seen)
+				}
+			})
+		}
+		actor.Stop()
+		calls.Wait()
+	}
+}
