Restore tests: a survivor holds the version that it is said to hold

Cause: a change is acknowledged by a majority; the third machine could be stopped before it had it, and the test then built on a version that the survivor lacks. One of the tests failed so under the race detector, on a busy machine. Change: they wait until every machine holds it.

--- a/internal/control/controlstate/restore_return_test.go
+++ b/internal/control/controlstate/restore_return_test.go
@@ -49,7 +49,7 @@
 	cluster := newTestCluster(t)
 	defer cluster.stopAll()
 	cluster.startFounders(3)
-	cluster.putVersion(1)
+	cluster.putEverywhere(1)
 	cluster.stop(1)
 	cluster.putVersion(2) // which the survivor lacks
 	cluster.stop(2)
--- a/internal/control/controlstate/restore_test.go
+++ b/internal/control/controlstate/restore_test.go
@@ -76,12 +76,22 @@
 	t.Helper()
 	cluster := newTestCluster(t)
 	cluster.startFounders(3)
-	cluster.putVersion(1)
+	cluster.putEverywhere(1)
 	cluster.stop(2)
 	cluster.stop(3)
 	return cluster
 }
 
+// putEverywhere puts a version on the one before, and waits until every machine holds it: a change is acknowledged once a
+// majority does.
+func (c *testCluster) putEverywhere(version uint64) {
+	c.t.Helper()
+	c.putVersion(version)
+	for i := 1; c.node(i) != nil; i++ {
+		c.waitUntil("the version on each machine", 5*time.Second, func() bool { return c.holdsVersion(i, version) })
+	}
+}
+
 // loseDisk removes the disk of a stopped machine.
 func (c *testCluster) loseDisk(i int) { delete(c.disks, c.addr(i)) }
 
@@ -206,7 +216,7 @@
 		cluster := newTestCluster(t)
 		defer cluster.stopAll()
 		cluster.startFounders(3)
-		cluster.putVersion(1)
+		cluster.putEverywhere(1)
 		if report, err := cluster.node(1).RestoreGroup(context.Background(), ""); err != nil || !strings.Contains(fmt.Sprint(report.Objections), "a majority of the members answers") {
 			t.Errorf("dry run in a group that serves: %+v, %v", report, err)
 		}
@@ -244,7 +254,7 @@
 			cluster.start(i+1, true)
 		}
 		cluster.waitUntil("five members", 20*time.Second, func() bool { return len(cluster.members()) == 5 })
-		cluster.putVersion(1)
+		cluster.putEverywhere(1)
 		for _, i := range []int{3, 4, 5} {
 			cluster.stop(i)
 			cluster.loseDisk(i)
