--- /dev/null
+++ b/internal/tools/ciresult/detector_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// crashed are the events of a package in which the race detector's runtime failed during a test.
+const crashed = `{"Action":"run","Package":"pebbleloom/internal/b","Test":"TestBad"}
+{"Action":"output","Package":"pebbleloom/internal/b","Test":"TestBad","Output":"ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346\n"}
+{"Action":"fail","Package":"pebbleloom/internal/b","Test":"TestBad","Elapsed":0.1}
+{"Action":"output","Package":"pebbleloom/internal/b","Output":"exit status 66\n"}
+{"Action":"fail","Package":"pebbleloom/internal/b","Elapsed":2}
+`
+
+// passedAgain are the events of a run of the same package that passed.
+const passedAgain = `{"Action":"run","Package":"pebbleloom/internal/b","Test":"TestBad"}
+{"Action":"pass","Package":"pebbleloom/internal/b","Test":"TestBad","Elapsed":0.1}
+{"Action":"pass","Package":"pebbleloom/internal/b","Elapsed":2}
+`
+
+// A package in which the race detector failed by itself counts by its second run alone, which has to be there, to be
+// complete and to pass. Nothing else is forgiven: not another package, nor another failure of the same one.
+func TestDetectorFailuresAreRunAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		first, again, want string // again "": there is no second run; want: in the message; "": CI passes
+	}{
+		"it passes the second time":         {green + crashed, passedAgain, ""},
+		"no second run":                     {green + crashed, "", "internal/b.TestBad failed"},
+		"it crashes again":                  {green + crashed, crashed, "internal/b.TestBad failed"},
+		"a test fails the second time":      {green + crashed, red, "internal/b.TestBad failed"},
+		"it doesn't end the second time":    {green + crashed, panicked, "internal/b.TestCut didn't end"},
+		"another package was run again":     {green + crashed, green, "wasn't run again"},
+		"another package fails":             {crashed + strings.ReplaceAll(red, "/b", "/e"), passedAgain, "internal/e.TestBad failed"},
+		"a failed test isn't run again":     {green + red, passedAgain, "internal/b.TestBad failed"},
+		"a second run of nothing that fell": {green, passedAgain, ""},
+	} {
+		folder := t.TempDir()
+		first := filepath.Join(folder, "race")
+		files := map[string]string{first: test.first}
+		args := []string{"none", first}
+		if test.again != "" {
+			files[first+"-again"] = test.again
+			args = append(args, first+"-again")
+		}
+		for file, events := range files {
+			exit := `{"Action":"exit","Elapsed":0}`
+			if strings.Contains(events, `"fail"`) {
+				exit = `{"Action":"exit","Elapsed":1}`
+			}
+			if err := os.WriteFile(file, []byte(events+exit+"\n"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var out, errors bytes.Buffer
+		code := run(args, &out, &errors)
+		if (code == 0) != (test.want == "") || !strings.Contains(errors.String(), test.want) {
+			t.Errorf("%s: exit %d\n%s%s", name, code, out.String(), errors.String())
+		}
+		var listed bytes.Buffer
+		code = run([]string{detectorFlag, first}, &listed, &errors)
+		if want := strings.Contains(test.first, detectorFailure); code != 0 || want != (listed.String() == "./internal/b\n") {
+			t.Errorf("%s: exit %d, to run again: %q", name, code, listed.String())
+		}
+	}
+}
--- a/internal/tools/ciresult/main.go
+++ b/internal/tools/ciresult/main.go
@@ -11,8 +11,12 @@
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// run evaluates event files: the first argument names the list of known failures, the others the events.
+// run evaluates event files: the first argument names the list of known failures, the others the events. With
+// detectorFlag it only lists the packages that have to be run again.
 func run(args []string, out, errors io.Writer) int {
+	if len(args) == 2 && args[0] == detectorFlag {
+		return listDetectorFailures(args[1], out, errors)
+	}
 	if len(args) < 2 {
 		fmt.Fprintln(errors, "ciresult: give KNOWN-RED.txt and the files with the events of go test -json")
 		return 2
@@ -24,17 +28,17 @@
 	}
 	collected := newResults()
 	for _, name := range args[1:] {
-		file, err := os.Open(name)
-		if err != nil {
-			fmt.Fprintln(errors, "ciresult:", err)
-			return 1
+		repeated, err := failuresRunAgain(name, args[1:])
+		if err == nil {
+			err = collected.readFile(name, repeated)
 		}
-		err = collected.read(file)
-		file.Close()
 		if err != nil {
 			fmt.Fprintf(errors, "ciresult: %s: %v\n", name, err)
 			return 1
 		}
+		for _, folder := range repeated {
+			fmt.Fprintf(out, "the race detector failed by itself in %s, which was run again\n", folder)
+		}
 	}
 	collected.printTimes(out)
 	faults := collected.judge(known, out)
--- a/internal/tools/ciresult/results.go
+++ b/internal/tools/ciresult/results.go
@@ -114,8 +114,19 @@
 	return strings.TrimPrefix(path, module)
 }
 
-// read adds the events of a run of go test. The last one must be its exit code, which CI appends.
-func (r *results) read(in io.Reader) error {
+// readFile adds the events in a file, without those of some folders.
+func (r *results) readFile(name string, without []string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return r.read(file, without)
+}
+
+// read adds the events of a run of go test, without those of some folders. The last one must be its exit code, which CI
+// appends; it says nothing about the others where folders are left out.
+func (r *results) read(in io.Reader, without []string) error {
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, 16<<20)
 	exited, tests := false, false
@@ -126,13 +137,15 @@
 		}
 		if e.Action == "exit" {
 			exited = true
-			if e.Elapsed != 0 {
+			if e.Elapsed != 0 && len(without) == 0 {
 				r.exits++
 			}
 			continue
 		}
 		tests = tests || e.Test != ""
-		r.add(e)
+		if !slices.Contains(without, folderOf(e.Package)) {
+			r.add(e)
+		}
 	}
 	if err := lines.Err(); err != nil {
 		return err
