The runbook for a service's replacement is carried out, in virtual time

Cause: replace-service was the last runbook that nothing ran against what it is for. Change: a runbook step may hold the calendar entry that the runbook reads from a file; its steps are part of the history.

--- a/internal/sim/testbed/runbookstep.go
+++ b/internal/sim/testbed/runbookstep.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 
@@ -31,6 +32,18 @@
 	return copy(answer, "yes\n"), nil
 }
 
+// writeEntryFile writes the calendar entry that a runbook plans into a file; an empty one: the runbook plans none.
+func (run *scenarioRun) writeEntryFile(file, entry string) error {
+	if entry == "" {
+		return nil
+	}
+	entry = strings.ReplaceAll(entry, "{model}", run.fleet.Site.Traffic.Model)
+	if err := run.beginCalendarEntry(entry); err != nil {
+		return err
+	}
+	return errs.Wrap(os.WriteFile(file, []byte(entry), 0o600), "write "+file)
+}
+
 // executeRunbook runs the runbook that the step names (Targets) with its parameters (Argument), by the command line, at an
 // operator address that no step partitions; Confirm are the actions that its confirmations ask for.
 func (run *scenarioRun) executeRunbook(ctx context.Context, step Step) error {
@@ -39,7 +52,12 @@
 	operators := run.fleet.Site.Operators
 	args := []string{"--node", operators[len(operators)-1], "runbook", "run", "--name", step.Targets,
 		"--record", filepath.Join(run.options.Dir, "runbook-"+step.Targets+".jsonl")}
-	for _, parameter := range strings.Fields(strings.ReplaceAll(step.Argument, "{model}", run.fleet.Site.Traffic.Model)) {
+	file := filepath.Join(run.options.Dir, "runbook-"+step.Targets+".json")
+	if err := run.writeEntryFile(file, step.Entry); err != nil {
+		return err
+	}
+	parameters := strings.NewReplacer("{model}", run.fleet.Site.Traffic.Model, "{file}", file).Replace(step.Argument)
+	for _, parameter := range strings.Fields(parameters) {
 		args = append(args, "--set", parameter)
 	}
 	answers := &operatorAnswers{act: func() error {
--- a/internal/sim/testbed/scenario.go
+++ b/internal/sim/testbed/scenario.go
@@ -36,6 +36,7 @@
 	// Later steps don't wait for its end, and an unknown outcome isn't a fault of the run.
 	Background bool   `json:"aside"`
 	Confirm    []Step `json:"confirm"` // of a runbook: what its confirmations ask for; their times don't count
+	Entry      string `json:"entry"`   // of a runbook: a calendar entry, in the file that its parameters name as {file}
 }
 
 //go:embed scenarios/*.json
