--- a/internal/tools/ciresult/detector.go
+++ b/internal/tools/ciresult/detector.go
@@ -12,8 +12,8 @@
 
 // Under the race detector a test program is at times ended by the detector's runtime, by a failed check of its own, or by a
 // fault inside Go's runtime (runtime.(*timer).maybeRunChan, in a bubble of virtual time); both were seen with Go 1.26 in the
-// package with the most goroutines. Neither says anything about the program. CI runs such a package once more under the
-// race detector, and what counts is the second run: it has to be complete, and to pass.
+// package with the most goroutines. Neither says anything about the program. CI runs such a package again under the
+// race detector, twice at most, and what counts is the last run: it has to be complete, and to pass.
 
 const (
 	// detectorFailure is what the runtime prints then.
--- a/internal/tools/ciresult/detector_test.go
+++ b/internal/tools/ciresult/detector_test.go
@@ -28,6 +28,30 @@
 {"Action":"pass","Package":"pebbleloom/internal/b","Elapsed":2}
 `
 
+// The second run may fail by the detector, too: then the third counts.
+func TestDetectorFailsTwice(t *testing.T) {
+	for last, want := range map[string]int{passedAgain: 0, crashed: 1, red: 1} {
+		first := filepath.Join(t.TempDir(), "race")
+		args := []string{"none"}
+		for i, events := range []string{green + crashed, crashed, last} {
+			file := first + strings.Repeat(againSuffix, i)
+			if err := os.WriteFile(file, []byte(events+`{"Action":"exit","Elapsed":1}`+"\n"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			args = append(args, file)
+		}
+		if last == passedAgain {
+			if err := os.WriteFile(args[3], []byte(last+`{"Action":"exit","Elapsed":0}`+"\n"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var out, errors bytes.Buffer
+		if code := run(args, &out, &errors); code != want {
+			t.Errorf("exit %d, want %d\n%s%s", code, want, out.String(), errors.String())
+		}
+	}
+}
+
 // A package in which the race detector failed by itself counts by its second run alone, which has to be there, to be
 // complete and to pass. Nothing else is forgiven: not another package, nor another failure of the same one.
 func TestDetectorFailuresAreRunAgain(t *testing.T) {
