Restore: one piece of code signs messages, one applies entries; less on each step

Read once more: a restore notice set the same fields of a message that send sets; a restore decoded and applied entries as applyEntry does; each step of the shard's goroutine and each tick built a whole status to look at one number.

Change: Core.signed serves send and RestoreNotice, shard.applyToState both ways of applying, Core.SupersededBy stands for the status field, and notices look at the tick first. Behaviour as before.

Seen and left: operatorapi.readGroup ranks memberships by term and index, not by restore generation first, as the edge and the survey of a restore do (the status may name old members while one of them is back); the three rankings should be one.

--- a/internal/control/consensus/core.go
+++ b/internal/control/consensus/core.go
@@ -245,15 +245,20 @@
 	c.ready.Records = append(c.ready.Records, &wire.Record{Kind: &wire.Record_Entry{Entry: entry}})
 }
 
-// send queues a message under this member's name and incarnation, in the current term unless the message
-// has a term of its own.
+// send queues a message of this member.
 func (c *Core) send(message *wire.Message) {
+	c.ready.Messages = append(c.ready.Messages, c.signed(message))
+}
+
+// signed returns a message under this member's name, incarnation and restore generation, in the current term unless
+// it has a term of its own.
+func (c *Core) signed(message *wire.Message) *wire.Message {
 	message.Shard, message.From, message.Incarnation, message.DiskState = c.cfg.Shard, c.cfg.Self, c.hardState.Incarnation, c.hardState.DiskState
 	message.RestoreGeneration = c.hardState.RestoreGeneration
 	if message.Term == 0 {
 		message.Term = c.hardState.Term
 	}
-	c.ready.Messages = append(c.ready.Messages, message)
+	return message
 }
 
 // forEachPeer calls f for each voter but this member.
--- a/internal/control/consensus/restore.go
+++ b/internal/control/consensus/restore.go
@@ -46,10 +46,14 @@
 //
 // Example: send(c.RestoreNotice("10.2.0.24:7360"))
 func (c *Core) RestoreNotice(to string) *wire.Message {
-	return &wire.Message{Shard: c.cfg.Shard, From: c.cfg.Self, To: to, Kind: wire.MessageKind_RESTORE_NOTICE,
-		Incarnation: c.hardState.Incarnation, DiskState: c.hardState.DiskState, Term: c.hardState.Term, RestoreGeneration: c.hardState.RestoreGeneration}
+	return c.signed(&wire.Message{To: to, Kind: wire.MessageKind_RESTORE_NOTICE})
 }
 
+// SupersededBy returns a later restore generation that this member isn't one of; 0: none is known.
+//
+// Example: if c.SupersededBy() != 0 { stop() }
+func (c *Core) SupersededBy() uint64 { return c.supersededBy }
+
 // isOfThisGeneration reports whether a message is from a member of this one's restore generation. It responds to
 // an earlier one, and adopts or yields to a later one.
 func (c *Core) isOfThisGeneration(message *wire.Message) bool {
@@ -61,7 +65,7 @@
 		return false
 	case message.RestoreGeneration < own:
 		if message.From != "" {
-			c.ready.Messages = append(c.ready.Messages, c.RestoreNotice(message.From))
+			c.send(&wire.Message{To: message.From, Kind: wire.MessageKind_RESTORE_NOTICE})
 		}
 		return false
 	case c.isPristine():
--- a/internal/control/consensus/status.go
+++ b/internal/control/consensus/status.go
@@ -21,7 +21,6 @@
 
 	RestoreGeneration uint64 // of the group as this member knows it; 0: it was never restored
 	RestoredFrom      string // this member's name before the group was restored from it; empty: it wasn't
-	SupersededBy      uint64 // a later restore generation, which this member isn't one of; 0: none is known
 }
 
 // Status returns the member's current status.
@@ -42,7 +41,6 @@
 		LastLogTerm:       c.lastTerm(),
 		RestoreGeneration: c.hardState.RestoreGeneration,
 		RestoredFrom:      c.hardState.RestoredFrom,
-		SupersededBy:      c.supersededBy,
 	}
 }
 
--- a/internal/control/controlstate/restore.go
+++ b/internal/control/controlstate/restore.go
@@ -150,7 +150,7 @@
 func (s *shard) restore(name string, random uint64) error {
 	s.endWaits() // for the old group
 	for _, entry := range s.core.UnappliedEntries() {
-		if err := s.applyToState(entry); err != nil {
+		if _, err := s.applyToState(entry); err != nil {
 			s.halt(err)
 			return err
 		}
@@ -175,19 +175,6 @@
 	return nil
 }
 
-// applyToState applies an entry's command to the state; nobody waits for its outcome.
-func (s *shard) applyToState(entry *wire.Entry) error {
-	if len(entry.Body) == 0 {
-		return nil
-	}
-	command := &wire.Command{}
-	if err := proto.Unmarshal(entry.Body, command); err != nil {
-		return errs.WrapAs(err, errs.DiskFailure, "read an entry")
-	}
-	s.state.apply(command, s.clock.Now())
-	return nil
-}
-
 // raiseFencingTokens makes the fencing tokens of all leases higher than any that members granted whose disks are lost.
 func (s *state) raiseFencingTokens() {
 	for name, lease := range s.leases {
@@ -259,8 +246,10 @@
 // sendRestoreNotices has the leader of a restored group inform control nodes outside it, at intervals: on their
 // disks may be members of an earlier generation, which would go on without it.
 func (s *shard) sendRestoreNotices() {
-	status := s.core.Status()
-	if !status.IsLeader || status.RestoreGeneration == 0 || s.ticks%s.noticeTicks != 0 {
+	if s.ticks%s.noticeTicks != 0 {
+		return
+	}
+	if status := s.core.Status(); !status.IsLeader || status.RestoreGeneration == 0 {
 		return
 	}
 	inGroup := map[string]bool{controlclient.MemberAddr(s.core.Self()): true}
@@ -281,7 +270,7 @@
 // counts as lost, and the machine joins the restored group as a new member, but only once that is known to serve
 // (replaceSupersededDisk): a wrong number in a message must not have a group set all of its disks aside.
 func (s *shard) yieldToRestoredGroup() {
-	if s.supersededBy = s.core.Status().SupersededBy; s.supersededBy != 0 {
+	if s.supersededBy = s.core.SupersededBy(); s.supersededBy != 0 {
 		s.halt(errSuperseded)
 	}
 }
--- a/internal/control/controlstate/shard.go
+++ b/internal/control/controlstate/shard.go
@@ -184,14 +184,10 @@
 // applyEntry applies a committed entry and completes the proposal that waits at its index. If the
 // entry at that index is of another term, the proposal was overwritten and never ran.
 func (s *shard) applyEntry(entry *wire.Entry) {
-	response := &wire.ChangeResponse{Outcome: wire.OutcomeDone}
-	if len(entry.Body) > 0 {
-		command := &wire.Command{}
-		if err := proto.Unmarshal(entry.Body, command); err != nil {
-			s.halt(errs.WrapAs(err, errs.DiskFailure, "read committed entry"))
-			return
-		}
-		response = s.state.apply(command, s.clock.Now())
+	response, err := s.applyToState(entry)
+	if err != nil {
+		s.halt(err)
+		return
 	}
 	s.notifyWatchers()
 	proposal, ok := s.pendingProposals[entry.Index]
@@ -205,6 +201,18 @@
 	proposal.response <- response
 }
 
+// applyToState applies an entry's command to the state and returns its outcome; an entry without one changes nothing.
+func (s *shard) applyToState(entry *wire.Entry) (*wire.ChangeResponse, error) {
+	if len(entry.Body) == 0 {
+		return &wire.ChangeResponse{Outcome: wire.OutcomeDone}, nil
+	}
+	command := &wire.Command{}
+	if err := proto.Unmarshal(entry.Body, command); err != nil {
+		return nil, errs.WrapAs(err, errs.DiskFailure, "read committed entry")
+	}
+	return s.state.apply(command, s.clock.Now()), nil
+}
+
 // receive hands a peer's message to the core.
 func (s *shard) receive(message *wire.Message) {
 	s.commands.Offer(func() {
