review: case 2, bodies in chunks take an edge process over its memory

Cause: the memory of a body in chunks is reserved after it was read whole, so nothing bounds how much such bodies hold at once.

--- a/review/run/main.go
+++ b/review/run/main.go
@@ -19,7 +19,7 @@
 // caseFunc plays a case and reports whether the rule was broken.
 type caseFunc func(s *site, trouble bool) (broken bool, err error)
 
-var cases = map[string]caseFunc{"isolation": playIsolation}
+var cases = map[string]caseFunc{"isolation": playIsolation, "memory": playMemory}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
