--- a/review/run/main.go
+++ b/review/run/main.go
@@ -8,6 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 const (
@@ -19,7 +22,7 @@
 // caseFunc plays a case and reports whether the rule was broken.
 type caseFunc func(s *site, trouble bool) (broken bool, err error)
 
-var cases = map[string]caseFunc{"isolation": playIsolation, "memory": playMemory}
+var cases = map[string]caseFunc{"isolation": playIsolation, "memory": playMemory, "last-tenant": playLastTenant}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -35,6 +38,7 @@
 		var s *site
 		if s, err = newSite(record); err == nil {
 			defer s.stop()
+			go endEarly(s)
 			var broken bool
 			if broken, err = run(s, os.Getenv("TROUBLE") != "0"); err == nil {
 				return verdict(record, broken)
@@ -46,6 +50,22 @@
 	return exitNotRun
 }
 
+// timeLimit is how long a case may run; the review allows 120 s.
+const timeLimit = 112 * time.Second
+
+// endEarly ends the case if it is interrupted or takes too long.
+func endEarly(s *site) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	s.record.line("the case was interrupted or took longer than %v", timeLimit)
+	s.stop()
+	os.Exit(exitNotRun)
+}
+
 func verdict(record *recorder, broken bool) int {
 	if broken {
 		record.line("verdict: the rule was broken")
--- a/review/run/site.go
+++ b/review/run/site.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,9 +26,9 @@
 
 // process is one process of the system, and what is needed to start it again.
 type process struct {
-	name, role, settingsFile, logFile string
-	command                           *exec.Cmd
-	exited                            chan struct{} // closed when the current command has ended
+	role, settingsFile, logFile string
+	command                     *exec.Cmd
+	exited                      chan struct{} // closed when the current command has ended
 }
 
 // site is a small deployment on loopback addresses: core machines, edge machines and the platform's worker list.
@@ -40,6 +41,9 @@
 	processes map[string]*process
 	seeds     []string
 	record    *recorder
+
+	mu      sync.Mutex // guards the commands of processes, and stopped
+	stopped bool
 }
 
 // newSite chooses addresses whose ports are free and creates the temporary folder.
@@ -52,20 +56,25 @@
 	for attempt := range 200 {
 		s.network = fmt.Sprintf("127.%d.%d", 60+(os.Getpid()+attempt)%60, (os.Getpid()/60+attempt)%250)
 		s.port = 21000 + (os.Getpid()*7+attempt*101)%9000
-		if portsAreFree(s.network+".1", s.port, s.port+20) {
+		if portsAreFree(s.network, s.port, s.port+workerOffset) {
 			return s, nil
 		}
 	}
 	return nil, fmt.Errorf("no free ports")
 }
 
-func portsAreFree(ip string, first, last int) bool {
-	for port := first; port <= last; port++ {
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
-		if err != nil {
-			return false
+// maxMachines is the most machines that a case has, with the platform and the workers.
+const maxMachines = 12
+
+func portsAreFree(network string, first, last int) bool {
+	for machine := 1; machine <= maxMachines; machine++ {
+		for port := first; port <= last; port++ {
+			listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, machine, port))
+			if err != nil {
+				return false
+			}
+			listener.Close()
 		}
-		listener.Close()
 	}
 	return true
 }
@@ -120,7 +129,7 @@
 func (s *site) addProcess(machine, role string) error {
 	name := machine + "/" + role
 	base := filepath.Join(s.folder, machine+"-"+role)
-	p := &process{name: name, role: role, settingsFile: base + ".toml", logFile: base + ".log"}
+	p := &process{role: role, settingsFile: base + ".toml", logFile: base + ".log"}
 	s.processes[name] = p
 	if err := os.WriteFile(p.settingsFile, []byte(s.settings(machine, role, true)), 0o600); err != nil {
 		return err
@@ -130,6 +139,11 @@
 
 // start starts a process, also after it has ended.
 func (s *site) start(name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return fmt.Errorf("the case has ended")
+	}
 	p := s.processes[name]
 	log, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -161,8 +175,14 @@
 	_ = s.processes[name].command.Process.Signal(sig)
 }
 
-// stop ends all processes and removes the temporary folder.
+// stop ends all processes and removes the temporary folder. None is started after it.
 func (s *site) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
+	s.stopped = true
 	for _, p := range s.processes {
 		if p.command != nil && p.command.Process != nil {
 			_ = p.command.Process.Kill()
@@ -173,9 +193,7 @@
 			<-p.exited
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(s.folder)
-	}
+	_ = os.RemoveAll(s.folder)
 }
 
 // settings returns the settings file of a process, in the form of the platform's page DEPLOY.
