Give the tenants a new shared cache domain when one of them is isolated

Cause: the salt of cached parts names a tenant that is isolated now, and is one constant text for all others. Nothing in it told parts from before the change from those after it. The product's own interface had the same constant (CacheDomain).

Evidence: in a run of all programs on the sources before this commit, both edge machines reported the new version as in use, the isolated tenant's requests ran under a salt with its name, and the other's used the part that the worker still listed under the common salt. So it wasn't an edge machine on the old plan; nor memory moved (the same worker computed and used the part); nor the index, which is keyed by the salt.

Change: the domain that tenants share has an identifier. The leader compares the tenants of the old and the new version; if one is isolated that may have used the present domain, also one that was removed meanwhile, the log entry names a new domain. This history (tenanthistory) is stored beside the configuration's body, which is read back as it was sent. Edge machines take the domain from the newest plan at each attempt, and share nothing while their plan's proof is older than 0.95 of the bound on revoked keys, the moment from which they refuse keys anyway. A plan that an earlier release stored has no history, and gets a domain of its own.

TestCacheSaltsOfTenantsModelsAndVersionsDiffer checks cache domains in place of tenants, and more of them than before.

--- a/internal/capacity/codec.go
+++ b/internal/capacity/codec.go
@@ -186,6 +186,17 @@
 	return sent, plan.Version, nil
 }
 
+// Tenants decodes the tenants of a plan.
+//
+// Example: tenants, err := benchCodec{}.Tenants(body)
+func (benchCodec) Tenants(body []byte) ([]routingconfig.Tenant, error) {
+	plan, err := benchCodec{}.Read(body)
+	if err != nil {
+		return nil, err
+	}
+	return plan.Tenants, nil
+}
+
 // randomText returns random characters, which compress badly, like real names and keys.
 func randomText(random *rand.Rand, length int) string {
 	text := make([]byte, length)
--- a/internal/cli/site_world_test.go
+++ b/internal/cli/site_world_test.go
@@ -293,7 +293,7 @@
 func (site *testSite) CachedPrefixes(_ context.Context, addr string) (backend.CacheEvents, error) {
 	site.mu.Lock()
 	defer site.mu.Unlock()
-	salt := selection.CacheSalt("daka", site.workerWeights[workerID(addr)], nil)
+	salt := selection.CacheSalt("daka", site.workerWeights[workerID(addr)], "")
 	return backend.CacheEvents{BootID: 1, NextSequence: 1, Changes: []backend.CacheChange{{Salt: salt, Part: "p1", Model: "daka", Tokens: 320}}}, nil
 }
 
@@ -313,6 +313,11 @@
 	return x.BuildIndex(), err
 }
 
+func (c testCodec) Tenants(body []byte) ([]routingconfig.Tenant, error) {
+	plan, err := c.Read(body)
+	return plan.Tenants, err
+}
+
 func (testCodec) Merge(old, sent []byte, isPatch bool) ([]byte, uint64, error) {
 	var inForce, plan testPlan
 	if err := json.Unmarshal(sent, &plan); err != nil {
--- a/internal/control/controlstate/catch_up_plans_test.go
+++ b/internal/control/controlstate/catch_up_plans_test.go
@@ -35,6 +35,9 @@
 	return sent, version, err
 }
 
+// Tenants returns none.
+func (textPlanCodec) Tenants([]byte) ([]routingconfig.Tenant, error) { return nil, nil }
+
 // planText returns a routing configuration with the given number of routes, about 300 bytes each. The host names
 // contain the version, so that the contents of any two versions differ.
 func planText(version uint64, routes int) []byte {
--- a/internal/control/controlstate/merge.go
+++ b/internal/control/controlstate/merge.go
@@ -17,6 +17,8 @@
 	body        []byte // encoded configuration that results from the merge
 	version     uint64 // version that the configuration document gets; 0: baseVersion plus one
 	err         error  // why the merged configuration is invalid; nil if it is valid
+
+	tenantHistory *wire.TenantHistory // history of the tenants up to the resulting version
 }
 
 // configKey returns the key of the document that holds the configuration, which is merged and validated before it
@@ -34,8 +36,18 @@
 	config := &mergedConfig{baseVersion: old.GetVersion()}
 	if s.group != nil {
 		s.mergeRoutingConfig(config, old, put, patch)
-		return config
+	} else {
+		mergeServiceConfig(config, old, put, patch)
+	}
+	if config.err == nil {
+		config.tenantHistory, config.err = s.nextTenantHistory(old, config)
 	}
+	return config
+}
+
+// mergeServiceConfig sets the service configuration that a change produces: that of put or, with patch, the one in the
+// document old with the merge patch of put applied.
+func mergeServiceConfig(config *mergedConfig, old *wire.Document, put *wire.Put, patch bool) {
 	var base []byte
 	if patch {
 		base = old.GetBody()
@@ -44,7 +56,6 @@
 	if config.err == nil {
 		config.err = serviceconfig.CheckSuccessor(old.GetBody(), config.body)
 	}
-	return config
 }
 
 // mergeRoutingConfig sets the routing configuration that a change produces: that of put or, with patch, the one in
@@ -107,7 +118,7 @@
 	if put.AnyVersion && len(s.core.UnappliedEntries()) > 0 {
 		return &wire.ChangeResponse{Outcome: wire.OutcomeOverloaded} // an unapplied log entry may change the configuration that this change was validated against
 	}
-	put.NewVersion, put.Body = config.version, config.body
+	put.NewVersion, put.Body, put.TenantHistory = config.version, config.body, config.tenantHistory
 	if request.Patch && put.AnyVersion {
 		// The merged body is valid only for the version that it was merged into, so the change must not apply to any
 		// other.
--- a/internal/control/controlstate/propose.go
+++ b/internal/control/controlstate/propose.go
@@ -134,6 +134,7 @@
 	if response := s.state.respondToRetry(put); response != nil {
 		return response
 	}
+	put.TenantHistory = nil // only the leader computes it, see prepareConfig
 	old := s.state.documents[put.Key]
 	if !put.AnyVersion && put.IfVersion != old.GetVersion() {
 		if put.IfVersion > old.GetVersion() && len(s.core.UnappliedEntries()) > 0 {
--- a/internal/control/controlstate/shard.go
+++ b/internal/control/controlstate/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -40,6 +41,8 @@
 	mergeLock        chan struct{}              // mutex, as a channel of capacity 1: held while a configuration is merged and proposed
 	confirmTimeout   time.Duration              // time-out for a quorum to confirm this member as leader; 0: only the time-out of the request
 
+	random func() uint64 // source of random numbers; safe for concurrent use
+
 	claimRetention  time.Duration // how long the claim of an at-most-once request ID is kept
 	ageRecordedAt   time.Duration // local time at which this member last proposed an advance of the shard's clock (claimTable.age)
 	ageRecordedTerm uint64        // term in which this member last proposed an advance of the shard's clock (at ageRecordedAt)
@@ -76,6 +79,7 @@
 		pendingReads:     map[uint64]chan bool{},
 		watchers:         map[chan struct{}]bool{},
 		mergeLock:        make(chan struct{}, 1),
+		random:           rand.Uint64,
 		claimRetention:   defaultClaimRetention,
 		compactThreshold: compactLogBytes,
 	}
--- a/internal/control/controlstate/start_fixed.go
+++ b/internal/control/controlstate/start_fixed.go
@@ -93,6 +93,7 @@
 			n.process.Log.Error("shard could not be opened and is not served by this control node", "shard", shardID, "error", errs.Text(err))
 			continue
 		}
+		shard.random = n.process.Seed
 		shard.claimRetention = bounds.RequestIDRetention(1)
 		shard.confirmTimeout = bounds.Recovery(serveTimeoutRatio * confirmTimeoutRatio)
 		n.shards[shardID] = shard
--- a/internal/control/controlstate/start_group.go
+++ b/internal/control/controlstate/start_group.go
@@ -64,6 +64,7 @@
 	process := n.process
 	site, address := process.Settings.Site, process.Settings.AdvertisedAddr()
 	shard := newShard(process.Ctx, 0, process.Clock, process.Log, n.transport.send)
+	shard.random = process.Seed
 	shard.claimRetention = process.Settings.Bounds.RequestIDRetention(1)
 	shard.confirmTimeout = settings.Fraction(site.AckTimeoutMs, operatorTimeoutRatio*confirmTimeoutRatio)
 	openGroupShard(shard, &group{
--- a/internal/control/controlstate/state.go
+++ b/internal/control/controlstate/state.go
@@ -127,7 +127,7 @@
 		return &wire.ChangeResponse{Outcome: wire.OutcomeTooLarge, Version: document.Version, Errors: []string{fmt.Sprintf("change would exceed the maximum of %d bytes for all documents of the shard", maxStateBytes)}}
 	}
 	s.documentBytes += len(put.Body) - len(document.Body)
-	changed := &wire.Document{Key: put.Key, Body: put.Body, Version: max(put.NewVersion, document.Version+1)}
+	changed := &wire.Document{Key: put.Key, Body: put.Body, Version: max(put.NewVersion, document.Version+1), TenantHistory: put.TenantHistory}
 	s.documents[put.Key] = changed
 	s.recordChange(put, changed.Version)
 	return &wire.ChangeResponse{Outcome: wire.OutcomeDone, Version: changed.Version}
--- a/internal/control/controlstate/test_cluster_test.go
+++ b/internal/control/controlstate/test_cluster_test.go
@@ -306,12 +306,20 @@
 	Version uint64 `json:"version"`
 	Text    string `json:"text"`
 	Bad     bool   `json:"bad,omitempty"`
+
+	Tenants []routingconfig.Tenant `json:"tenants,omitempty"`
 }
 
 func (versionCodec) Read(b []byte) (*routingconfig.Plan, error) {
 	content := versionBody{}
 	err := json.Unmarshal(b, &content)
-	return &routingconfig.Plan{Version: content.Version}, err
+	return &routingconfig.Plan{Version: content.Version, Tenants: content.Tenants}, err
+}
+
+// Tenants returns the tenants of a configuration.
+func (c versionCodec) Tenants(b []byte) ([]routingconfig.Tenant, error) {
+	plan, err := c.Read(b)
+	return plan.Tenants, err
 }
 
 // Merge returns the sent configuration or, if patch is set, one whose text is the old and the sent text joined by "+".
--- a/internal/control/operatorapi/config.go
+++ b/internal/control/operatorapi/config.go
@@ -9,6 +9,7 @@
 
 	"pebbleloom/api/operator"
 	"pebbleloom/internal/control/serviceconfig"
+	"pebbleloom/internal/control/tenanthistory"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/wire"
 )
@@ -34,7 +35,11 @@
 		return nil, nil, err
 	}
 	config, err := serviceconfig.Decode(document.Body)
-	return document, config, errs.Wrap(err, "read service configuration")
+	if err != nil {
+		return nil, nil, errs.Wrap(err, "read service configuration")
+	}
+	config.SetSharedDomain(tenanthistory.SharedDomain(document, len(config.Tenants) > 0))
+	return document, config, nil
 }
 
 // configChange is a requested change to the stored configuration document.
--- a/internal/control/operatorapi/index.go
+++ b/internal/control/operatorapi/index.go
@@ -7,6 +7,7 @@
 
 	"pebbleloom/api/operator"
 	"pebbleloom/internal/control/routingconfig"
+	"pebbleloom/internal/control/tenanthistory"
 	"pebbleloom/internal/data/prefix"
 	"pebbleloom/internal/data/promptindex"
 	"pebbleloom/internal/data/selection"
@@ -82,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	salt := selection.CacheSalt(request.Model, workers.weightsInUse(request.Model), &plan.Tenants[tenant])
+	salt := selection.CacheSalt(request.Model, workers.weightsInUse(request.Model), plan.CacheDomain(&plan.Tenants[tenant]))
 	keys := make([]prefix.Key, len(request.Parts))
 	for i, id := range request.Parts {
 		keys[i] = promptindex.PartKey(salt, id)
@@ -103,5 +104,9 @@
 		return nil, err
 	}
 	plan, err := s.decodePlan(document.Body)
-	return plan, errs.Wrap(err, "decode routing plan")
+	if err != nil {
+		return nil, errs.Wrap(err, "decode routing plan")
+	}
+	plan.SharedDomain = tenanthistory.SharedDomain(document, len(plan.Tenants) > 0)
+	return plan, nil
 }
--- a/internal/control/routingconfig/lookup.go
+++ b/internal/control/routingconfig/lookup.go
@@ -25,7 +25,10 @@
 	}
 	p.indexRoutes()
 	p.tenantsByKey = make(map[string]*Tenant, 2*len(p.Tenants))
+	p.isolatedByName = make(map[string]bool, len(p.Tenants))
 	for i := range p.Tenants {
+		name := p.Tenants[i].Name
+		p.isolatedByName[name] = p.isolatedByName[name] || p.Tenants[i].Isolated
 		for _, key := range p.Tenants[i].Keys {
 			if key != "" {
 				p.tenantsByKey[key] = &p.Tenants[i]
--- a/internal/control/routingconfig/plan.go
+++ b/internal/control/routingconfig/plan.go
@@ -17,9 +17,13 @@
 	Services []Service
 	Tenants  []Tenant
 	Limits   Limits
+	// Identifier of the cache domain of all tenants that are not isolated, from the tenant history that is stored with
+	// the plan; empty for the first one. See CacheDomain.
+	SharedDomain string
 
 	routesByHost   map[string]*hostRoutes
 	tenantsByKey   map[string]*Tenant
+	isolatedByName map[string]bool // whether each tenant is isolated, by the tenant's name
 	servicesByName map[string]*Service
 }
 
--- a/internal/control/serviceconfig/lookup.go
+++ b/internal/control/serviceconfig/lookup.go
@@ -108,13 +108,30 @@
 	return ok && name == tenant
 }
 
+// SetSharedDomain sets the identifier of the cache domain that all tenants share that are not isolated. It is part of
+// the tenant history, which is stored with the configuration. It must be called before the configuration is shared
+// between goroutines.
+//
+// Example: config.SetSharedDomain(tenanthistory.SharedDomain(document, len(config.Tenants) > 0))
+func (c *Config) SetSharedDomain(id string) { c.sharedDomain = id }
+
+// Prefixes of cache domains.
+const (
+	tenantDomainPrefix = "t:"
+	sharedDomainPrefix = "shared"
+)
+
 // CacheDomain returns the name of the domain within which a tenant's requests share cached prompt prefixes: a domain
-// of its own if the tenant is isolated, otherwise the domain that all other tenants share.
+// of its own if the tenant is isolated or not defined, otherwise the domain that all other tenants share. The shared
+// domain changes when a tenant is isolated whose prefixes may be in it, see package tenanthistory.
 //
 // Example: config.CacheDomain("hospital-norte")
 func (c *Config) CacheDomain(tenant string) string {
-	if c.Tenants[tenant].Isolated {
-		return "t:" + tenant
+	if known, ok := c.Tenants[tenant]; known.Isolated || !ok {
+		return tenantDomainPrefix + tenant
+	}
+	if c.sharedDomain == "" {
+		return sharedDomainPrefix
 	}
-	return "shared"
+	return sharedDomainPrefix + ":" + c.sharedDomain
 }
--- a/internal/control/serviceconfig/model.go
+++ b/internal/control/serviceconfig/model.go
@@ -26,7 +26,8 @@
 	Seeds     []string           `json:"seeds,omitempty"`       // addresses of three seed nodes, in place of those in each machine's settings; empty to use the latter
 	MaxWaitMs int                `json:"wait_max_ms,omitempty"` // maximum time in milliseconds that a request waits in a queue; 0 means 30000
 
-	tenantByKey map[string]string
+	tenantByKey  map[string]string
+	sharedDomain string // identifier of the cache domain of all tenants that are not isolated; empty for the first one
 }
 
 // Tenant is one tenant with its API keys and request limits.
--- a/internal/data/agent/agent.go
+++ b/internal/data/agent/agent.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pebbleloom/internal/control/clustermembership"
+	"pebbleloom/internal/control/routingconfig"
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/data/backend"
 	"pebbleloom/internal/fleet"
@@ -183,6 +184,7 @@
 func (a *Agent) handleResponse(response *wire.FollowResponse, requested uint64, requestedAt time.Duration) (isUpdate bool) {
 	a.actor.Ask(func(t *table) {
 		generation, term, index, hadNoProof := t.proof.generation, t.proof.term, t.proof.index, t.snapshot.ProofAt == 0
+		plan := t.snapshot.Plan
 		var err error
 		isUpdate, err = t.applyResponse(response, requested, requestedAt, a.process.Clock.Now())
 		if err != nil {
@@ -191,6 +193,7 @@
 			a.process.Log.Error("failed to decode documents from control node; keeping their previous versions", "from", response.Member, "error", err)
 		}
 		a.publish(t, isUpdate)
+		a.logSharedDomain(plan, t.snapshot.Plan)
 		if hadNoProof && t.snapshot.ProofAt > 0 {
 			a.process.Log.Info("first routing plan confirmed as the newest by a quorum of control nodes", "version", t.snapshot.Plan.Version, "workers", len(t.snapshot.Workers))
 		}
@@ -200,3 +203,12 @@
 	})
 	return isUpdate
 }
+
+// logSharedDomain logs that the tenants that share a cache domain got a new one with a newer plan, because cached prompt
+// parts are then computed again.
+func (a *Agent) logSharedDomain(old, newest *routingconfig.Plan) {
+	if old != nil && newest != nil && old.SharedDomain != newest.SharedDomain {
+		a.process.Log.Info("a tenant was isolated: all other tenants share a new cache domain, in which prompt parts are computed again",
+			"version", newest.Version, "domain", newest.SharedDomain)
+	}
+}
--- a/internal/data/agent/documents.go
+++ b/internal/data/agent/documents.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pebbleloom/internal/control/routingconfig"
+	"pebbleloom/internal/control/tenanthistory"
 	"pebbleloom/internal/data/placement"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fleet"
@@ -48,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	plan.SharedDomain = tenanthistory.SharedDomain(document, len(plan.Tenants) > 0)
 	plan.Version = document.Version // the document's committed version takes precedence over a version in its body
 	t.snapshot.Plan = plan
 	return nil
--- a/internal/data/agent/table_test.go
+++ b/internal/data/agent/table_test.go
@@ -28,6 +28,8 @@
 
 func (*versionCodec) Merge(_, sent []byte, _ bool) ([]byte, uint64, error) { return sent, 0, nil }
 
+func (*versionCodec) Tenants([]byte) ([]routingconfig.Tenant, error) { return nil, nil }
+
 func planDocument(v uint64) *wire.Document {
 	return &wire.Document{Key: routingconfig.DocumentKey, Version: v, Body: []byte(strconv.FormatUint(v, 10))}
 }
--- a/internal/data/backend/backend.go
+++ b/internal/data/backend/backend.go
@@ -93,4 +93,6 @@
 	// the items to change; otherwise it replaces the whole configuration. Merge returns the configuration to
 	// store and its version. If there is nothing to merge, stored equals sent byte for byte.
 	Merge(old, sent []byte, partial bool) (stored []byte, version uint64, err error)
+	// Tenants decodes the tenants of a stored configuration.
+	Tenants(stored []byte) ([]routingconfig.Tenant, error)
 }
--- a/internal/data/proxy/admission.go
+++ b/internal/data/proxy/admission.go
@@ -11,7 +11,7 @@
 // admit determines the request's route, tenant, service and deadline from a snapshot of the routing plan and the
 // workers. If the request isn't admitted, it answers the request with an error and returns false.
 func (req *request) admit(snapshot *fleet.Snapshot) bool {
-	planIsFresh := proofIsFresh(snapshot, req.receivedAt, req.server.maxKeyProofAge())
+	planIsFresh := snapshot.HasFreshProof(req.receivedAt, req.server.process.Settings.Bounds.KeyProof())
 	if !req.matchRoute(snapshot.Plan, planIsFresh) || !req.authenticate(snapshot.Plan, planIsFresh) {
 		return false
 	}
--- a/internal/data/proxy/readiness.go
+++ b/internal/data/proxy/readiness.go
@@ -2,29 +2,10 @@
 
 import (
 	"net/http"
-	"time"
 
 	"pebbleloom/internal/fleet"
-	"pebbleloom/internal/settings"
 )
 
-// keyProofRatio is the fraction of Bounds.KeyRevocationMs (the time within which a revoked API key must stop working)
-// for which API keys are accepted after the control nodes last attested that this node's routing plan is the newest
-// (Snapshot.ProofAt). The rest of the bound covers the time from reading a request to sending it to a worker.
-const keyProofRatio = 0.95
-
-// maxKeyProofAge returns how long API keys are accepted after the control nodes last attested that this node's
-// routing plan is the newest (Snapshot.ProofAt).
-func (s *server) maxKeyProofAge() time.Duration {
-	return settings.Fraction(s.process.Settings.Bounds.KeyRevocationMs, keyProofRatio)
-}
-
-// proofIsFresh reports whether the control nodes attested less than maxAge before the given instant that the
-// snapshot's routing plan is the newest.
-func proofIsFresh(snapshot *fleet.Snapshot, instant, maxAge time.Duration) bool {
-	return snapshot.ProofAt > 0 && instant-snapshot.ProofAt < maxAge
-}
-
 // serveReadiness answers a readiness check with 200 if this node is ready and with 503 if not.
 func (s *server) serveReadiness(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != s.ReadyPath {
@@ -47,7 +28,7 @@
 	if snapshot == nil || snapshot.Plan == nil || s.draining.Load() {
 		return false
 	}
-	if s.siteSettings.EnforceRevocation && !proofIsFresh(snapshot, s.process.Clock.Now(), s.maxKeyProofAge()) {
+	if s.siteSettings.EnforceRevocation && !snapshot.HasFreshProof(s.process.Clock.Now(), s.process.Settings.Bounds.KeyProof()) {
 		return false
 	}
 	if !s.wasReady.Load() && hasRoutedWorker(snapshot) {
--- a/internal/data/proxy/request_test.go
+++ b/internal/data/proxy/request_test.go
@@ -15,6 +15,7 @@
 	"pebbleloom/internal/data/selection"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fleet"
+	"pebbleloom/internal/settings"
 )
 
 // The proxy must forward method, path, query and body byte for byte, also in forms that net/http would normalize.
@@ -177,7 +178,7 @@
 }
 
 // If key revocation is enforced, an API key must be accepted only while the control nodes' proof that the routing
-// plan is the newest is younger than keyProofRatio of Bounds.KeyRevocationMs: an outdated plan may still list a
+// plan is the newest is younger than settings.KeyProofRatio of Bounds.KeyRevocationMs: an outdated plan may still list a
 // revoked key.
 func TestKeyNeedsFreshProof(t *testing.T) {
 	for _, enforced := range []bool{true, false} {
@@ -187,7 +188,7 @@
 
 // checkKeysNeedProof checks the responses to API keys at several ages of the proof that the routing plan is the newest.
 func checkKeysNeedProof(t *testing.T, site *testSite, enforced bool) {
-	bound := time.Duration(float64(site.process.Settings.Bounds.KeyRevocationMs)*keyProofRatio) * time.Millisecond
+	bound := time.Duration(float64(site.process.Settings.Bounds.KeyRevocationMs)*settings.KeyProofRatio) * time.Millisecond
 	for _, test := range []struct {
 		route, key string
 		proofAge   time.Duration
--- a/internal/data/selection/backlog_test.go
+++ b/internal/data/selection/backlog_test.go
@@ -141,7 +141,7 @@
 	}
 	for i := range 50 {
 		part := fmt.Sprint("p", i)
-		edge.found[promptindex.PartKey(CacheSalt("m", 1, nil), part)] = confirmedAt("w13", "w14", "w15", "w16", "w17")
+		edge.found[promptindex.PartKey(CacheSalt("m", 1, ""), part)] = confirmedAt("w13", "w14", "w15", "w16", "w17")
 		if choice := edge.mustSelect(t, edge.newRequest(part, 13000)); choice.Weights != 1 {
 			t.Fatalf("part %s: selected a worker on weights version %d with a wait of %.0f ms, want an idle worker on version 1, where the part is cached", part, choice.Weights, 2.5*13000*edge.services["llm"].msPerToken)
 		}
--- a/internal/data/selection/partrecord_test.go
+++ b/internal/data/selection/partrecord_test.go
@@ -39,7 +39,7 @@
 	first := edge.mustSelect(t, request)
 	edge.serve(request, first, 150*time.Millisecond)
 	edge.now += edge.bounds.Recovery(recordTuning.indexLagRatio)
-	edge.found[promptindex.PartKey(CacheSalt("m", 1, nil), "p")] = &wire.LookupResult{}
+	edge.found[promptindex.PartKey(CacheSalt("m", 1, ""), "p")] = &wire.LookupResult{}
 	if choice := edge.mustSelect(t, edge.newRequest("p", 13000)); choice.Worker.ID != first.Worker.ID && choice.Fetch != first.Worker.Addr {
 		t.Errorf("prompt index knows no worker that caches the part: selected %s, fetching from %q; want %s, which prefilled the part, or a fetch from it", choice.Worker.ID, choice.Fetch, first.Worker.ID)
 	}
--- a/internal/data/selection/scorer.go
+++ b/internal/data/selection/scorer.go
@@ -196,7 +196,7 @@
 // target version of the model but workers don't report which version they serve, each request gets a salt of its
 // own, so that no cached parts are shared.
 func (s *scorer) cacheSalt(version uint64) string {
-	salt := CacheSalt(s.model, version, s.request.Tenant)
+	salt := CacheSalt(s.model, version, s.cacheDomain())
 	if !s.versions.reported && s.snapshot.TargetVersions[s.model] > 0 {
 		salt += "/" + url.QueryEscape(s.request.ID)
 	}
--- a/internal/data/selection/selector_test.go
+++ b/internal/data/selection/selector_test.go
@@ -17,6 +17,9 @@
 // processStart is the start of the simulated process, as a time of its clock.
 const processStart = time.Hour
 
+// provenUntil is an instant, after those of all tests, up to which the plan is proved to be the newest.
+const provenUntil = 1000 * time.Hour
+
 // testEdge is the selection table of one edge machine, with a clock that advances manually.
 type testEdge struct {
 	*table
@@ -27,7 +30,7 @@
 }
 
 func newFleet(n int) *fleet.Snapshot {
-	snapshot := &fleet.Snapshot{EdgeCount: 9, TargetVersions: map[string]uint64{}, TargetSetAt: map[string]time.Duration{}, Placements: map[string]*placement.Placement{},
+	snapshot := &fleet.Snapshot{EdgeCount: 9, ProofAt: provenUntil, TargetVersions: map[string]uint64{}, TargetSetAt: map[string]time.Duration{}, Placements: map[string]*placement.Placement{},
 		Plan: &routingconfig.Plan{Services: []routingconfig.Service{
 			{Name: "llm", Engine: &routingconfig.Engine{Slots: 128, CapacityTokens: 300000, TokenBytes: 18432, LinkMbps: 370000, Models: []string{"m"}}},
 			{Name: "app"},
@@ -75,7 +78,7 @@
 	for _, holder := range holders {
 		found.Holders = append(found.Holders, &wire.Holder{Worker: holder, State: certainty})
 	}
-	e.found[promptindex.PartKey(CacheSalt("m", 1, nil), part)] = found
+	e.found[promptindex.PartKey(CacheSalt("m", 1, ""), part)] = found
 }
 
 func (e *testEdge) serve(request *Request, choice Choice, firstEvent time.Duration) {
--- a/internal/data/selection/versions_test.go
+++ b/internal/data/selection/versions_test.go
@@ -149,8 +149,8 @@
 	}
 }
 
-// Cache salts differ if the isolated tenants, models or weights versions differ, whatever characters the names
-// contain.
+// Cache salts differ if the isolated tenants, shared domains, models or weights versions differ, whatever characters
+// the names contain.
 func TestCacheSaltsOfTenantsModelsAndVersionsDiffer(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	names := []string{"", ".", "a", "a.b", "a.", ".a", "1", "1.a", "b c", "a\x00", "ñ", "%2E", "1.1.a", "a/b", "+"}
@@ -159,8 +159,8 @@
 		version     uint64
 	}
 	seen := map[string]domain{}
-	check := func(w domain, tenant *routingconfig.Tenant) {
-		s := CacheSalt(w.model, w.version, tenant)
+	check := func(w domain, cacheDomain string) {
+		s := CacheSalt(w.model, w.version, cacheDomain)
 		if old, ok := seen[s]; ok && old != w {
 			t.Fatalf("cache salt %q belongs to both %+v and %+v, want distinct salts", s, old, w)
 		}
@@ -174,9 +174,17 @@
 		if random.IntN(4) == 0 {
 			m += names[random.IntN(len(names))]
 		}
-		check(domain{m, "isolated " + n, v}, &routingconfig.Tenant{Name: n, Isolated: true})
-		check(domain{m, "", v}, &routingconfig.Tenant{Name: n})
-		check(domain{m, "", v}, nil)
+		isolated := &routingconfig.Plan{Tenants: []routingconfig.Tenant{{Name: n, Isolated: true}, {Name: n + "x"}}}
+		isolated.BuildIndex()
+		check(domain{m, "tenant " + n, v}, isolated.CacheDomain(&isolated.Tenants[0]))
+		check(domain{m, "tenant " + n, v}, routingconfig.PrivateCacheDomain(&isolated.Tenants[0]))
+		check(domain{m, "tenant " + n + "y", v}, isolated.CacheDomain(&routingconfig.Tenant{Name: n + "y"}))
+		check(domain{m, "without a tenant", v}, routingconfig.PrivateCacheDomain(nil))
+		for _, id := range []string{"", n + "7-1f", "v" + n} {
+			isolated.SharedDomain = id
+			check(domain{m, "shared " + id, v}, isolated.CacheDomain(&isolated.Tenants[1]))
+			check(domain{m, "shared " + id, v}, isolated.CacheDomain(nil))
+		}
 	}
 }
 
@@ -191,7 +199,7 @@
 	request = edge.newRequest("p", 13000)
 	request.Tenant = isolated
 	choice := edge.mustSelect(t, request)
-	if choice.Fetch != "" && choice.Fetch != "store:1" || choice.Salt == CacheSalt("m", 1, nil) || choice.Save == "" {
+	if choice.Fetch != "" && choice.Fetch != "store:1" || choice.Salt == CacheSalt("m", 1, "") || choice.Save == "" {
 		t.Errorf("request of an isolated tenant: choice %+v, want fetch address store:1 or none, a salt that other tenants don't use, and a save address", choice)
 	}
 	for _, selected := range edge.table.selected.current {
--- a/internal/data/updatestream/snapshot.go
+++ b/internal/data/updatestream/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pebbleloom/internal/control/serviceconfig"
+	"pebbleloom/internal/control/tenanthistory"
 	"pebbleloom/internal/data/placement"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/wire"
@@ -98,6 +99,7 @@
 	if err != nil {
 		return errs.Wrap(err, "decode configuration in update of the node agent")
 	}
+	config.SetSharedDomain(tenanthistory.SharedDomain(document, len(config.Tenants) > 0))
 	s.ConfigVersion, s.Config, s.LatestProofAt = document.Version, config.BuildIndex(), s.ProofAt
 	s.Weights = map[string]WeightsHistory{}
 	for name, model := range config.Models {
--- a/internal/data/updatestream/snapshot_test.go
+++ b/internal/data/updatestream/snapshot_test.go
@@ -110,3 +110,23 @@
 			nilSnapshot.IsFresh(1, 10), s.IsFresh(109, 10), s.IsFresh(110, 10), (&Snapshot{Config: s.Config}).IsFresh(1, 10))
 	}
 }
+
+// The shared cache domain of a configuration comes from the tenant history in its document, and is a domain of its own
+// for a configuration with tenants that an earlier release stored without one.
+func TestSharedCacheDomainComesFromTheDocument(t *testing.T) {
+	body := []byte(`{"tenants":{"a":{"keys":["key-of-a"]},"b":{"keys":["key-of-b"],"walled":true}}}`)
+	for _, test := range []struct {
+		history *wire.TenantHistory
+		want    string
+	}{
+		{&wire.TenantHistory{}, "shared"},
+		{&wire.TenantHistory{SharedDomain: "7-1f"}, "shared:7-1f"},
+		{nil, "shared:v9"},
+	} {
+		document := &wire.Document{Version: 9, Body: body, TenantHistory: test.history}
+		config := mustRead(t, &wire.FeedResponse{Config: document}, nil, 0).Config
+		if shared, isolated := config.CacheDomain("a"), config.CacheDomain("b"); shared != test.want || isolated != "t:b" {
+			t.Errorf("cache domains of a sharing and an isolated tenant with history %v: got %q and %q, want %q and \"t:b\"", test.history, shared, isolated, test.want)
+		}
+	}
+}
--- a/internal/fleet/compression.go
+++ b/internal/fleet/compression.go
@@ -41,7 +41,7 @@
 	if _, err := writer.Write(document.Body); err != nil || writer.Close() != nil || compressed.Len() >= len(document.Body) {
 		return document
 	}
-	return &wire.Document{Key: document.Key, Body: compressed.Bytes(), Version: document.Version, Compressed: true}
+	return &wire.Document{Key: document.Key, Body: compressed.Bytes(), Version: document.Version, Compressed: true, TenantHistory: document.TenantHistory}
 }
 
 // Decompress returns a document as it was before Compress. If the compressed body is corrupt, or the decompressed one
@@ -56,5 +56,5 @@
 	if err != nil || len(body) > maxDecompressedBytes {
 		return nil, errs.New(errs.Internal, "decompress document %s of %d bytes: corrupt data, or more than %d bytes decompressed", document.Key, len(document.Body), maxDecompressedBytes)
 	}
-	return &wire.Document{Key: document.Key, Body: body, Version: document.Version}, nil
+	return &wire.Document{Key: document.Key, Body: body, Version: document.Version, TenantHistory: document.TenantHistory}, nil
 }
--- a/internal/fleet/compression_test.go
+++ b/internal/fleet/compression_test.go
@@ -21,7 +21,8 @@
 	if err != nil {
 		t.Fatalf("encode worker list: %v", err)
 	}
-	document := &wire.Document{Key: WorkersKey, Body: body, Version: 7}
+	history := &wire.TenantHistory{SharedDomain: "7-1f"}
+	document := &wire.Document{Key: WorkersKey, Body: body, Version: 7, TenantHistory: history}
 	compressed := Compress(document)
 	if !compressed.Compressed || 5*len(compressed.Body) > len(body) || compressed.Key != document.Key || compressed.Version != 7 {
 		t.Fatalf("a worker list of %d bytes was compressed to %d bytes, key %q, version %d; want at most a fifth, with key and version unchanged", len(body), len(compressed.Body), compressed.Key, compressed.Version)
@@ -30,6 +31,9 @@
 	if err != nil || decompressed.Compressed || decompressed.Key != document.Key || decompressed.Version != 7 || !bytes.Equal(decompressed.Body, body) {
 		t.Fatalf("the decompressed worker list differs from the original, or decompression failed: error %v", err)
 	}
+	if compressed.TenantHistory != history || decompressed.TenantHistory != history {
+		t.Errorf("tenant histories of the compressed and the decompressed document: got %v and %v, want %v", compressed.TenantHistory, decompressed.TenantHistory, history)
+	}
 	if Compress(compressed) != compressed {
 		t.Error("Compress compressed a document that was compressed already")
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,3 +68,11 @@
 	Nodes     []*wire.Node // members of the cluster, as the cluster membership reports them
 	EdgeCount int          // number of edge machines, including those lost recently; at least 1
 }
+
+// HasFreshProof reports whether the control nodes attested less than maxAge before the given instant that the snapshot's
+// routing plan is the newest.
+//
+// Example: if !snapshot.HasFreshProof(clock.Now(), bounds.KeyProof()) { reject() }
+func (s *Snapshot) HasFreshProof(instant, maxAge time.Duration) bool {
+	return s.ProofAt > 0 && instant-s.ProofAt < maxAge
+}
--- a/internal/settings/bounds.go
+++ b/internal/settings/bounds.go
@@ -55,6 +55,17 @@
 // Example: maxProofAge := bounds.Config(0.8)
 func (b Bounds) Config(ratio float64) time.Duration { return Fraction(b.ConfigMs, ratio) }
 
+// KeyProofRatio is the ratio of KeyProof to Bounds.KeyRevocationMs. The rest of the bound covers the time from reading a
+// request to sending it to a worker.
+const KeyProofRatio = 0.95
+
+// KeyProof returns the age of the proof that a routing plan is the newest up to which requests are served as the plan
+// says which API keys are good and which tenants share cached prompt parts. It is derived from Bounds.KeyRevocationMs,
+// the longest time that a revoked API key is still accepted.
+//
+// Example: fresh := snapshot.HasFreshProof(clock.Now(), bounds.KeyProof())
+func (b Bounds) KeyProof() time.Duration { return Fraction(b.KeyRevocationMs, KeyProofRatio) }
+
 // Weights returns Bounds.WeightsMs, the longest time that requests still start on superseded weights, multiplied by a
 // ratio.
 //
