Keep keys revoked after the last tenants were removed

Cause: the proxy took a plan without tenants for one that never had any, which requires no keys. Nothing in the replicated state said that keys had been taken away.

Evidence: the requests ran without a tenant's name, so the edge machines weren't on the old plan; the configuration that is read back has an empty list, so the merge is right; the proof of freshness wasn't asked for. The product's own interface requires a key in every case (TestWhatIsRejectedBeforeAnAttempt), so it doesn't have the fault.

Change: the tenant history that is stored beside the configuration says whether some version had tenants. Plan.RequiresKey decides by it: then no key is accepted on routes that aren't public. With an empty list of tenants a request without a key is rejected as well; a configuration without a list requires none, as the users' page says, but a key that a request shows is checked. Sites that never had tenants require no keys, as before. Edge machines log it.

TestWhenAKeyIsRequired lists the cases.

--- a/internal/control/routingconfig/lookup.go
+++ b/internal/control/routingconfig/lookup.go
@@ -118,6 +118,19 @@
 	return tenant, ok
 }
 
+// RequiresKey reports whether a request on a route that isn't public needs the API key of a tenant. hasKey is whether the
+// request has a key. A plan without tenants requires none if there never were any. After the last tenants were removed,
+// their keys stay revoked: a request with a key is not accepted, and one without a key only if the plan has no list of
+// tenants at all.
+//
+// Example: if plan.RequiresKey(key != "") { authenticate(key) }
+func (p *Plan) RequiresKey(hasKey bool) bool {
+	if len(p.Tenants) > 0 || !p.HadTenants {
+		return len(p.Tenants) > 0
+	}
+	return hasKey || p.ListsTenants
+}
+
 // ServiceByName returns the service of the plan that has a name. If several services have that name, it returns the
 // last one.
 //
--- a/internal/control/routingconfig/plan.go
+++ b/internal/control/routingconfig/plan.go
@@ -20,6 +20,8 @@
 	// Identifier of the cache domain of all tenants that are not isolated, from the tenant history that is stored with
 	// the plan; empty for the first one. See CacheDomain.
 	SharedDomain string
+	ListsTenants bool // whether the configuration has a list of tenants, which may be empty
+	HadTenants   bool // whether this version or an earlier one has tenants, from the tenant history that is stored with the plan
 
 	routesByHost   map[string]*hostRoutes
 	tenantsByKey   map[string]*Tenant
--- a/internal/control/routingconfig/plan_test.go
+++ b/internal/control/routingconfig/plan_test.go
@@ -244,3 +244,27 @@
 		}
 	}
 }
+
+// A plan whose last tenants were removed was taken for one that never had tenants, so revoked keys were accepted.
+func TestWhenAKeyIsRequired(t *testing.T) {
+	tenants := []Tenant{{Name: "a", Keys: []string{"key"}}}
+	for _, test := range []struct {
+		name                     string
+		plan                     Plan
+		withoutKey, withAKeyOnly bool
+	}{
+		{"has tenants", Plan{Tenants: tenants, ListsTenants: true, HadTenants: true}, true, true},
+		{"has tenants, history not known", Plan{Tenants: tenants, ListsTenants: true}, true, true},
+		{"never had tenants", Plan{}, false, false},
+		{"never had tenants, empty list", Plan{ListsTenants: true}, false, false},
+		{"last tenants removed, empty list", Plan{ListsTenants: true, HadTenants: true}, true, true},
+		{"last tenants removed, no list", Plan{HadTenants: true}, false, true},
+	} {
+		if got := test.plan.RequiresKey(false); got != test.withoutKey {
+			t.Errorf("plan that %s: a request without a key requires one: got %v, want %v", test.name, got, test.withoutKey)
+		}
+		if got := test.plan.RequiresKey(true); got != test.withAKeyOnly {
+			t.Errorf("plan that %s: the key of a request is checked: got %v, want %v", test.name, got, test.withAKeyOnly)
+		}
+	}
+}
--- a/internal/control/tenanthistory/history.go
+++ b/internal/control/tenanthistory/history.go
@@ -1,6 +1,6 @@
 // Package tenanthistory maintains what the control state remembers of the tenants of earlier versions of the
-// configuration. Workers keep cached prompt parts longer than a configuration stays in force, so the newest version
-// alone does not determine which cached parts a tenant may use.
+// configuration. Workers keep cached prompt parts longer than a configuration stays in force, and clients their API keys,
+// so the newest version alone does not determine which cached parts a tenant may use, or whether requests need a key.
 //
 // The leader computes the history of a new version from the version before it and its history, and proposes both in
 // one log entry. A history is stored with the configuration and never depends on anything else, so it survives
@@ -37,6 +37,14 @@
 	return historyOf(document).SharedDomain
 }
 
+// HadTenants reports whether the version of the configuration that a document holds, or an earlier one, has tenants.
+// hasTenants is whether that version has some. If an earlier release stored the version, the ones before aren't known.
+//
+// Example: plan.HadTenants = tenanthistory.HadTenants(document, len(plan.Tenants) > 0)
+func HadTenants(document *wire.Document, hasTenants bool) bool {
+	return hasTenants || document.GetTenantHistory().GetHadTenants()
+}
+
 // historyOf returns the history of the version of the configuration that a document holds. document is nil if there is
 // no configuration yet.
 func historyOf(document *wire.Document) *wire.TenantHistory {
@@ -61,9 +69,10 @@
 	}
 	history, before, after := historyOf(document), isolationByName(old), isolationByName(next)
 	if isolatesSharingTenant(history, before, after) {
-		return &wire.TenantHistory{SharedDomain: newDomain}
+		return &wire.TenantHistory{SharedDomain: newDomain, HadTenants: true}
 	}
 	following := &wire.TenantHistory{
+		HadTenants:         true,
 		SharedDomain:       history.SharedDomain,
 		Departed:           departed(history.Departed, before, after),
 		DepartedIncomplete: history.DepartedIncomplete,
--- a/internal/control/tenanthistory/history_test.go
+++ b/internal/control/tenanthistory/history_test.go
@@ -34,6 +34,8 @@
 	version      uint64
 	previous     []Tenant
 	sharing      map[string]map[string]bool // names of the tenants that may have used a domain, by the domain
+	lacksRecords bool                       // whether a version was stored without a history
+	hadTenants   bool                       // whether some version has had tenants
 	lastIsolated map[string]bool            // whether a tenant was isolated under the newest version that listed it
 }
 
@@ -48,13 +50,17 @@
 	history := Next(m.document, m.previous, tenants, newDomain)
 	before := SharedDomain(m.document, len(m.previous) > 0)
 	if next.withoutRecord {
-		history = nil
+		history, m.lacksRecords = nil, true
 	}
 	m.version++
 	m.document = &wire.Document{Key: "config", Version: m.version, TenantHistory: history}
 	domain := SharedDomain(m.document, len(tenants) > 0)
 	needless := domain == newDomain && !m.isolatesUserOf(before, tenants)
 	m.previous = tenants
+	m.hadTenants = m.hadTenants || len(tenants) > 0
+	if known := HadTenants(m.document, len(tenants) > 0); known != m.hadTenants && !m.lacksRecords {
+		return fmt.Sprintf("HadTenants returned %v, want %v", known, m.hadTenants)
+	}
 	for _, tenant := range tenants {
 		m.lastIsolated[tenant.Name] = tenant.Isolated
 	}
--- a/internal/data/agent/agent.go
+++ b/internal/data/agent/agent.go
@@ -193,7 +193,7 @@
 			a.process.Log.Error("failed to decode documents from control node; keeping their previous versions", "from", response.Member, "error", err)
 		}
 		a.publish(t, isUpdate)
-		a.logSharedDomain(plan, t.snapshot.Plan)
+		a.logTenantChanges(plan, t.snapshot.Plan)
 		if hadNoProof && t.snapshot.ProofAt > 0 {
 			a.process.Log.Info("first routing plan confirmed as the newest by a quorum of control nodes", "version", t.snapshot.Plan.Version, "workers", len(t.snapshot.Workers))
 		}
@@ -204,11 +204,18 @@
 	return isUpdate
 }
 
-// logSharedDomain logs that the tenants that share a cache domain got a new one with a newer plan, because cached prompt
-// parts are then computed again.
-func (a *Agent) logSharedDomain(old, newest *routingconfig.Plan) {
-	if old != nil && newest != nil && old.SharedDomain != newest.SharedDomain {
+// logTenantChanges logs what a newer plan changes for all tenants: a new cache domain, in which prompt parts are computed
+// again, and the removal of the last tenant, after which no key is accepted.
+func (a *Agent) logTenantChanges(old, newest *routingconfig.Plan) {
+	if old == nil || newest == nil {
+		return
+	}
+	if old.SharedDomain != newest.SharedDomain {
 		a.process.Log.Info("a tenant was isolated: all other tenants share a new cache domain, in which prompt parts are computed again",
 			"version", newest.Version, "domain", newest.SharedDomain)
 	}
+	if len(old.Tenants) > 0 && len(newest.Tenants) == 0 {
+		a.process.Log.Warn("the last tenants were removed: no request with a key is accepted on routes that are not public",
+			"version", newest.Version, "keyless_requests_accepted", !newest.RequiresKey(false))
+	}
 }
--- a/internal/data/agent/documents.go
+++ b/internal/data/agent/documents.go
@@ -49,7 +49,9 @@
 	if err != nil {
 		return err
 	}
-	plan.SharedDomain = tenanthistory.SharedDomain(document, len(plan.Tenants) > 0)
+	hasTenants := len(plan.Tenants) > 0
+	plan.SharedDomain = tenanthistory.SharedDomain(document, hasTenants)
+	plan.HadTenants = tenanthistory.HadTenants(document, hasTenants)
 	plan.Version = document.Version // the document's committed version takes precedence over a version in its body
 	t.snapshot.Plan = plan
 	return nil
--- a/internal/data/proxy/admission.go
+++ b/internal/data/proxy/admission.go
@@ -35,17 +35,18 @@
 	return true
 }
 
-// authenticate finds the tenant by the client's API key. Public routes, and all routes of a routing plan without
-// tenants, need no key. If the key isn't accepted, it rejects the request and returns false.
+// authenticate finds the tenant by the client's API key, unless the route is public or the routing plan requires no key.
+// If the key isn't accepted, it rejects the request and returns false.
 func (req *request) authenticate(plan *routingconfig.Plan, planIsFresh bool) bool {
-	if req.selection.Route.Public || len(plan.Tenants) == 0 {
+	key := req.server.Headers.bearerKey(req.incoming)
+	if req.selection.Route.Public || !plan.RequiresKey(key != "") {
 		return true
 	}
 	if req.server.siteSettings.EnforceRevocation && !planIsFresh {
 		req.reject(errs.NotExecuted, "it can't be proven here that the key is still good", req.server.planRetryAfter())
 		return false
 	}
-	tenant, ok := plan.TenantByKey(req.server.Headers.bearerKey(req.incoming))
+	tenant, ok := plan.TenantByKey(key)
 	req.selection.Tenant = tenant
 	if !ok {
 		return req.rejectUnknown(planIsFresh, errs.BadKey, "the key isn't any tenant's")
