--- a/internal/cli/site_world_test.go
+++ b/internal/cli/site_world_test.go
@@ -6,11 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -28,6 +26,8 @@
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/fleet"
 	set "pebbleloom/internal/settings"
+	"pebbleloom/internal/sim/memorydisk"
+	"pebbleloom/internal/sim/pipes"
 	"pebbleloom/internal/wire"
 )
 
@@ -37,8 +37,8 @@
 type testSite struct {
 	t              *testing.T
 	mu             sync.Mutex
-	listeners      map[string]*pipeListener
-	disks          map[string]*memoryDisk
+	network        *pipes.Network
+	disks          map[string]*memorydisk.Disk
 	processes      map[string]*daemon.Process // processes by role and machine number, such as "state3"
 	workerWeights  map[string]uint64          // version of the weights that each worker serves, by worker ID
 	ordersRejected bool                       // whether the workers reject orders to load weights
@@ -46,71 +46,10 @@
 	http           *http.Transport
 }
 
-type pipeListener struct {
-	site   *testSite
-	addr   string
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() {
-		close(l.closed)
-		l.site.mu.Lock()
-		defer l.site.mu.Unlock()
-		if l.site.listeners[l.addr] == l {
-			delete(l.site.listeners, l.addr)
-		}
-	})
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// memoryDisk is a storage.Disk in memory on which every write is durable at once.
-type memoryDisk struct {
-	mu    sync.Mutex
-	files map[string][]byte
-}
-
-func (d *memoryDisk) Read(n string) ([]byte, bool, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	b, ok := d.files[n]
-	return bytes.Clone(b), ok, nil
-}
-
-func (d *memoryDisk) update(n string, change func(old []byte) []byte) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.files[n] = change(d.files[n])
-	return nil
-}
-
-func (d *memoryDisk) Write(n string, b []byte) error {
-	return d.update(n, func([]byte) []byte { return bytes.Clone(b) })
-}
-func (d *memoryDisk) Append(n string, b []byte) error {
-	return d.update(n, func(old []byte) []byte { return append(old, b...) })
-}
-func (d *memoryDisk) Truncate(n string, s int) error {
-	return d.update(n, func(old []byte) []byte { return old[:s] })
-}
-
 func newTestSite(t *testing.T) *testSite {
-	site := &testSite{t: t, listeners: map[string]*pipeListener{}, disks: map[string]*memoryDisk{}, processes: map[string]*daemon.Process{},
+	site := &testSite{t: t, network: pipes.NewNetwork(), disks: map[string]*memorydisk.Disk{}, processes: map[string]*daemon.Process{},
 		workerWeights: map[string]uint64{"w1": 1, "w2": 1, "w3": 1}}
-	site.http = &http.Transport{DialContext: site.dial}
+	site.http = &http.Transport{DialContext: site.network.Dial}
 	return site
 }
 
@@ -119,24 +58,6 @@
 // operatorAt returns the operator address of a core machine.
 func operatorAt(i int) string { return ip(i) + ":7362" }
 
-func (site *testSite) dial(ctx context.Context, _, addr string) (net.Conn, error) {
-	site.mu.Lock()
-	listener := site.listeners[addr]
-	site.mu.Unlock()
-	if listener == nil {
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
-	}
-	near, far := net.Pipe()
-	select {
-	case listener.conns <- far:
-		return near, nil
-	case <-listener.closed:
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 func (site *testSite) newProcess(role string, i, offset int) *daemon.Process {
 	site.seed++
 	seed := site.seed
@@ -148,18 +69,12 @@
 	environment := daemon.Environment{Clock: clock.Synctest(), WallClock: time.Now, Seed: func() uint64 { seed += 7919; return seed * 0x9e3779b97f4a7c15 },
 		Disk: func(string) storage.Disk {
 			if site.disks[at] == nil {
-				site.disks[at] = &memoryDisk{files: map[string][]byte{}}
+				site.disks[at] = &memorydisk.Disk{}
 			}
 			return site.disks[at]
 		},
-		Listen: func(a string) (net.Listener, error) {
-			listener := &pipeListener{site: site, addr: a, conns: make(chan net.Conn), closed: make(chan struct{})}
-			site.mu.Lock()
-			defer site.mu.Unlock()
-			site.listeners[a] = listener
-			return listener, nil
-		},
-		Dial: site.dial, Journal: func(string) (io.Writer, error) { return io.Discard, nil }}
+		Listen: site.network.Listen,
+		Dial:   site.network.Dial, Journal: func(string) (io.Writer, error) { return io.Discard, nil }}
 	process := daemon.NewIn(environment, role, settings)
 	site.processes[fmt.Sprint(role, i)] = process
 	return process
--- a/internal/data/proxy/site_test.go
+++ b/internal/data/proxy/site_test.go
@@ -81,7 +81,7 @@
 func withRevocation(t *testing.T, enforced bool, scripts []workerScript, run func(s *testSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		site := &testSite{t: t, network: &pipeNetwork{listeners: map[string]*pipeListener{}, dials: map[string]int{}}, selector: &fakeSelector{}}
+		site := &testSite{t: t, network: newPipeNetwork(), selector: &fakeSelector{}}
 		bounds := settings.DefaultBounds()
 		bounds.RetryPercent, bounds.RetryAllowance = 100, 100
 		processSettings := settings.Process{Name: "e1", Zone: "d", Listen: "10.0.0.1:7000", Public: clientAddr, Bounds: bounds, Options: []string{"log=off"},
