controlstate: the test cluster takes its connections from internal/sim/pipes

The fourth copy of the listener goes; connections that lose data, and those of the simulated network, are handed to the listener by pipes.Network.Deliver.

--- a/internal/control/controlstate/sim_network_test.go
+++ b/internal/control/controlstate/sim_network_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -65,21 +64,11 @@
 			return nil, ctx.Err()
 		}
 	}
-	cluster.mu.Lock()
-	listener := cluster.listeners[target]
-	cluster.mu.Unlock()
-	if listener == nil {
-		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
-	}
 	outward, inward := newHalfConn(n, source, target), newHalfConn(n, target, source)
-	select {
-	case listener.connections <- &netConn{in: outward, out: inward}:
-		return &netConn{in: inward, out: outward}, nil
-	case <-listener.closed:
-		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if err := cluster.pipes.Deliver(ctx, target, &netConn{in: outward, out: inward}); err != nil {
+		return nil, err
 	}
+	return &netConn{in: inward, out: outward}, nil
 }
 
 // halfConn is one direction of a simulated network connection.
--- a/internal/control/controlstate/test_cluster_test.go
+++ b/internal/control/controlstate/test_cluster_test.go
@@ -8,9 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +19,7 @@
 	"pebbleloom/internal/daemon"
 	"pebbleloom/internal/errs"
 	"pebbleloom/internal/settings"
+	"pebbleloom/internal/sim/pipes"
 	"pebbleloom/internal/wire"
 )
 
@@ -29,7 +28,7 @@
 type testCluster struct {
 	t               *testing.T
 	mu              sync.Mutex
-	listeners       map[string]*pipeListener
+	pipes           *pipes.Network
 	disks           map[string]*stallingDisk
 	processes       map[string]*daemon.Process
 	nodes           map[string]*Node
@@ -40,37 +39,6 @@
 	toleratedLosses int         // number of lost machines that the group tolerates; 0 means one
 }
 
-// pipeListener accepts the pipes that testCluster.dial creates to its address.
-type pipeListener struct {
-	cluster     *testCluster
-	addr        string
-	connections chan net.Conn
-	closed      chan struct{}
-	once        sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.connections:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() {
-		close(l.closed)
-		l.cluster.mu.Lock()
-		defer l.cluster.mu.Unlock()
-		if l.cluster.listeners[l.addr] == l {
-			delete(l.cluster.listeners, l.addr)
-		}
-	})
-	return nil
-}
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // stallingDisk is a disk in memory whose writes can be made to stall.
 type stallingDisk struct {
 	mu      sync.Mutex
@@ -115,7 +83,7 @@
 
 // newTestCluster returns a cluster without running machines. Machines 1 to 3 are the seeds.
 func newTestCluster(t *testing.T) *testCluster {
-	cluster := &testCluster{t: t, listeners: map[string]*pipeListener{}, disks: map[string]*stallingDisk{}, processes: map[string]*daemon.Process{},
+	cluster := &testCluster{t: t, pipes: pipes.NewNetwork(), disks: map[string]*stallingDisk{}, processes: map[string]*daemon.Process{},
 		nodes: map[string]*Node{}, unreachable: map[string]bool{}}
 	for i := range 3 {
 		cluster.seeds = append(cluster.seeds, cluster.addr(i+1))
@@ -131,21 +99,16 @@
 		return c.network.dial(ctx, c, from, addr)
 	}
 	c.mu.Lock()
-	listener, isUnreachable := c.listeners[addr], c.unreachable[addr] || c.unreachable[from]
+	isUnreachable := c.unreachable[addr] || c.unreachable[from]
 	c.mu.Unlock()
 	if isUnreachable {
 		return nil, fmt.Errorf("dial %s from %s: one of the machines is unreachable", addr, from)
 	}
-	if listener == nil {
-		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
-	}
 	ours, theirs := net.Pipe()
-	select {
-	case listener.connections <- &lossyConn{theirs, c, from, addr}:
-		return &lossyConn{ours, c, from, addr}, nil
-	case <-listener.closed:
-		return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
+	if err := c.pipes.Deliver(ctx, addr, &lossyConn{theirs, c, from, addr}); err != nil {
+		return nil, err
 	}
+	return &lossyConn{ours, c, from, addr}, nil
 }
 
 // lossyConn is one end of a connection between two machines. Data that is sent while either of them is unreachable is
@@ -167,11 +130,11 @@
 }
 
 // listen accepts connections to an address.
-func (c *testCluster) listen(addr string) *pipeListener {
-	listener := &pipeListener{cluster: c, addr: addr, connections: make(chan net.Conn), closed: make(chan struct{})}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.listeners[addr] = listener
+func (c *testCluster) listen(addr string) net.Listener {
+	listener, err := c.pipes.Listen(addr)
+	if err != nil {
+		c.t.Fatalf("listening at %s: %v", addr, err)
+	}
 	return listener
 }
 
@@ -183,7 +146,7 @@
 		WallClock: time.Now,
 		Seed:      seed,
 		Disk:      func(string) storage.Disk { return c.disks[addr] },
-		Listen:    func(listenAddr string) (net.Listener, error) { return c.listen(listenAddr), nil },
+		Listen:    c.pipes.Listen,
 		Dial:      func(ctx context.Context, _, to string) (net.Conn, error) { return c.dial(ctx, addr, to) },
 		Journal:   func(string) (io.Writer, error) { return io.Discard, nil },
 	}
--- a/internal/sim/pipes/network.go
+++ b/internal/sim/pipes/network.go
@@ -44,21 +44,32 @@
 //
 // Example: conn, err := network.Dial(ctx, "tcp", "10.0.0.1:7360")
 func (n *Network) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	near, far := net.Pipe()
+	if err := n.Deliver(ctx, addr, far); err != nil {
+		return nil, err
+	}
+	return near, nil
+}
+
+// Deliver has the listener of an address accept the far end of a connection that the caller has made, such as one that
+// loses data. Without a listener there it returns an error that says that the connection is refused.
+//
+// Example: err := network.Deliver(ctx, "10.0.0.1:7360", lossy(far))
+func (n *Network) Deliver(ctx context.Context, addr string, far net.Conn) error {
 	refused := &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	n.mu.Lock()
 	found := n.listeners[addr]
 	n.mu.Unlock()
 	if found == nil {
-		return nil, refused
+		return refused
 	}
-	near, far := net.Pipe()
 	select {
 	case found.conns <- far:
-		return near, nil
+		return nil
 	case <-found.closed:
-		return nil, refused
+		return refused
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 }
 
