--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -52,7 +52,7 @@
 	}
 	for i, size := range fitted.Sizes {
 		if median := fitted.Medians[i]; median != 0 {
-			fitted.Residual = max(fitted.Residual, math.Abs(fitted.Slope*size+fitted.Base-median)/math.Abs(median))
+			fitted.Residual = max(fitted.Residual, math.Abs(fitted.onLine(size)-median)/math.Abs(median))
 		}
 	}
 	fitted.Bent = fitted.Residual > max(maxResidual, fitted.Spread/2)
@@ -69,7 +69,9 @@
 	}
 }
 
-// weightedRegression returns the line with the least sum of squared relative errors.
+// weightedRegression returns the line with the least sum of squared relative errors. Each product is rounded by an explicit
+// conversion, because a compiler may otherwise fuse it with the addition behind it on some processors (arm64), and the same
+// series would give other figures there.
 func weightedRegression(sizes, values []float64) (slope, base float64) {
 	var w, wx, wy, wxx, wxy float64 // sums of the weights, and of their products with sizes and values
 	for i, size := range sizes {
@@ -77,25 +79,34 @@
 		if value != 0 {
 			weight = 1 / (value * value)
 		}
-		w, wx, wy, wxx, wxy = w+weight, wx+weight*size, wy+weight*value, wxx+weight*size*size, wxy+weight*size*value
+		w += weight
+		wx += float64(weight * size)
+		wy += float64(weight * value)
+		wxx += float64(weight * size * size)
+		wxy += float64(weight * size * value)
 	}
-	determinant := w*wxx - wx*wx
+	determinant := float64(w*wxx) - float64(wx*wx)
 	if determinant == 0 {
 		return 0, wy / w
 	}
-	slope = (w*wxy - wx*wy) / determinant
-	return slope, (wy - slope*wx) / w
+	slope = (float64(w*wxy) - float64(wx*wy)) / determinant
+	return slope, (wy - float64(slope*wx)) / w
+}
+
+// onLine returns the value of the line at a size, with the product rounded as in weightedRegression.
+func (l *line) onLine(size float64) float64 {
+	return float64(l.Slope*size) + l.Base
 }
 
 // at returns the value at a size: on the line, or interpolated between the measured sizes of a bent series. It reports
 // false for a size outside the measured range of a bent series.
 func (l *line) at(size float64) (float64, bool) {
 	if !l.Bent {
-		return l.Slope*size + l.Base, true
+		return l.onLine(size), true
 	}
 	for i := 1; i < len(l.Sizes); i++ {
 		if a, b := l.Sizes[i-1], l.Sizes[i]; size >= a && size <= b {
-			return l.Medians[i-1] + (l.Medians[i]-l.Medians[i-1])*(size-a)/(b-a), true
+			return l.Medians[i-1] + float64((l.Medians[i]-l.Medians[i-1])*(size-a)/(b-a)), true
 		}
 	}
 	return 0, false
