--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -73,24 +73,24 @@
 // conversion, because a compiler may otherwise fuse it with the addition behind it on some processors (arm64), and the same
 // series would give other figures there.
 func weightedRegression(sizes, values []float64) (slope, base float64) {
-	var w, wx, wy, wxx, wxy float64 // sums of the weights, and of their products with sizes and values
+	var sums struct{ weight, size, value, sizeSquared, product float64 } // weighted sums over the points
 	for i, size := range sizes {
 		weight, value := 1.0, values[i]
 		if value != 0 {
 			weight = 1 / (value * value)
 		}
-		w += weight
-		wx += float64(weight * size)
-		wy += float64(weight * value)
-		wxx += float64(weight * size * size)
-		wxy += float64(weight * size * value)
+		sums.weight += weight
+		sums.size += float64(weight * size)
+		sums.value += float64(weight * value)
+		sums.sizeSquared += float64(weight * size * size)
+		sums.product += float64(weight * size * value)
 	}
-	determinant := float64(w*wxx) - float64(wx*wx)
+	determinant := float64(sums.weight*sums.sizeSquared) - float64(sums.size*sums.size)
 	if determinant == 0 {
-		return 0, wy / w
+		return 0, sums.value / sums.weight
 	}
-	slope = (float64(w*wxy) - float64(wx*wy)) / determinant
-	return slope, (wy - float64(slope*wx)) / w
+	slope = (float64(sums.weight*sums.product) - float64(sums.size*sums.value)) / determinant
+	return slope, (sums.value - float64(slope*sums.size)) / sums.weight
 }
 
 // onLine returns the value of the line at a size, with the product rounded as in weightedRegression.
