Limit the socket buffers of clients' connections

Seen: 60 clients that send requests and read no answers have 254 MB wait in the socket buffers of an edge process of 64 MB, and streams that nobody reads 72 MB; what has arrived and isn't read counts as memory of the process.

Cause: the kernel lets both buffers of a connection grow to megabytes, and nothing set a size.

Change: clientlimit.NewListener sets 16 KiB for both at the listener, from which accepted connections inherit them. A window of that size is more than a client's link takes in a round trip of some milliseconds.

Why it works: the window that a client sees can't exceed the buffer, and a write waits once the send buffer is full.

--- a/internal/data/proxy/server.go
+++ b/internal/data/proxy/server.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"pebbleloom/internal/clientlimit"
 	"pebbleloom/internal/clock"
 	"pebbleloom/internal/control/routingconfig"
 	"pebbleloom/internal/daemon"
@@ -166,6 +167,7 @@
 // serveClientsOn accepts clients once the HTTP limits of the first routing plan are known (see awaitLimits),
 // and drains on shutdown.
 func (s *server) serveClientsOn(listener net.Listener) {
+	limited := clientlimit.NewListener(listener)
 	started := make(chan *http.Server, 1)
 	s.process.Go(func() {
 		limits := s.awaitLimits()
@@ -177,7 +179,7 @@
 			IdleTimeout:       limits.IdleTimeout,
 		}
 		started <- clientServer
-		s.serveHTTP(clientServer, listener)
+		s.serveHTTP(clientServer, limited)
 	})
 	s.process.OnShutdown(func(ctx context.Context) { s.drain(ctx, <-started) })
 }
