Reserve the memory of a request's body before it is read

Cause: readBody reserved memory by the announced length. A chunked body has none, so it was read completely, into a buffer that doubles, and reserved afterwards; a body that never ends was never reserved.

Change: all requests share a clientlimit.Budget of a third of memoryMb, as before. Bodies are read in segments of 4 to 64 KiB, each reserved before it is read. If the budget is used up, the request whose client has stalled longest (nothing for a second, or under 64 KiB/s) ends with 503 and Connection: close; without one the new request gets 503. Both have not run. Requests beyond their first 96 KiB may take three fourths of the budget, so that large bodies can't displace small requests. An announced length that doesn't fit is still refused before it is read.

TestMemoryIsBounded keeps its checks; its limit now holds two requests with their headers. TestStalledBodyIsRefused and TestLongBodiesAreForwardedUnchanged are new in proxy, and internal/clientlimit has tests of the budget.

Why it works: memory is allocated after its reservation only, the reservations can't exceed the budget, and a client that has stopped sending can't hold its reservation against others.

--- /dev/null
+++ b/internal/clientlimit/server.go
@@ -0,0 +1,68 @@
+package clientlimit
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+)
+
+// Attach makes an HTTP server that serves this listener report the progress of each connection to it. It has to be called before the server starts. The server's handler
+// has to call Conn.FinishReading once it has read the body of a request; TrackBodies does that for handlers that don't know
+// of it.
+//
+// Example: listener.Attach(server); go server.Serve(listener)
+func (l *Listener) Attach(server *http.Server) {
+	server.Handler = trackedHandler{server.Handler}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+}
+
+// trackedHandler reports the begin and the end of each request to its connection.
+type trackedHandler struct{ next http.Handler }
+
+// ServeHTTP serves one request.
+func (h trackedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if conn := FromContext(r.Context()); conn != nil {
+		conn.startRequest()
+		defer conn.endRequest()
+	}
+	h.next.ServeHTTP(w, r)
+}
+
+// TrackBodies returns a handler that calls Conn.FinishReading for another one, when it has read the body of a request to its
+// end.
+//
+// Example: server := &http.Server{Handler: clientlimit.TrackBodies(mux)}
+func TrackBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := FromContext(r.Context())
+		switch {
+		case conn == nil:
+		case r.Body == http.NoBody:
+			conn.FinishReading()
+		default:
+			// net/http looks at the body of its own request, so that only a copy may have another one.
+			tracked := *r
+			tracked.Body = &trackedBody{r.Body, conn}
+			r = &tracked
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// trackedBody is a request body that reports its end to the connection.
+type trackedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read reads a part of the body.
+func (b *trackedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if err == io.EOF {
+		b.conn.FinishReading()
+	}
+	return n, err
+}
--- a/internal/clientlimit/socketbuffers.go
+++ b/internal/clientlimit/socketbuffers.go
@@ -1,4 +1,3 @@
-// Package clientlimit bounds what the clients of a process may take of its machine, whoever they are.
 package clientlimit
 
 import (
@@ -30,11 +29,3 @@
 		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
 	})
 }
-
-// NewListener returns a listener whose connections have socket buffers of a limited size.
-//
-// Example: limited := clientlimit.NewListener(listener); go server.Serve(limited)
-func NewListener(listener net.Listener) net.Listener {
-	limitSocketBuffers(listener)
-	return listener
-}
--- a/internal/clientlimit/socketbuffers_test.go
+++ b/internal/clientlimit/socketbuffers_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"net"
-	"syscall"
 	"testing"
 
 	"golang.org/x/sys/unix"
+
+	"pebbleloom/internal/clock"
 )
 
 // Accepted connections have receive and send buffers of the size that the listener sets, as the kernel counts it.
@@ -15,7 +16,7 @@
 		t.Fatal(err)
 	}
 	defer inner.Close()
-	listener := newTestListener(inner)
+	listener := NewListener(inner, Config{Budget: NewBudget(clock.BootTime(), testLimit)})
 	client, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -26,7 +27,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	raw, err := socketOf(conn).SyscallConn()
+	raw, err := conn.(*Conn).Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +39,3 @@
 		}
 	}
 }
-
-func newTestListener(inner net.Listener) net.Listener { return NewListener(inner) }
-
-func socketOf(conn net.Conn) syscall.Conn { return conn.(*net.TCPConn) }
--- /dev/null
+++ b/internal/data/proxy/clientlimits_test.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pebbleloom/internal/errs"
+)
+
+// chunkedRequest returns the text of a request with a chunked body that holds the given chunks and doesn't end.
+func chunkedRequest(route, id string, chunks ...string) string {
+	text := "POST /" + route + "/x HTTP/1.1\r\nHost: " + testHost + "\r\nGo-Id: " + id + "\r\nGo-Left: 4000\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, body := range chunks {
+		text += chunk(body)
+	}
+	return text
+}
+
+// A body that is longer than one segment, in large and in small chunks or with a length, reaches the worker unchanged.
+func TestLongBodiesAreForwardedUnchanged(t *testing.T) {
+	var text strings.Builder
+	for text.Len() < largestSegmentBytes+10_000 {
+		text.WriteString("0123456789abcdefg")
+	}
+	body := text.String()
+	for _, size := range []int{0, 7, 5000, len(body)} {
+		withSite(t, []workerScript{respondWith(okResponse)}, func(site *testSite) {
+			request := postRequest("once", "a1", body)
+			if size > 0 {
+				var chunks []string
+				for rest := body; rest != ""; rest = rest[min(size, len(rest)):] {
+					chunks = append(chunks, rest[:min(size, len(rest))])
+				}
+				request = chunkedRequest("once", "a1", chunks...) + "0\r\n\r\n"
+			}
+			response := site.send(request)
+			if received := site.workers[0].bodies; response.status != 200 || len(received) != 1 || received[0] != body {
+				t.Errorf("body of %d bytes in chunks of %d (0: with a length): status %d, error %v, %d bodies at the worker; want 200 and the same body", len(body), size, response.status, response.err, len(received))
+			}
+			if reserved := site.server.memory.Reserved(); reserved != 0 {
+				t.Errorf("bytes reserved after the request: %d, want 0", reserved)
+			}
+		})
+	}
+}
+
+// The memory of a body in chunks is reserved as the body comes. If memory is short, the client that stalls in the middle of
+// its body gets a refusal that says that its request has not run, and the other request is served.
+func TestStalledBodyIsRefused(t *testing.T) {
+	withSite(t, []workerScript{respondWith(okResponse)}, func(site *testSite) {
+		stalled := site.dialClient()
+		defer stalled.Close()
+		go func() {
+			_, _ = io.WriteString(stalled, chunkedRequest("once", "a1", strings.Repeat("b", 60_000)))
+		}()
+		synctest.Wait()
+		reserved := site.server.memory.Reserved()
+		if reserved < 60_000 {
+			t.Errorf("%d bytes are reserved for a body of which 60000 have come", reserved)
+		}
+		site.server.memory.SetLimit(reserved + 100)
+		time.Sleep(2 * time.Second) // fake time of the synctest bubble
+		if response := site.send(postRequest("once", "a2", "body")); response.status != 200 {
+			t.Errorf("request beside a stalled one: status %d, error %v; want 200", response.status, response.err)
+		}
+		if response := stalled.readReply("POST"); response.status != errs.Overloaded.HTTPStatus || !response.closesConn || response.header.Get("Retry-After") == "" {
+			t.Errorf("stalled request: got response %+v, want status %d with Retry-After and Connection: close", response, errs.Overloaded.HTTPStatus)
+		}
+		if count := site.workers[0].requestCount(); count != 1 {
+			t.Errorf("requests at the worker: %d, want 1", count)
+		}
+	})
+}
--- a/internal/data/proxy/headers.go
+++ b/internal/data/proxy/headers.go
@@ -110,7 +110,7 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // a nil value keeps net/http from adding a User-Agent of its own
 	}
-	if len(req.body) == 0 && !req.chunked {
+	if req.body.length == 0 && !req.chunked {
 		hideIdempotencyKeys(header)
 	}
 	return header
--- a/internal/data/proxy/outgoing.go
+++ b/internal/data/proxy/outgoing.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"net/http"
 	"net/url"
 	"strings"
@@ -24,13 +23,12 @@
 	if req.chunked {
 		outgoing.ContentLength, outgoing.TransferEncoding = -1, []string{"chunked"}
 	} else {
-		outgoing.ContentLength = int64(len(req.body))
+		outgoing.ContentLength = req.body.length
 	}
 	// net/http would silently resend a request with an idempotent method and no body; a non-nil body that
 	// can't be rewound prevents that.
-	if body := new(nonReplayableBody); req.chunked || len(req.body) > 0 || !declaresEmptyBody(req.incoming.Method) {
-		body.Reset(req.body)
-		outgoing.Body = body
+	if req.chunked || req.body.length > 0 || !declaresEmptyBody(req.incoming.Method) {
+		outgoing.Body = req.body.newReader()
 	}
 	return outgoing.WithContext(a.ctx)
 }
@@ -49,13 +47,6 @@
 	return target
 }
 
-// nonReplayableBody is a request body that net/http can't rewind, so that it can't resend the request on its
-// own.
-type nonReplayableBody struct{ bytes.Reader }
-
-// Close does nothing: the body is kept in memory for possible retries.
-func (*nonReplayableBody) Close() error { return nil }
-
 // declaresEmptyBody reports whether net/http sends "Content-Length: 0" if a request with this method has an empty
 // body. net/http doesn't resend requests with such a method on its own.
 func declaresEmptyBody(method string) bool {
--- a/internal/data/proxy/request.go
+++ b/internal/data/proxy/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"pebbleloom/internal/clientlimit"
 	"pebbleloom/internal/control/routingconfig"
 	"pebbleloom/internal/data/selection"
 	"pebbleloom/internal/errs"
@@ -23,14 +24,16 @@
 	cancel            context.CancelFunc
 	stopWriteDeadline func() bool // function that cancels the write deadline set when ctx is done; it returns false if that deadline was set already
 
-	receivedAt     time.Duration // when the request header was read, by the process clock
-	deadline       time.Duration // the earlier of the client's and the route's deadline, by the process clock
-	selection      selection.Request
-	maxConns       int // maximum number of connections from this edge node to one worker; 0: no limit
-	body           []byte
-	chunked        bool            // whether the body came with chunked transfer encoding, and so is forwarded that way
-	reservedMemory int64           // bytes of server.reservedMemory that this request has reserved
-	tried          map[string]bool // IDs of the workers that were selected for an attempt of this request
+	receivedAt time.Duration // when the request header was read, by the process clock
+	deadline   time.Duration // the earlier of the client's and the route's deadline, by the process clock
+	selection  selection.Request
+	maxConns   int                      // maximum number of connections from this edge node to one worker; 0: no limit
+	conn       *clientlimit.Conn        // connection that the request came on
+	memory     *clientlimit.Reservation // memory that this request has reserved; its connection releases it
+	body       requestBody
+	bodyRead   bool            // whether the body was read completely
+	chunked    bool            // whether the body came with chunked transfer encoding, and so is forwarded that way
+	tried      map[string]bool // IDs of the workers that were selected for an attempt of this request
 
 	attemptsSent       int               // number of attempts of which some bytes may have been sent to a worker
 	attemptsNotSent    int               // number of attempts of which provably no byte was sent to a worker
@@ -85,21 +88,21 @@
 		writer:            writer,
 		controller:        http.NewResponseController(writer),
 		incoming:          incoming,
+		conn:              clientlimit.FromContext(incoming.Context()),
 		receivedAt:        s.process.Clock.Now(),
 		tried:             map[string]bool{},
 		stopWriteDeadline: func() bool { return true },
 	}
+	req.memory = req.conn.Reservation()
 	req.selection.ID, req.selection.Zone = incoming.Header.Get(s.Headers.ID), s.process.Settings.Zone
 	return req
 }
 
-// release cancels the request's context and returns its reserved memory to the server.
+// release cancels the request's context.
 func (req *request) release() {
 	if req.cancel != nil {
 		req.cancel()
 	}
-	req.server.reservedMemory.Add(-req.reservedMemory)
-	req.reservedMemory = 0
 }
 
 // readPromptHeaders parses the optional header fields that describe the prompt, and prepares resumable streams.
--- a/internal/data/proxy/request_test.go
+++ b/internal/data/proxy/request_test.go
@@ -340,7 +340,8 @@
 func TestMemoryIsBounded(t *testing.T) {
 	silent := func(c net.Conn, _ *http.Request, _ string) bool { _, _ = c.Read(make([]byte, 1)); return false }
 	withSite(t, []workerScript{silent}, func(site *testSite) {
-		site.server.memoryLimit = 2*requestOverhead + 100
+		requestBytes := int64(requestOverhead + 8<<10) // with the header
+		site.server.memory.SetLimit(2*requestBytes + 100)
 		var clients []*clientConn
 		for range 2 {
 			client := site.dialClient()
@@ -358,7 +359,7 @@
 			client.Close()
 		}
 		synctest.Wait()
-		if n := site.server.reservedMemory.Load(); n != 0 || site.workers[0].requestCount() != 2 {
+		if n := site.server.memory.Reserved(); n != 0 || site.workers[0].requestCount() != 2 {
 			t.Errorf("after all clients disconnected: %d bytes reserved and %d requests forwarded, want 0 and 2", n, site.workers[0].requestCount())
 		}
 	})
--- a/internal/data/proxy/server.go
+++ b/internal/data/proxy/server.go
@@ -48,8 +48,7 @@
 	conns             *connPool
 	retryBudgets      *retrybudget.ByService
 	misdirectedBudget *retrybudget.Budget // budget of retries after a 421 (Misdirected Request); shared by all services
-	memoryLimit       int64               // limit on the memory that requests in flight may reserve, in bytes
-	reservedMemory    atomic.Int64        // bytes reserved by requests in flight
+	memory            *clientlimit.Budget // memory of the requests in flight
 	inFlight          atomic.Int64        // number of requests in flight
 	retries           atomic.Int64        // number of attempts sent to workers beyond the first attempt of each request
 	resumedStreams    atomic.Int64        // number of event streams that were continued by another worker
@@ -58,12 +57,12 @@
 	bufferPool        sync.Pool           // buffers for relaying response bodies: *[]byte with a length of relayBufferBytes
 }
 
-// Memory accounting of requests in flight.
+// requestMemoryDivisor limits requests in flight to a third of the process's memory limit; the rest is for connection
+// buffers, the routing plan, the list of workers and the headroom of the garbage collector.
+const requestMemoryDivisor = 3
+
 const (
-	// requestMemoryDivisor limits requests in flight to a third of the process's memory limit; the rest is for
-	// connection buffers, the routing plan, the list of workers and the headroom of the garbage collector.
-	requestMemoryDivisor = 3
-	// requestOverhead is the assumed memory use of a request without its body, in bytes.
+	// requestOverhead is the assumed memory use of a request without its header and body, in bytes.
 	requestOverhead  = 32 << 10
 	relayBufferBytes = 8 << 10
 )
@@ -123,10 +122,11 @@
 		conns:             newConnPool(process),
 		retryBudgets:      retrybudget.NewByService(retryRatio, retryAllowance),
 		misdirectedBudget: retrybudget.New(retryRatio*misdirectedRatio, retryAllowance*misdirectedAllowanceRatio),
-		memoryLimit:       int64(site.MemoryLimitMB) << 20 / requestMemoryDivisor,
+		memory:            clientlimit.NewBudget(process.Clock, site.MemoryLimitBytes()/requestMemoryDivisor),
 	}
 	s.bufferPool.New = func() any { buffer := make([]byte, relayBufferBytes); return &buffer }
 	s.registerMetrics(process.Meter)
+	registerMemoryMetrics(process.Meter, s.memory)
 	return s
 }
 
@@ -167,7 +167,7 @@
 // serveClientsOn accepts clients once the HTTP limits of the first routing plan are known (see awaitLimits),
 // and drains on shutdown.
 func (s *server) serveClientsOn(listener net.Listener) {
-	limited := clientlimit.NewListener(listener)
+	limited := clientlimit.NewListener(listener, clientlimit.Config{Budget: s.memory})
 	started := make(chan *http.Server, 1)
 	s.process.Go(func() {
 		limits := s.awaitLimits()
@@ -178,6 +178,7 @@
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
 		}
+		limited.Attach(clientServer)
 		started <- clientServer
 		s.serveHTTP(clientServer, limited)
 	})
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -39,3 +39,8 @@
 func (s *Site) Port(ip string, offset int) string {
 	return net.JoinHostPort(ip, strconv.Itoa(s.PortRange[0]+offset))
 }
+
+// MemoryLimitBytes returns MemoryLimitMB in bytes.
+//
+// Example: budget := site.MemoryLimitBytes() / 3
+func (s *Site) MemoryLimitBytes() int64 { return int64(s.MemoryLimitMB) << 20 }
