Limit the number of clients' connections

Seen: clients open more connections than the process has descriptors (1,020 of 400 with 1,000 connections that say nothing). The header buffers of 700 of them take 128 to 177 MB of 64 MB.

Cause: no listener bounded its connections, and maxFileDescriptors wasn't read.

Change: clientlimit.Listener accepts as many connections as fit into a fourth of memoryMb at 80 KiB each (socket buffers, goroutines, net/http's buffers) and into two fifths of the descriptors; 908 at 284 MB, 588 at 184 MB. At the limit the connection that has waited longest for its client closes for a new one, else the one with the longest blocked write; if none waits, the new one gets 503. A request that was read and whose client reads isn't ended for another.

Why it works: what a connection may take is counted before it is accepted, and whoever sends a complete request at once never waits, so that connections held without use go first.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -1,30 +1,54 @@
 package clientlimit
 
 import (
+	"container/list"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
+
+	"pebbleloom/internal/clock"
 )
 
+// refusalWriteTimeout bounds the writing of a refusal. It is short because the send buffer of the connection is empty.
+const refusalWriteTimeout = 100 * time.Millisecond
+
 // pastTime is a deadline in the past: setting it makes pending reads fail at once.
 var pastTime = time.Unix(1, 0)
 
-// Conn is a connection that a Listener has accepted. Its reading can be
-// ended if others need the memory of its request.
+// phase is what a connection does at present.
+type phase int
+
+const (
+	awaitingRequest phase = iota // no byte of the next request has come
+	readingHeader                // a new connection, or the header of a request is being read
+	readingBody                  // the handler runs, and the body isn't read completely
+	serving                      // the request was read completely
+)
+
+// Conn is a connection that a Listener has accepted. It reports to the listener whether it waits for its client.
 type Conn struct {
 	net.Conn
+	listener    *Listener
 	reservation *Reservation
+	position    *list.Element // position in Listener.waiting, guarded by Listener.mu; nil if the connection doesn't wait for its client
 
 	mu          sync.Mutex // guards the fields below
-	handlerRuns bool       // whether a handler runs, which releases the memory of its request itself
-	aborted     bool       // whether reading was ended for good
+	phase       phase
+	phaseStart  time.Duration // by the process clock
+	headerBytes int           // bytes read in the phase readingHeader
+	handlerRuns bool          // whether a handler runs, which releases the memory of its request itself
+	aborted     bool          // whether reading was ended for good
+	writeStart  time.Duration // when the write in progress began, by the process clock
+	isWriting   bool
 }
 
-func newConn(conn net.Conn, budget *Budget) *Conn {
-	c := &Conn{Conn: conn}
-	c.reservation = budget.NewReservation(c.abort)
+func newConn(conn net.Conn, listener *Listener) *Conn {
+	c := &Conn{Conn: conn, listener: listener, phase: readingHeader, phaseStart: listener.config.Clock.Now()}
+	c.reservation = listener.config.Budget.NewReservation(c.abort)
 	return c
 }
 
@@ -47,28 +71,69 @@
 //
 // Example: n, err := conn.Read(buffer)
 func (c *Conn) Read(buffer []byte) (n int, err error) {
-	if c.isAborted() {
+	if !c.prepareRead() {
 		return 0, io.EOF
 	}
 	n, err = c.Conn.Read(buffer)
-	if n > 0 {
-		c.reservation.Received(n)
+	if n == 0 {
+		c.refuseAbortedHeader()
+		return n, err
 	}
+	c.account(buffer[:n])
 	return n, err
 }
 
-func (c *Conn) isAborted() bool {
+// refuseAbortedHeader answers a client whose header was aborted.
+func (c *Conn) refuseAbortedHeader() {
+	c.mu.Lock()
+	refuse := c.aborted && c.phase == readingHeader && c.headerBytes > 0
+	c.mu.Unlock()
+	if refuse {
+		writeRefusal(c.Conn, http.StatusServiceUnavailable)
+	}
+}
+
+// prepareRead returns false if the reading was aborted.
+func (c *Conn) prepareRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.aborted
+	if c.aborted {
+		return false
+	}
+	return true
 }
 
-// startRequest records that the handler runs, which reads the body.
+// account takes bytes into account that were read into net/http's buffer, before they are passed on to be parsed.
+func (c *Conn) account(received []byte) {
+	c.mu.Lock()
+	current := c.phase
+	isFirst := current == awaitingRequest || current == readingHeader && c.headerBytes == 0
+	if isFirst {
+		c.phase, c.phaseStart, c.headerBytes = readingHeader, c.listener.config.Clock.Now(), 0
+	}
+	if c.phase == readingHeader {
+		c.headerBytes += len(received)
+	}
+	c.mu.Unlock()
+	switch {
+	case current == serving:
+	case isFirst:
+		c.listener.startWaiting(c)
+		c.reservation.StartReading()
+	default:
+		c.reservation.Received(len(received))
+	}
+}
+
+// startRequest begins the phase in which the handler runs.
 func (c *Conn) startRequest() {
 	c.mu.Lock()
-	c.handlerRuns = true
+	c.phase, c.handlerRuns = readingBody, true
+	if !c.aborted {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
 	c.mu.Unlock()
-	c.reservation.StartReading()
+	c.reservation.StartReading() // again, because a pipelined header may have been read together with the request before it
 }
 
 // endRequest releases the memory of a request whose handler has returned.
@@ -84,7 +149,22 @@
 //
 // Example: if !conn.FinishReading() { reject() }
 func (c *Conn) FinishReading() bool {
-	return c.reservation.FinishReading()
+	if !c.reservation.FinishReading() {
+		return false
+	}
+	c.mu.Lock()
+	c.phase = serving
+	c.mu.Unlock()
+	c.listener.stopWaiting(c)
+	return true
+}
+
+// becomeIdle begins the wait for the next request.
+func (c *Conn) becomeIdle() {
+	c.mu.Lock()
+	c.phase, c.phaseStart, c.headerBytes = awaitingRequest, c.listener.config.Clock.Now(), 0
+	c.mu.Unlock()
+	c.listener.startWaiting(c)
 }
 
 // abort ends the reading of the present request, whose memory others need.
@@ -97,7 +177,7 @@
 
 // SetReadDeadline sets the read deadline, unless the reading was aborted.
 //
-// Example: err := conn.SetReadDeadline(deadline)
+// Example: err := conn.SetReadDeadline(clock.Deadline(time.Second))
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -107,6 +187,30 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// Write sends bytes to the client.
+//
+// Example: n, err := conn.Write(response)
+func (c *Conn) Write(response []byte) (int, error) {
+	c.mu.Lock()
+	c.isWriting, c.writeStart = true, c.listener.config.Clock.Now()
+	c.mu.Unlock()
+	n, err := c.Conn.Write(response)
+	c.mu.Lock()
+	c.isWriting = false
+	c.mu.Unlock()
+	return n, err
+}
+
+// writeBlocked returns for how long a write has been in progress.
+func (c *Conn) writeBlocked() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWriting {
+		return 0
+	}
+	return c.listener.config.Clock.Now() - c.writeStart
+}
+
 // CloseWrite closes the sending direction, if the connection has separate directions.
 //
 // Example: err := conn.CloseWrite()
@@ -117,11 +221,13 @@
 	return nil
 }
 
-// Close closes the connection. Unless a handler runs, it releases what the request has reserved.
+// Close closes the connection. Unless a handler runs, it releases what the request has reserved. net/http calls it again
+// after the last read, so that nothing stays reserved if the listener has closed the connection for another one.
 //
 // Example: defer conn.Close()
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.listener.remove(c)
 	c.mu.Lock()
 	handlerRuns := c.handlerRuns
 	c.mu.Unlock()
@@ -130,3 +236,15 @@
 	}
 	return err
 }
+
+// writeRefusal answers a client whose request isn't read. The request has not run.
+func writeRefusal(conn net.Conn, status int) {
+	reason, retryAfter := http.StatusText(status), ""
+	if status == http.StatusServiceUnavailable {
+		retryAfter = "Retry-After: 1\r\n"
+	}
+	response := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s\n",
+		status, reason, len(reason)+1, retryAfter, reason)
+	_ = conn.SetWriteDeadline(clock.Deadline(refusalWriteTimeout))
+	_, _ = io.WriteString(conn, response)
+}
--- a/internal/clientlimit/listener_test.go
+++ b/internal/clientlimit/listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,10 @@
 	"pebbleloom/internal/sim/pipes"
 )
 
-const testAddr = "10.0.0.1:80"
+const (
+	testAddr        = "10.0.0.1:80"
+	testConnections = 3
+)
 
 // testServer serves a listener with limits in a synctest bubble, over pipes.
 type testServer struct {
@@ -24,7 +28,7 @@
 	budget   *Budget
 }
 
-// withServer serves a handler and calls run. At the end, no memory may be reserved.
+// withServer serves a handler and calls run. At the end, no memory may be reserved and no connection be open.
 func withServer(t *testing.T, handler http.HandlerFunc, run func(site *testServer)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -35,7 +39,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		site.listener = NewListener(inner, Config{Budget: site.budget})
+		site.listener = NewListener(inner, Config{Clock: clk, MaxConnections: testConnections, Budget: site.budget})
 		server := &http.Server{Handler: TrackBodies(handler)}
 		site.listener.Attach(server)
 		go func() { _ = server.Serve(site.listener) }()
@@ -44,6 +48,9 @@
 		synctest.Wait()
 		time.Sleep(time.Minute) // fake time of the synctest bubble
 		requireReserved(t, site.budget, 0)
+		if open := site.listener.Connections(); open != 0 {
+			t.Errorf("open connections at the end: %d, want 0", open)
+		}
 	})
 }
 
@@ -79,6 +86,14 @@
 	return response.StatusCode
 }
 
+// endsWithin reports whether the server closes the connection within a time.
+func (c *testClient) endsWithin(limit time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(limit))
+	_, err := io.Copy(io.Discard, c.reader)
+	netErr, isNetErr := err.(net.Error)
+	return !isNetErr || !netErr.Timeout()
+}
+
 func respondOK(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	_, _ = io.WriteString(w, "ok")
@@ -86,6 +101,78 @@
 
 const testRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
+// At the limit on connections, the one that has waited longest for its client gives way to a new one. Each answered request
+// makes a connection wait anew.
+func TestWaitingConnectionsAreEvicted(t *testing.T) {
+	withServer(t, respondOK, func(site *testServer) {
+		var clients []*testClient
+		for range testConnections {
+			clients = append(clients, site.dial())
+		}
+		clients[0].send(testRequest)
+		if status := clients[0].status(); status != http.StatusOK {
+			t.Errorf("request on the oldest connection: status %d, want 200", status)
+		}
+		latest := site.dial()
+		latest.send(testRequest)
+		if status := latest.status(); status != http.StatusOK {
+			t.Errorf("request on a connection beyond the limit: status %d, want 200", status)
+		}
+		for i, wantClosed := range []bool{false, true, false} {
+			if closed := clients[i].endsWithin(time.Millisecond); closed != wantClosed {
+				t.Errorf("connection %d: closed %t, want %t", i, closed, wantClosed)
+			}
+		}
+		if evicted, refused := site.listener.Evicted(), site.listener.Refused(); evicted != 1 || refused != 0 {
+			t.Errorf("evicted and refused connections: %d and %d, want 1 and 0", evicted, refused)
+		}
+	})
+}
+
+// A connection whose request was read completely doesn't give way: the new one is refused with status 503. One whose client
+// doesn't read the response does.
+func TestServingConnectionsStay(t *testing.T) {
+	finish := make(chan struct{})
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-finish
+		}
+		_, _ = io.WriteString(w, strings.Repeat("r", 64<<10))
+	}
+	synctestChannel := func(site *testServer) {
+		var clients []*testClient
+		for range testConnections {
+			client := site.dial()
+			client.send(strings.Replace(testRequest, "/", "/wait", 1))
+			clients = append(clients, client)
+		}
+		if status := site.dial().status(); status != http.StatusServiceUnavailable {
+			t.Errorf("connection beyond the limit while all others are served: status %d, want 503", status)
+		}
+		close(finish)
+		synctest.Wait()
+		time.Sleep(2 * stallTime) // fake time of the synctest bubble; no client reads its response
+		latest := site.dial()
+		latest.send(testRequest)
+		if status := latest.status(); status != http.StatusOK {
+			t.Errorf("request beside clients that don't read: status %d, want 200", status)
+		}
+		for _, client := range clients {
+			_ = client.Close()
+		}
+	}
+	synctestRun(t, handler, &finish, synctestChannel)
+}
+
+// synctestRun is like withServer for a handler that waits for a channel, which it makes inside the bubble.
+func synctestRun(t *testing.T, handler http.HandlerFunc, channel *chan struct{}, run func(site *testServer)) {
+	t.Helper()
+	withServer(t, handler, func(site *testServer) {
+		*channel = make(chan struct{})
+		run(site)
+	})
+}
+
 // A pipelined request that was read together with the one before it can give way like any other while its body is read.
 func TestPipelinedRequestsCanBeAborted(t *testing.T) {
 	withServer(t, respondOK, func(site *testServer) {
--- a/internal/clientlimit/server.go
+++ b/internal/clientlimit/server.go
@@ -17,6 +17,11 @@
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
 	}
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if limited, ok := conn.(*Conn); ok && state == http.StateIdle {
+			limited.becomeIdle()
+		}
+	}
 }
 
 // trackedHandler reports the begin and the end of each request to its connection.
--- a/internal/clientlimit/socketbuffers_test.go
+++ b/internal/clientlimit/socketbuffers_test.go
@@ -16,7 +16,7 @@
 		t.Fatal(err)
 	}
 	defer inner.Close()
-	listener := NewListener(inner, Config{Budget: NewBudget(clock.BootTime(), testLimit)})
+	listener := NewListener(inner, Config{Clock: clock.BootTime(), MaxConnections: 1, Budget: NewBudget(clock.BootTime(), testLimit)})
 	client, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -68,3 +68,9 @@
 func NewTicker(interval time.Duration) *time.Ticker {
 	return time.NewTicker(max(interval, time.Millisecond))
 }
+
+// Deadline returns the I/O deadline that is a duration from now. It doesn't depend on the wall clock, because the net package
+// compares a time that has a monotonic reading by that reading.
+//
+// Example: err := conn.SetReadDeadline(clock.Deadline(time.Second))
+func Deadline(duration time.Duration) time.Time { return time.Now().Add(duration) }
--- a/internal/data/proxy/server.go
+++ b/internal/data/proxy/server.go
@@ -57,9 +57,12 @@
 	bufferPool        sync.Pool           // buffers for relaying response bodies: *[]byte with a length of relayBufferBytes
 }
 
-// requestMemoryDivisor limits requests in flight to a third of the process's memory limit; the rest is for connection
-// buffers, the routing plan, the list of workers and the headroom of the garbage collector.
-const requestMemoryDivisor = 3
+// Parts of the process's memory limit that its clients may take. The rest is for the routing plan, the list of workers and
+// the headroom of the garbage collector.
+const (
+	requestMemoryDivisor    = 3 // requests in flight together may take a third
+	connectionMemoryDivisor = 4 // connections of clients together, without their requests, may take a fourth
+)
 
 const (
 	// requestOverhead is the assumed memory use of a request without its header and body, in bytes.
@@ -126,7 +129,6 @@
 	}
 	s.bufferPool.New = func() any { buffer := make([]byte, relayBufferBytes); return &buffer }
 	s.registerMetrics(process.Meter)
-	registerMemoryMetrics(process.Meter, s.memory)
 	return s
 }
 
@@ -167,7 +169,12 @@
 // serveClientsOn accepts clients once the HTTP limits of the first routing plan are known (see awaitLimits),
 // and drains on shutdown.
 func (s *server) serveClientsOn(listener net.Listener) {
-	limited := clientlimit.NewListener(listener, clientlimit.Config{Budget: s.memory})
+	limited := clientlimit.NewListener(listener, clientlimit.Config{
+		Clock:          s.process.Clock,
+		MaxConnections: clientlimit.MaxConnections(s.siteSettings.MemoryLimitBytes()/connectionMemoryDivisor, s.siteSettings.Descriptors(clientDescriptorRatio)),
+		Budget:         s.memory,
+	})
+	registerClientMetrics(s.process.Meter, limited, s.memory)
 	started := make(chan *http.Server, 1)
 	s.process.Go(func() {
 		limits := s.awaitLimits()
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -16,6 +16,7 @@
 	PortRange          [2]int  // first and last port for calls between pebbleloom processes; the same on every machine
 	IP                 string  // IP address of this machine
 	MemoryLimitMB      int     // memory use above which the process is killed
+	MaxDescriptors     int     // number of file descriptors that the process may have open; 0: not limited
 	HeartbeatMs        int     // interval between the heartbeats of each member of the cluster
 	WorkerListRate     float64 // rate limit of the platform's worker list, in calls per second
 	EnforceRevocation  bool    // whether Bounds.KeyRevocationMs applies even while the control state is unreachable
@@ -44,3 +45,17 @@
 //
 // Example: budget := site.MemoryLimitBytes() / 3
 func (s *Site) MemoryLimitBytes() int64 { return int64(s.MemoryLimitMB) << 20 }
+
+// reservedDescriptors is the number of descriptors that the platform keeps for files outside of the data directory.
+const reservedDescriptors = 200
+
+// Descriptors returns a ratio of the descriptors that sockets and data files may share, at least 1; 0 if they are not
+// limited.
+//
+// Example: maxConnections := site.Descriptors(0.4)
+func (s *Site) Descriptors(ratio float64) int {
+	if s.MaxDescriptors <= 0 {
+		return 0
+	}
+	return max(1, int(float64(s.MaxDescriptors-reservedDescriptors)*ratio))
+}
