Apply the limits on headers and idle time that are in force

Change: clientlimit.Conn applies the limits in place of net/http, in each read between requests and during a header, from the plan in force then. A header over the limit gets 431 and the connection closes, as before. awaitFirstPlan still delays the first accept until the first plan and its proof are known.

Why it works: no copy of the limits is left that could grow old.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -13,6 +13,9 @@
 	"pebbleloom/internal/clock"
 )
 
+// readBufferBytes is the size of net/http's read buffer: as many bytes behind a header may be read with it.
+const readBufferBytes = 4 << 10
+
 // refusalWriteTimeout bounds the writing of a refusal. It is short because the send buffer of the connection is empty.
 const refusalWriteTimeout = 100 * time.Millisecond
 
@@ -29,7 +32,8 @@
 	serving                      // the request was read completely
 )
 
-// Conn is a connection that a Listener has accepted. It reports to the listener whether it waits for its client.
+// Conn is a connection that a Listener has accepted. It applies the listener's limits to what its client sends and how long
+// that takes.
 type Conn struct {
 	net.Conn
 	listener    *Listener
@@ -67,7 +71,8 @@
 // Example: err := conn.Reservation().Grow(bytes)
 func (c *Conn) Reservation() *Reservation { return c.reservation }
 
-// Read reads from the client. If the reading was aborted, it returns io.EOF.
+// Read reads from the client. Between requests and during a header it applies the limits of the listener; if one is
+// exceeded, it answers with a refusal and returns io.EOF.
 //
 // Example: n, err := conn.Read(buffer)
 func (c *Conn) Read(buffer []byte) (n int, err error) {
@@ -79,7 +84,11 @@
 		c.refuseAbortedHeader()
 		return n, err
 	}
-	c.account(buffer[:n])
+	if status := c.account(buffer[:n]); status != 0 {
+		c.listener.refused.Add(1)
+		writeRefusal(c.Conn, status)
+		return 0, io.EOF
+	}
 	return n, err
 }
 
@@ -93,18 +102,29 @@
 	}
 }
 
-// prepareRead returns false if the reading was aborted.
+// prepareRead sets the read deadline of the present phase. It returns false if the reading was aborted.
 func (c *Conn) prepareRead() bool {
+	limits := c.listener.config.Header()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.aborted {
 		return false
 	}
+	timeout := limits.Timeout
+	switch c.phase {
+	case awaitingRequest:
+		timeout = limits.IdleTimeout
+	case readingBody, serving:
+		return true
+	}
+	elapsed := c.listener.config.Clock.Now() - c.phaseStart
+	_ = c.Conn.SetReadDeadline(clock.Deadline(timeout - elapsed))
 	return true
 }
 
-// account takes bytes into account that were read into net/http's buffer, before they are passed on to be parsed.
-func (c *Conn) account(received []byte) {
+// account takes bytes into account that were read into net/http's buffer, before they are passed on to be parsed. It returns
+// the status of the refusal if they exceed a limit, else 0.
+func (c *Conn) account(received []byte) (status int) {
 	c.mu.Lock()
 	current := c.phase
 	isFirst := current == awaitingRequest || current == readingHeader && c.headerBytes == 0
@@ -114,15 +134,24 @@
 	if c.phase == readingHeader {
 		c.headerBytes += len(received)
 	}
+	headerBytes := c.headerBytes
 	c.mu.Unlock()
 	switch {
 	case current == serving:
+		return 0
+	case current == readingBody:
+		c.reservation.Received(len(received))
+		return 0
 	case isFirst:
 		c.listener.startWaiting(c)
 		c.reservation.StartReading()
 	default:
 		c.reservation.Received(len(received))
 	}
+	if headerBytes > c.listener.config.Header().Bytes+readBufferBytes {
+		return http.StatusRequestHeaderFieldsTooLarge
+	}
+	return 0
 }
 
 // startRequest begins the phase in which the handler runs.
--- a/internal/clientlimit/listener.go
+++ b/internal/clientlimit/listener.go
@@ -1,6 +1,6 @@
 // Package clientlimit bounds what the clients of a process may take of its machine. A Listener bounds the number of
-// connections and the buffers of each in the kernel. A Budget bounds the memory of the requests of all connections together.
-// Both take into account what a connection or a request may take before it is
+// connections, the buffers of each in the kernel, and the time and size of request headers. A Budget bounds the memory of
+// the requests of all connections together. Both take into account what a connection or a request may take before it is
 // accepted or read, whoever the client is.
 //
 // If a bound is reached, connections and requests whose clients make the process wait give way first: idle connections,
@@ -14,6 +14,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"pebbleloom/internal/clock"
 )
@@ -43,11 +44,19 @@
 	return max(connections, minConnections)
 }
 
+// HeaderLimits bound the header of a request and the time between requests on one connection.
+type HeaderLimits struct {
+	Bytes       int           // largest header
+	Timeout     time.Duration // longest time from the first byte of a header to its end
+	IdleTimeout time.Duration // longest time between two requests
+}
+
 // Config holds the limits of a Listener. All fields are required.
 type Config struct {
 	Clock          clock.Clock
 	MaxConnections int
-	Budget         *Budget // memory of the requests of all connections
+	Header         func() HeaderLimits // function that returns the limits in force
+	Budget         *Budget             // memory of the requests of all connections
 }
 
 // Listener accepts connections up to a limit. At the limit, the connection that has waited longest for its client is closed
@@ -55,7 +64,7 @@
 type Listener struct {
 	net.Listener
 	config  Config
-	refused atomic.Int64 // number of connections that were refused
+	refused atomic.Int64 // number of connections and headers that were refused
 	evicted atomic.Int64 // number of connections that were closed for a new one
 
 	mu      sync.Mutex
@@ -80,7 +89,7 @@
 	return len(l.open)
 }
 
-// Refused returns how many connections were refused.
+// Refused returns how many connections and request headers were refused.
 //
 // Example: meter.Counter(name, help, func() float64 { return float64(listener.Refused()) })
 func (l *Listener) Refused() int64 { return l.refused.Load() }
--- a/internal/clientlimit/listener_test.go
+++ b/internal/clientlimit/listener_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,12 +21,15 @@
 	testConnections = 3
 )
 
+var testHeaderLimits = HeaderLimits{Bytes: 8 << 10, Timeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
 // testServer serves a listener with limits in a synctest bubble, over pipes.
 type testServer struct {
 	t        *testing.T
 	network  *pipes.Network
 	listener *Listener
 	budget   *Budget
+	limits   atomic.Pointer[HeaderLimits] // limits in force
 }
 
 // withServer serves a handler and calls run. At the end, no memory may be reserved and no connection be open.
@@ -33,13 +37,15 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		site := &testServer{t: t, network: pipes.NewNetwork()}
+		site.limits.Store(&testHeaderLimits)
 		clk := clock.Synctest()
 		site.budget = NewBudget(clk, testLimit)
 		inner, err := site.network.Listen(testAddr)
 		if err != nil {
 			t.Fatal(err)
 		}
-		site.listener = NewListener(inner, Config{Clock: clk, MaxConnections: testConnections, Budget: site.budget})
+		site.listener = NewListener(inner, Config{Clock: clk, MaxConnections: testConnections, Budget: site.budget,
+			Header: func() HeaderLimits { return *site.limits.Load() }})
 		server := &http.Server{Handler: TrackBodies(handler)}
 		site.listener.Attach(server)
 		go func() { _ = server.Serve(site.listener) }()
@@ -173,6 +179,62 @@
 	})
 }
 
+// The limits in force apply to the next header of an open connection, whether they were raised or lowered.
+func TestHeaderLimitsInForce(t *testing.T) {
+	withServer(t, respondOK, func(site *testServer) {
+		client := site.dial()
+		request := func(headerBytes int) int {
+			client.send("GET / HTTP/1.1\r\nHost: x\r\nX-Filler: " + strings.Repeat("f", headerBytes) + "\r\n\r\n")
+			return client.status()
+		}
+		if status := request(testHeaderLimits.Bytes / 2); status != http.StatusOK {
+			t.Errorf("header within the limit: status %d, want 200", status)
+		}
+		raised := testHeaderLimits
+		raised.Bytes *= 4
+		site.limits.Store(&raised)
+		if status := request(2 * testHeaderLimits.Bytes); status != http.StatusOK {
+			t.Errorf("header within a raised limit: status %d, want 200", status)
+		}
+		site.limits.Store(&testHeaderLimits)
+		if status := request(2 * testHeaderLimits.Bytes); status != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("header over a lowered limit: status %d, want 431", status)
+		}
+		if !client.endsWithin(time.Second) {
+			t.Error("the connection stays open after a header over the limit")
+		}
+	})
+}
+
+// A header has to come within its time-out, however its bytes come; an idle connection ends after the idle time-out.
+func TestTimeoutsOfClients(t *testing.T) {
+	withServer(t, respondOK, func(site *testServer) {
+		trickling := site.dial()
+		go func() {
+			for _, one := range strings.Split(testRequest, "")[:20] {
+				time.Sleep(500 * time.Millisecond)
+				if _, err := io.WriteString(trickling, one); err != nil {
+					return
+				}
+			}
+		}()
+		if !trickling.endsWithin(testHeaderLimits.Timeout + time.Second) {
+			t.Error("a header that comes byte by byte isn't ended at its time-out")
+		}
+		idle := site.dial()
+		idle.send(testRequest)
+		if status := idle.status(); status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+		if idle.endsWithin(testHeaderLimits.IdleTimeout - time.Second) {
+			t.Error("an idle connection ends before the idle time-out")
+		}
+		if !idle.endsWithin(2 * time.Second) {
+			t.Error("an idle connection stays open after the idle time-out")
+		}
+	})
+}
+
 // A pipelined request that was read together with the one before it can give way like any other while its body is read.
 func TestPipelinedRequestsCanBeAborted(t *testing.T) {
 	withServer(t, respondOK, func(site *testServer) {
--- a/internal/clientlimit/server.go
+++ b/internal/clientlimit/server.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 )
 
-// Attach makes an HTTP server that serves this listener report the progress of each connection to it. It has to be called before the server starts. The server's handler
+// Attach makes an HTTP server that serves this listener report the progress of each connection to it, and lets the listener
+// limit headers and idle times in place of the server. It has to be called before the server starts. The server's handler
 // has to call Conn.FinishReading once it has read the body of a request; TrackBodies does that for handlers that don't know
 // of it.
 //
 // Example: listener.Attach(server); go server.Serve(listener)
 func (l *Listener) Attach(server *http.Server) {
 	server.Handler = trackedHandler{server.Handler}
+	server.MaxHeaderBytes = math.MaxInt32 // Conn.Read applies the limit in force
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
 	}
--- a/internal/data/proxy/server.go
+++ b/internal/data/proxy/server.go
@@ -90,16 +90,6 @@
 	firstPlanChecks = 25
 )
 
-// HTTP limits of the client listener if the first routing plan sets none or comes too late, and of the readiness
-// listener (readyHeaderTimeoutRatio). The time-outs are fractions of Bounds.RecoveryMs, the time within which service must
-// be restored after a fault.
-const (
-	defaultHeaderBytes      = 16 << 10
-	headerTimeoutRatio      = 0.25
-	idleConnTimeoutRatio    = 1.25
-	readyHeaderTimeoutRatio = 0.25
-)
-
 // A retry after a 421 response (the worker's address now belongs to another worker) also needs a token from a
 // second retry budget, which all services share. Such attempts load the service that now has the address, and that
 // service's own retry budget doesn't limit them. The constants are the ratios of this budget's settings (retries per
@@ -166,30 +156,28 @@
 	s.process.OnStop(func() { readinessServer.Close() })
 }
 
-// serveClientsOn accepts clients once the HTTP limits of the first routing plan are known (see awaitLimits),
+// serveClientsOn accepts clients once the first routing plan is known (see awaitFirstPlan),
 // and drains on shutdown.
 func (s *server) serveClientsOn(listener net.Listener) {
 	limited := clientlimit.NewListener(listener, clientlimit.Config{
 		Clock:          s.process.Clock,
 		MaxConnections: clientlimit.MaxConnections(s.siteSettings.MemoryLimitBytes()/connectionMemoryDivisor, s.siteSettings.Descriptors(clientDescriptorRatio)),
+		Header:         s.headerLimits,
 		Budget:         s.memory,
 	})
 	registerClientMetrics(s.process.Meter, limited, s.memory)
-	started := make(chan *http.Server, 1)
+	clientServer := &http.Server{Handler: s, ErrorLog: discardLogger()}
+	limited.Attach(clientServer)
+	started := make(chan struct{})
 	s.process.Go(func() {
-		limits := s.awaitLimits()
-		clientServer := &http.Server{
-			Handler:           s,
-			ErrorLog:          discardLogger(),
-			MaxHeaderBytes:    limits.HeaderBytes,
-			ReadHeaderTimeout: limits.HeaderTimeout,
-			IdleTimeout:       limits.IdleTimeout,
-		}
-		limited.Attach(clientServer)
-		started <- clientServer
+		s.awaitFirstPlan()
+		close(started)
 		s.serveHTTP(clientServer, limited)
 	})
-	s.process.OnShutdown(func(ctx context.Context) { s.drain(ctx, <-started) })
+	s.process.OnShutdown(func(ctx context.Context) {
+		<-started
+		s.drain(ctx, clientServer)
+	})
 }
 
 func (s *server) serveHTTP(httpServer *http.Server, listener net.Listener) {
@@ -202,31 +190,18 @@
 // malformed requests.
 func discardLogger() *log.Logger { return log.New(io.Discard, "", 0) }
 
-// awaitLimits returns the HTTP limits of the first routing plan if the plan comes within firstPlanRatio of
-// Bounds.ConfigMs (longest time that a superseded configuration stays in use), and the default limits otherwise. If
-// key revocation is enforced, the control nodes must also have attested that the plan is the newest. In the meantime
-// client connections wait in the listen queue, so that early requests are delayed instead of rejected.
-func (s *server) awaitLimits() routingconfig.Limits {
-	bounds := s.process.Settings.Bounds
-	pause := bounds.Config(firstPlanRatio / firstPlanChecks)
+// awaitFirstPlan waits for the first routing plan, for at most firstPlanRatio of Bounds.ConfigMs (longest time that a
+// superseded configuration stays in use). If key revocation is enforced, the control nodes must also have attested that
+// the plan is the newest. In the meantime client connections wait in the listen queue, so that early requests are delayed
+// instead of rejected.
+func (s *server) awaitFirstPlan() {
+	pause := s.process.Settings.Bounds.Config(firstPlanRatio / firstPlanChecks)
 	for range firstPlanChecks {
-		if plan := s.currentPlan(); plan != nil && (!s.siteSettings.EnforceRevocation || s.Snapshot().ProofAt > 0) {
-			limits := plan.Limits
-			if limits.HeaderBytes > 0 && limits.HeaderTimeout > 0 && limits.IdleTimeout > 0 {
-				return limits
-			}
-			break
-		}
-		if s.isStopping() {
-			break
+		if s.currentPlan() != nil && (!s.siteSettings.EnforceRevocation || s.Snapshot().ProofAt > 0) || s.isStopping() {
+			return
 		}
 		clock.Sleep(s.process.Ctx, pause)
 	}
-	return routingconfig.Limits{
-		HeaderBytes:   defaultHeaderBytes,
-		HeaderTimeout: bounds.Recovery(headerTimeoutRatio),
-		IdleTimeout:   bounds.Recovery(idleConnTimeoutRatio),
-	}
 }
 
 func (s *server) isStopping() bool {
--- a/internal/data/proxy/shutdown_test.go
+++ b/internal/data/proxy/shutdown_test.go
@@ -154,9 +154,9 @@
 			}
 			proofTimer := time.AfterFunc(max(test.proof, time.Nanosecond), func() { site.set(func(snapshot *fleet.Snapshot) { snapshot.ProofAt = site.process.Clock.Now() }) })
 			began := time.Now()
-			starting.awaitLimits()
+			starting.awaitFirstPlan()
 			if waited := time.Since(began); waited < test.minWait || waited > test.maxWait {
-				t.Errorf("%s: awaitLimits returned after %v, want %v to %v", test.name, waited, test.minWait, test.maxWait)
+				t.Errorf("%s: awaitFirstPlan returned after %v, want %v to %v", test.name, waited, test.minWait, test.maxWait)
 			}
 			proofTimer.Stop()
 		}
