Reserve the memory of headers before they are parsed

Cause: a header is limited in bytes, but its memory depends on its fields, some 300 bytes for 6 on the wire. It wasn't reserved at all.

Change: clientlimit.Conn reserves 3 bytes for each byte and 384 for each field in the budget of all requests while the bytes lie in net/http's read buffer, before they are parsed. An ordinary header of 700 bytes and 12 fields reserves 7 KB.

TestHeaderMemoryIsLimited fails before (the header is parsed and the request waits: status 0) and passes now.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -1,6 +1,7 @@
 package clientlimit
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"fmt"
@@ -13,6 +14,13 @@
 	"pebbleloom/internal/clock"
 )
 
+// Memory of a request's header beyond net/http's read buffer: the values, their copies while they are parsed, and the tables
+// of fields that are received and forwarded.
+const (
+	headerByteCost  = 3
+	headerFieldCost = 384
+)
+
 // readBufferBytes is the size of net/http's read buffer: as many bytes behind a header may be read with it.
 const readBufferBytes = 4 << 10
 
@@ -151,6 +159,10 @@
 	if headerBytes > c.listener.config.Header().Bytes+readBufferBytes {
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
+	fields := bytes.Count(received, []byte{'\n'})
+	if c.reservation.Grow(int64(headerByteCost*len(received)+headerFieldCost*fields)) != nil {
+		return http.StatusServiceUnavailable
+	}
 	return 0
 }
 
--- a/internal/clientlimit/listener_test.go
+++ b/internal/clientlimit/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -206,6 +207,22 @@
 	})
 }
 
+// The memory of headers is taken into account as they come, by their bytes and by their fields.
+func TestHeaderMemoryIsLimited(t *testing.T) {
+	withServer(t, respondOK, func(site *testServer) {
+		site.budget.SetLimit(300 << 10)
+		var fields strings.Builder
+		for number := range 900 {
+			fmt.Fprintf(&fields, "a%d:\r\n", number)
+		}
+		client := site.dial()
+		client.send("GET / HTTP/1.1\r\nHost: x\r\n" + fields.String())
+		if status := client.status(); status != http.StatusServiceUnavailable {
+			t.Errorf("header with more fields than there is memory for: status %d, want 503", status)
+		}
+	})
+}
+
 // A header has to come within its time-out, however its bytes come; an idle connection ends after the idle time-out.
 func TestTimeoutsOfClients(t *testing.T) {
 	withServer(t, respondOK, func(site *testServer) {
