Limit the time for the body of a rejected request

Seen: requests with an unknown key whose bodies never come whole get no answer, and their connections stay open for ever: 60 of 60 after 30 s in TestRefusedRequestsThatStayOpen.

Cause: net/http reads the rest of a body before it sends an answer that the handler gives early, and no deadline bounded that.

Change: such a request gets a read deadline, the header time-out in force. If the rest comes in time the connection is used again, as before; else the client gets its answer with Connection: close.

Before: TestBodiesOfRejectedRequests (new) ends in a deadlock.

--- a/internal/data/proxy/body.go
+++ b/internal/data/proxy/body.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"pebbleloom/internal/clock"
 	"pebbleloom/internal/control/routingconfig"
 	"pebbleloom/internal/errs"
 )
@@ -128,3 +129,11 @@
 	}
 	req.reject(errs.Overloaded, "no memory for another request", req.retryAfter())
 }
+
+// limitDiscard bounds the time for which net/http reads the rest of the body of a request that is answered early. It reads
+// that rest so that the client can see the answer and use the connection again.
+func (req *request) limitDiscard() {
+	if req.incoming.Body != http.NoBody && !req.bodyRead {
+		_ = req.controller.SetReadDeadline(clock.Deadline(req.server.headerLimits().Timeout))
+	}
+}
--- a/internal/data/proxy/clientlimits_test.go
+++ b/internal/data/proxy/clientlimits_test.go
@@ -74,3 +74,28 @@
 		}
 	})
 }
+
+// A request that is rejected before its body was read gets its answer, and its connection ends although the body never comes
+// whole. A body that comes whole is discarded, and the connection serves the next request.
+func TestBodiesOfRejectedRequests(t *testing.T) {
+	withSite(t, []workerScript{respondWith(okResponse)}, func(site *testSite) {
+		incomplete := strings.TrimSuffix(postRequest("unknown", "a1", "body"), "y")
+		client := site.dialClient()
+		defer client.Close()
+		if response := client.roundTrip(incomplete); response.status != 404 || !response.closesConn {
+			t.Errorf("rejected request with an incomplete body: got response %+v, want status 404 and Connection: close", response)
+		}
+		_ = client.SetReadDeadline(time.Now().Add(time.Minute))
+		if _, err := io.Copy(io.Discard, client.br); err != nil {
+			t.Errorf("the connection of a rejected request stays open: %v", err)
+		}
+		next := site.dialClient()
+		defer next.Close()
+		if response := next.roundTrip(postRequest("unknown", "a2", "body")); response.status != 404 || response.closesConn {
+			t.Errorf("rejected request with a complete body: got response %+v, want status 404", response)
+		}
+		if response := next.roundTrip(postRequest("once", "a3", "body")); response.status != 200 {
+			t.Errorf("next request of the connection: status %d, error %v; want 200", response.status, response.err)
+		}
+	})
+}
--- a/internal/data/proxy/response.go
+++ b/internal/data/proxy/response.go
@@ -73,6 +73,7 @@
 // field.
 func (req *request) reject(kind *errs.Kind, reason string, retryAfter time.Duration) {
 	header := req.writer.Header()
+	req.limitDiscard()
 	req.closeWhenDraining()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if req.selection.ID != "" {
