Limit the time in which a client takes nothing that is sent to it

Cause: only responses of workers had a write deadline; answers of the edge process and of net/http had none, and a connection in a write isn't idle.

Change: clientlimit.Conn gives each write without a deadline of its own the limit on idle time in force.

Before: TestTimeoutsOfClients finds the connection open after the idle time.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -41,21 +41,22 @@
 )
 
 // Conn is a connection that a Listener has accepted. It applies the listener's limits to what its client sends and how long
-// that takes.
+// that takes, and bounds the time for which a client may take none of the bytes that are sent to it.
 type Conn struct {
 	net.Conn
 	listener    *Listener
 	reservation *Reservation
 	position    *list.Element // position in Listener.waiting, guarded by Listener.mu; nil if the connection doesn't wait for its client
 
-	mu          sync.Mutex // guards the fields below
-	phase       phase
-	phaseStart  time.Duration // by the process clock
-	headerBytes int           // bytes read in the phase readingHeader
-	handlerRuns bool          // whether a handler runs, which releases the memory of its request itself
-	aborted     bool          // whether reading was ended for good
-	writeStart  time.Duration // when the write in progress began, by the process clock
-	isWriting   bool
+	mu               sync.Mutex // guards the fields below
+	phase            phase
+	phaseStart       time.Duration // by the process clock
+	headerBytes      int           // bytes read in the phase readingHeader
+	handlerRuns      bool          // whether a handler runs, which releases the memory of its request itself
+	aborted          bool          // whether reading was ended for good
+	hasWriteDeadline bool          // whether the handler or net/http has set a write deadline
+	writeStart       time.Duration // when the write in progress began, by the process clock
+	isWriting        bool
 }
 
 func newConn(conn net.Conn, listener *Listener) *Conn {
@@ -228,11 +229,26 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// SetWriteDeadline sets the write deadline. The zero time restores the default, by which a client has to take each write
+// within HeaderLimits.IdleTimeout.
+//
+// Example: err := conn.SetWriteDeadline(time.Time{})
+func (c *Conn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasWriteDeadline = !deadline.IsZero()
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
 // Write sends bytes to the client.
 //
 // Example: n, err := conn.Write(response)
 func (c *Conn) Write(response []byte) (int, error) {
+	timeout := c.listener.config.Header().IdleTimeout
 	c.mu.Lock()
+	if !c.hasWriteDeadline {
+		_ = c.Conn.SetWriteDeadline(clock.Deadline(timeout))
+	}
 	c.isWriting, c.writeStart = true, c.listener.config.Clock.Now()
 	c.mu.Unlock()
 	n, err := c.Conn.Write(response)
--- a/internal/clientlimit/listener.go
+++ b/internal/clientlimit/listener.go
@@ -48,7 +48,7 @@
 type HeaderLimits struct {
 	Bytes       int           // largest header
 	Timeout     time.Duration // longest time from the first byte of a header to its end
-	IdleTimeout time.Duration // longest time between two requests
+	IdleTimeout time.Duration // longest time between two requests, and longest time in which a client takes none of the bytes that are sent to it
 }
 
 // Config holds the limits of a Listener. All fields are required.
--- a/internal/clientlimit/listener_test.go
+++ b/internal/clientlimit/listener_test.go
@@ -223,7 +223,8 @@
 	})
 }
 
-// A header has to come within its time-out, however its bytes come; an idle connection ends after the idle time-out.
+// A header has to come within its time-out, however its bytes come; an idle connection ends after the idle time-out, and so
+// does one whose client doesn't read.
 func TestTimeoutsOfClients(t *testing.T) {
 	withServer(t, respondOK, func(site *testServer) {
 		trickling := site.dial()
@@ -249,6 +250,12 @@
 		if !idle.endsWithin(2 * time.Second) {
 			t.Error("an idle connection stays open after the idle time-out")
 		}
+		deaf := site.dial()
+		deaf.send(testRequest)
+		time.Sleep(testHeaderLimits.IdleTimeout + time.Second) // fake time of the synctest bubble
+		if open := site.listener.Connections(); open != 0 {
+			t.Errorf("open connections: %d, want 0: a client that doesn't read keeps its connection", open)
+		}
 	})
 }
 
