Limit what clients of the operators' interfaces may take

Seen: 40 changes of 8 MB that never come whole take a state process to 346 MB (in chunks) and 334 MB (with a length) of 64 MB, and silent connections to 1,022 descriptors of 400.

Cause: daemon.Process.Serve served these interfaces like those for pebbleloom's own processes: no limit on connections, no time-out for bodies and idle connections, no account of memory. A body with a length was allocated at once.

Change: daemon.Process.ServeClients serves interfaces that clients reach; the operator API and the platform's control plane use it. What is refused gets 503 and was not proposed. daemon.Meter.Clients registers the metrics of each such listener by a label.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -172,12 +172,20 @@
 	c.mu.Lock()
 	c.phase, c.handlerRuns = readingBody, true
 	if !c.aborted {
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		_ = c.Conn.SetReadDeadline(c.bodyDeadline())
 	}
 	c.mu.Unlock()
 	c.reservation.StartReading() // again, because a pipelined header may have been read together with the request before it
 }
 
+// bodyDeadline returns the deadline for the body of a request whose header has just come; the zero time if there is none.
+func (c *Conn) bodyDeadline() time.Time {
+	if timeout := c.listener.config.BodyTimeout; timeout > 0 {
+		return clock.Deadline(timeout)
+	}
+	return time.Time{}
+}
+
 // endRequest releases the memory of a request whose handler has returned.
 func (c *Conn) endRequest() {
 	c.mu.Lock()
@@ -196,6 +204,9 @@
 	}
 	c.mu.Lock()
 	c.phase = serving
+	if c.listener.config.BodyTimeout > 0 && !c.aborted {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
 	c.mu.Unlock()
 	c.listener.stopWaiting(c)
 	return true
@@ -294,6 +305,15 @@
 	return err
 }
 
+// refuse answers the present request, whose handler has not answered it yet, with status 503, and ends the connection's
+// reading. What the handler answers doesn't reach the client any more.
+func (c *Conn) refuse() {
+	c.listener.refused.Add(1)
+	writeRefusal(c.Conn, http.StatusServiceUnavailable)
+	_ = c.CloseWrite()
+	c.abort()
+}
+
 // writeRefusal answers a client whose request isn't read. The request has not run.
 func writeRefusal(conn net.Conn, status int) {
 	reason, retryAfter := http.StatusText(status), ""
--- a/internal/clientlimit/listener.go
+++ b/internal/clientlimit/listener.go
@@ -51,12 +51,13 @@
 	IdleTimeout time.Duration // longest time between two requests, and longest time in which a client takes none of the bytes that are sent to it
 }
 
-// Config holds the limits of a Listener. All fields are required.
+// Config holds the limits of a Listener. All fields but BodyTimeout are required.
 type Config struct {
 	Clock          clock.Clock
 	MaxConnections int
 	Header         func() HeaderLimits // function that returns the limits in force
 	Budget         *Budget             // memory of the requests of all connections
+	BodyTimeout    time.Duration       // longest time in which the body of a request may come; 0: the handler limits that time
 }
 
 // Listener accepts connections up to a limit. At the limit, the connection that has waited longest for its client is closed
--- a/internal/clientlimit/server.go
+++ b/internal/clientlimit/server.go
@@ -39,8 +39,15 @@
 	h.next.ServeHTTP(w, r)
 }
 
-// TrackBodies returns a handler that calls Conn.FinishReading for another one, when it has read the body of a request to its
-// end.
+// bodyByteCost is the memory that a byte of a body may take in a handler that TrackBodies serves: in a buffer that doubles as
+// it grows, and decoded.
+const bodyByteCost = 4
+
+// largestRead limits what a handler may read at once, so that its memory is reserved shortly before it is used.
+const largestRead = 16 << 10
+
+// TrackBodies returns a handler that reserves the memory of each request's body for another one before the body is read, and
+// calls Conn.FinishReading at its end. A request for whose body there is no memory gets status 503.
 //
 // Example: server := &http.Server{Handler: clientlimit.TrackBodies(mux)}
 func TrackBodies(next http.Handler) http.Handler {
@@ -53,22 +60,32 @@
 		default:
 			// net/http looks at the body of its own request, so that only a copy may have another one.
 			tracked := *r
-			tracked.Body = &trackedBody{r.Body, conn}
+			tracked.Body = &trackedBody{ReadCloser: r.Body, conn: conn}
 			r = &tracked
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// trackedBody is a request body that reports its end to the connection.
+// trackedBody is a request body that reserves memory for what is read of it, and reports its end to the connection.
 type trackedBody struct {
 	io.ReadCloser
-	conn *Conn
+	conn     *Conn
+	reserved int // bytes for which memory is reserved and that aren't read yet
 }
 
 // Read reads a part of the body.
 func (b *trackedBody) Read(buffer []byte) (int, error) {
+	buffer = buffer[:min(len(buffer), largestRead)]
+	if more := len(buffer) - b.reserved; more > 0 {
+		if err := b.conn.reservation.Grow(int64(more) * bodyByteCost); err != nil {
+			b.conn.refuse()
+			return 0, err
+		}
+		b.reserved += more
+	}
 	n, err := b.ReadCloser.Read(buffer)
+	b.reserved -= n
 	if err == io.EOF {
 		b.conn.FinishReading()
 	}
--- a/internal/control/controlstate/start_group.go
+++ b/internal/control/controlstate/start_group.go
@@ -96,7 +96,7 @@
 func (n *Node) serveGroup(newOperatorHandler func(*Node) http.Handler) error {
 	process := n.process
 	if address := process.Settings.Site.ControlPlaneListen; address != "" {
-		if err := process.Serve(address, newOperatorHandler(n)); err != nil {
+		if err := process.ServeClients("control", address, newOperatorHandler(n)); err != nil {
 			return err
 		}
 	}
--- a/internal/control/operatorapi/group_server.go
+++ b/internal/control/operatorapi/group_server.go
@@ -50,7 +50,7 @@
 		handler, err := operator.NewServer(s)
 		return http.MaxBytesHandler(handler, maxBodyBytes), err
 	})
-	return process.Serve(process.Settings.Operator, requireKey(process.Settings.OperatorKey, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return process.ServeClients("operators", process.Settings.Operator, requireKey(process.Settings.OperatorKey, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handler, err := api()
 		if err != nil {
 			process.Log.Error("operator API: build handler", "error", err)
--- a/internal/control/operatorapi/server.go
+++ b/internal/control/operatorapi/server.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return errs.Wrap(err, "build handler of the operator API")
 	}
-	return process.Serve(process.Settings.Operator, requireKey(process.Settings.OperatorKey, http.MaxBytesHandler(api, maxBodyBytes)))
+	return process.ServeClients("operators", process.Settings.Operator, requireKey(process.Settings.OperatorKey, http.MaxBytesHandler(api, maxBodyBytes)))
 }
 
 // NewError converts an error to an API response with the error's kind, HTTP status and remedy.
--- a/internal/data/proxy/clientlimits.go
+++ b/internal/data/proxy/clientlimits.go
@@ -1,9 +1,6 @@
 package proxy
 
-import (
-	"pebbleloom/internal/clientlimit"
-	"pebbleloom/internal/daemon"
-)
+import "pebbleloom/internal/clientlimit"
 
 // HTTP limits of the client listener if no routing plan is known or the plan sets none, and of the readiness listener
 // (readyHeaderTimeoutRatio). The time-outs are fractions of Bounds.RecoveryMs, the time within which service must be
@@ -37,13 +34,3 @@
 		IdleTimeout: bounds.Recovery(idleConnTimeoutRatio),
 	}
 }
-
-// registerClientMetrics registers the metrics of what clients take, and of what was refused to them.
-func registerClientMetrics(meter *daemon.Meter, listener *clientlimit.Listener, memory *clientlimit.Budget) {
-	meter.Gauge("pebbleloom_client_connections", "open connections of clients", func() float64 { return float64(listener.Connections()) })
-	meter.Gauge("pebbleloom_request_bytes", "memory that requests in flight have reserved", func() float64 { return float64(memory.Reserved()) })
-	meter.Counter("pebbleloom_client_refused_total", "connections and headers of clients that were refused at a limit", func() float64 { return float64(listener.Refused()) })
-	meter.Counter("pebbleloom_client_evicted_total", "connections that waited for their client and were closed for new ones", func() float64 { return float64(listener.Evicted()) })
-	meter.Counter("pebbleloom_request_memory_refused_total", "reservations of memory for requests that were refused", func() float64 { return float64(memory.Refused()) })
-	meter.Counter("pebbleloom_request_stalled_total", "requests that were ended because their clients stalled while memory was short", func() float64 { return float64(memory.Aborted()) })
-}
--- a/internal/data/proxy/server.go
+++ b/internal/data/proxy/server.go
@@ -165,7 +165,7 @@
 		Header:         s.headerLimits,
 		Budget:         s.memory,
 	})
-	registerClientMetrics(s.process.Meter, limited, s.memory)
+	s.process.Meter.Clients("clients", limited, s.memory)
 	clientServer := &http.Server{Handler: s, ErrorLog: discardLogger()}
 	limited.Attach(clientServer)
 	started := make(chan struct{})
