Limit what clients of the product's own proxy may take

Seen: 300 bodies that never come whole take a proxy with 32 concurrent requests to 244 MB of 128 MB, and silent connections to 1,016 descriptors of 400.

Cause: concurrent requests are limited when they are admitted, after their bodies were read and decoded. Bodies that are being read were neither counted nor limited in time, and connections weren't limited at all.

Change: the proxy serves its clients by ServeClients. From `waiting` and `body_kb` follow four connections for each concurrent request and a budget in which as many bodies of the largest size fit with what decoding takes (clientlimit.BudgetFor), so that clients inside the settings never meet it. The part of a budget that only small requests may take is now an eighth, so that as many large bodies as before fit into an edge process, but for that.

--- a/internal/clientlimit/budget.go
+++ b/internal/clientlimit/budget.go
@@ -14,8 +14,8 @@
 const (
 	// bulkNumerator and bulkDenominator give the part of the budget that requests may take beyond their first
 	// smallRequestBytes. The rest stays free for small requests, so that large ones can't displace all others.
-	bulkNumerator     = 3
-	bulkDenominator   = 4
+	bulkNumerator     = 7
+	bulkDenominator   = 8
 	smallRequestBytes = 96 << 10
 
 	// A client whose request is being read stalls if it has sent nothing for stallTime, or less than minBytesPerSecond on
@@ -49,6 +49,14 @@
 	return b
 }
 
+// BudgetFor returns the limit of a budget in which a number of requests with bodies of a size fit at the same time, if
+// TrackBodies serves them.
+//
+// Example: budget := clientlimit.NewBudget(process.Clock, clientlimit.BudgetFor(256, 512<<10))
+func BudgetFor(requests int, bodyBytes int64) int64 {
+	return int64(requests) * bodyBytes * bodyByteCost / bulkNumerator * bulkDenominator
+}
+
 // SetLimit changes the number of bytes that may be reserved. Reservations above a lowered limit stay until their release.
 //
 // Example: budget.SetLimit(16 << 20)
--- a/internal/clientlimit/budget_test.go
+++ b/internal/clientlimit/budget_test.go
@@ -10,7 +10,7 @@
 	"pebbleloom/internal/errs"
 )
 
-const testLimit = 400 << 10
+const testLimit = 8 * smallRequestBytes
 
 func requireReserved(t *testing.T, budget *Budget, want int64) {
 	t.Helper()
@@ -81,7 +81,7 @@
 // keep sending, and those that were read completely, don't.
 func TestStalledRequestsAreAborted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		budget := NewBudget(clock.Synctest(), testLimit)
+		budget := NewBudget(clock.Synctest(), 4*smallRequestBytes)
 		var aborted [4]atomic.Bool
 		var requests [4]*Reservation
 		for i := range requests {
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -27,10 +27,9 @@
 	connectionMemoryDivisor = 8
 	descriptorRatio         = 0.25
 
-	// Elsewhere the limits follow Bounds.MaxConcurrentRequests: connections for each of them, because clients keep idle
-	// connections, and the memory of bodies of half the largest size.
+	// connectionsPerRequest gives the limit on connections elsewhere, for each of Bounds.MaxConcurrentRequests: clients keep
+	// idle connections.
 	connectionsPerRequest = 4
-	bodyShareDivisor      = 2
 )
 
 // Serve listens at an address for other pebbleloom processes and serves the handler there, in addition to the endpoints
@@ -68,7 +67,7 @@
 func (p *Process) limitClients(name string, listener net.Listener) *clientlimit.Listener {
 	bounds := p.Settings.Bounds
 	connections := bounds.MaxConcurrentRequests * connectionsPerRequest
-	memory := int64(bounds.MaxConcurrentRequests) * int64(bounds.MaxBodyKB<<10) / bodyShareDivisor
+	memory := clientlimit.BudgetFor(bounds.MaxConcurrentRequests, int64(bounds.MaxBodyKB)<<10)
 	if site := p.Settings.Site; site != nil {
 		connections = clientlimit.MaxConnections(site.MemoryLimitBytes()/connectionMemoryDivisor, site.Descriptors(descriptorRatio))
 		memory = site.MemoryLimitBytes() / requestMemoryDivisor
--- a/internal/data/callerproxy/proxy.go
+++ b/internal/data/callerproxy/proxy.go
@@ -128,7 +128,7 @@
 		case <-ticker.C:
 		}
 	}
-	if err := p.process.Serve(p.process.Settings.Public, handler); err != nil {
+	if err := p.process.ServeClients("clients", p.process.Settings.Public, handler); err != nil {
 		p.process.Log.Error("callerproxy: client-facing HTTP listener failed", "error", errs.Text(err))
 	}
 }
