Limit the connections to the readiness listener

Seen: 1,000 connections that say nothing to the address for readiness checks leave an edge process with 1,020 descriptors of 400.

Cause: the listener had a time-out for headers alone.

Change: it is a clientlimit.Listener with 32 connections, 1 MiB for requests, and the time-outs in force. The platform's check sends its request at once, so that the oldest silent connection closes for it.

Before: TestSilentReadinessConnections 1,020 descriptors of 400.

--- a/internal/data/proxy/clientlimits.go
+++ b/internal/data/proxy/clientlimits.go
@@ -2,14 +2,18 @@
 
 import "pebbleloom/internal/clientlimit"
 
-// HTTP limits of the client listener if no routing plan is known or the plan sets none, and of the readiness listener
-// (readyHeaderTimeoutRatio). The time-outs are fractions of Bounds.RecoveryMs, the time within which service must be
-// restored after a fault.
+// HTTP limits of the listeners for clients and for readiness checks if no routing plan is known or the plan sets none. The
+// time-outs are fractions of Bounds.RecoveryMs, the time within which service must be restored after a fault.
 const (
-	defaultHeaderBytes      = 16 << 10
-	headerTimeoutRatio      = 0.25
-	idleConnTimeoutRatio    = 1.25
-	readyHeaderTimeoutRatio = 0.25
+	defaultHeaderBytes   = 16 << 10
+	headerTimeoutRatio   = 0.25
+	idleConnTimeoutRatio = 1.25
+)
+
+// Limits of the listener for readiness checks, which the platform makes once a second.
+const (
+	readinessConnections = 32
+	readinessMemoryBytes = 1 << 20
 )
 
 // Parts of the process's descriptors. The rest is for connections to other pebbleloom processes, and for files.
--- a/internal/data/proxy/server.go
+++ b/internal/data/proxy/server.go
@@ -147,12 +147,18 @@
 
 // serveReadinessOn answers readiness checks on a listener until the process stops, including while it drains.
 func (s *server) serveReadinessOn(listener net.Listener) {
-	readinessServer := &http.Server{
-		Handler:           http.HandlerFunc(s.serveReadiness),
-		ReadHeaderTimeout: s.process.Settings.Bounds.Recovery(readyHeaderTimeoutRatio),
-		ErrorLog:          discardLogger(),
-	}
-	s.process.Go(func() { s.serveHTTP(readinessServer, listener) })
+	budget := clientlimit.NewBudget(s.process.Clock, readinessMemoryBytes)
+	limited := clientlimit.NewListener(listener, clientlimit.Config{
+		Clock:          s.process.Clock,
+		MaxConnections: readinessConnections,
+		Header:         s.headerLimits,
+		Budget:         budget,
+		BodyTimeout:    s.process.Settings.Bounds.Recovery(headerTimeoutRatio),
+	})
+	s.process.Meter.Clients("readiness", limited, budget)
+	readinessServer := &http.Server{Handler: clientlimit.TrackBodies(http.HandlerFunc(s.serveReadiness)), ErrorLog: discardLogger()}
+	limited.Attach(readinessServer)
+	s.process.Go(func() { s.serveHTTP(readinessServer, limited) })
 	s.process.OnStop(func() { readinessServer.Close() })
 }
 
