Limit an edge process's connections to all workers together

Seen: by reading. Every complete request may open a connection to a worker, and idle ones stay; nothing bounded their sum, so that clients could use up the descriptors with them that the core and the readiness checks need. No process was seen to run out by it.

At the limit idle connections close; without any, the dial fails and the attempt counts as not sent, as at the limit of a single worker.

TestConnectionsToWorkersAreLimited needs the new limit, and so can't run on the sources before.

--- a/internal/data/proxy/clientlimits_test.go
+++ b/internal/data/proxy/clientlimits_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"strings"
 	"testing"
@@ -99,3 +100,28 @@
 		}
 	})
 }
+
+// Connections to all workers together stay within the part of the descriptors that is theirs: idle ones are closed for new
+// ones, and a new one beyond those in use fails.
+func TestConnectionsToWorkersAreLimited(t *testing.T) {
+	withSite(t, []workerScript{respondWith(okResponse), respondWith(okResponse)}, func(site *testSite) {
+		conns := site.server.conns
+		conns.maxOpen = 1
+		if response := site.send(postRequest("once", "a1", "body")); response.status != 200 {
+			t.Fatalf("first request: status %d, error %v; want 200", response.status, response.err)
+		}
+		synctest.Wait() // the connection is idle now
+		second, err := conns.dial(context.Background(), "tcp", site.workers[1].Addr)
+		if err != nil {
+			t.Fatalf("connect to a worker while an idle connection is open: %v", err)
+		}
+		if _, err := conns.dial(context.Background(), "tcp", site.workers[0].Addr); errs.KindOf(err) != errs.Overloaded || err == nil {
+			t.Errorf("connect to a worker beyond the limit: error %v, want kind %s", err, errs.Overloaded.Name)
+		}
+		_ = second.Close()
+		synctest.Wait()
+		if conns.open != 0 || len(conns.openConns) != 0 {
+			t.Errorf("connections counted at the end: %d, of %d workers; want none", conns.open, len(conns.openConns))
+		}
+	})
+}
--- a/internal/data/proxy/connpool.go
+++ b/internal/data/proxy/connpool.go
@@ -31,8 +31,10 @@
 	process   *daemon.Process
 	transport *http.Transport
 	idleLimit idleLimit
+	maxOpen   int // limit on connections to all workers together; 0: not limited
 	mu        sync.Mutex
 	openConns map[string]int // number of connections by worker address, including those being dialed
+	open      int            // sum of openConns
 }
 
 // dialLimits limits the dialing of a new connection. It is passed to the dialer in the attempt's context.
@@ -44,7 +46,7 @@
 type dialLimitsKey struct{}
 
 func newConnPool(process *daemon.Process) *connPool {
-	p := &connPool{process: process, openConns: map[string]int{}}
+	p := &connPool{process: process, maxOpen: process.Settings.Site.Descriptors(workerDescriptorRatio), openConns: map[string]int{}}
 	p.transport = &http.Transport{
 		DialContext:            p.dial,
 		DisableCompression:     true,
@@ -57,11 +59,15 @@
 }
 
 // dial opens a connection to a worker. It fails with errs.Overloaded if this edge node already has its share of the
-// worker's connections (dialLimits.maxConns) open.
+// worker's connections (dialLimits.maxConns) open, or the connections to all workers that its descriptors allow even
+// without idle ones.
 func (p *connPool) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	limits, _ := ctx.Value(dialLimitsKey{}).(dialLimits)
+	if p.isFull() {
+		p.transport.CloseIdleConnections()
+	}
 	if !p.reserve(addr, limits.maxConns) {
-		return nil, errs.New(errs.Overloaded, "dial worker %s: this edge node already has %d connections to the worker open, its share of the worker's connection limit", addr, limits.maxConns)
+		return nil, errs.New(errs.Overloaded, "dial worker %s: this edge node already has its share of the worker's %d connections, or of its own descriptors, open", addr, limits.maxConns)
 	}
 	if limits.timeout > 0 {
 		var cancel context.CancelFunc
@@ -77,20 +83,30 @@
 	return newWorkerConn(conn, p.process.Settings.Bounds.Leave(1), func() { p.connClosed(addr) }), nil
 }
 
-// reserve counts a new connection to a worker. If maxConns connections to it are open already, it returns false.
+// isFull reports whether the limit on connections to all workers is reached.
+func (p *connPool) isFull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.maxOpen > 0 && p.open >= p.maxOpen
+}
+
+// reserve counts a new connection to a worker. If maxConns connections to it, or the limit of all workers, are open already,
+// it returns false.
 func (p *connPool) reserve(addr string, maxConns int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if maxConns > 0 && p.openConns[addr] >= maxConns {
+	if maxConns > 0 && p.openConns[addr] >= maxConns || p.maxOpen > 0 && p.open >= p.maxOpen {
 		return false
 	}
 	p.openConns[addr]++
+	p.open++
 	return true
 }
 
 func (p *connPool) connClosed(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.open--
 	if p.openConns[addr]--; p.openConns[addr] <= 0 {
 		delete(p.openConns, addr)
 	}
