Reserve the memory of a prompt's parts

Seen: 160 streams for prompts of 3,800 parts take 32 MB where such streams without them take 15 MB: 100 KB a request that nothing counted.

Cause: the parts were parsed and looked up without an account of their memory; their number is limited by the size of the header alone.

Change: 256 bytes are reserved for each part before they are parsed. Without memory the request is served by a worker that is selected without them.

TestPartsOfPromptsAreReserved fails before (1 lookup where 0 are wanted) and passes now.

--- a/internal/data/proxy/clientlimits_test.go
+++ b/internal/data/proxy/clientlimits_test.go
@@ -125,3 +125,20 @@
 		}
 	})
 }
+
+// The memory of a prompt's parts is reserved before they are parsed. Without memory for them the request is still served,
+// by a worker that is selected without them.
+func TestPartsOfPromptsAreReserved(t *testing.T) {
+	for _, test := range []struct{ parts, lookups int }{{3, 1}, {1000, 0}} {
+		withSite(t, []workerScript{respondWith(okResponse)}, func(site *testSite) {
+			site.server.memory.SetLimit(requestOverhead + 100<<10)
+			line := site.server.Headers.PromptParts + ": " + strings.Repeat("a:1,", test.parts-1) + "a:1"
+			if response := site.send(postRequest("once", "a1", "body", line)); response.status != 200 {
+				t.Errorf("request with a prompt of %d parts: status %d, error %v; want 200", test.parts, response.status, response.err)
+			}
+			if lookups := site.selector.lookups; lookups != test.lookups {
+				t.Errorf("request with a prompt of %d parts: %d lookups, want %d", test.parts, lookups, test.lookups)
+			}
+		})
+	}
+}
--- a/internal/data/proxy/fakeselector_test.go
+++ b/internal/data/proxy/fakeselector_test.go
@@ -17,10 +17,14 @@
 	outcomes     []selection.Outcome
 	loads        []selection.Load
 	openAttempts int
+	lookups      int // requests whose parts were looked up
 	editChoice   func(*selection.Choice)
 }
 
 func (p *fakeSelector) Lookup(context.Context, *fleet.Snapshot, *selection.Request) map[prefix.Key]*wire.LookupResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lookups++
 	return nil
 }
 
--- a/internal/data/proxy/request.go
+++ b/internal/data/proxy/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"pebbleloom/internal/clientlimit"
@@ -49,6 +50,8 @@
 var pastTime = time.Unix(1, 0)
 
 const (
+	// promptPartBytes is the memory that a part of a prompt takes while its holders are looked up and a worker is selected.
+	promptPartBytes = 256
 	// transitRatio is the fraction of settings.Site.TransitMs (the maximum time to forward an event of a stream) for
 	// which the request's context lasts beyond its deadline, so that a response that the worker sent just in time
 	// still reaches the client.
@@ -112,7 +115,7 @@
 	if v := req.incoming.Header.Get(headers.TokenUsage); v != "" {
 		req.selection.PromptTokens, req.selection.MaxOutputTokens = headers.ParseTokenUsage(v)
 	}
-	if v := req.incoming.Header.Get(headers.PromptParts); v != "" {
+	if v := req.incoming.Header.Get(headers.PromptParts); v != "" && req.reserveParts(v) {
 		req.selection.Parts = headers.ParsePromptParts(v)
 	}
 	if route := req.selection.Route; route.Kind == routingconfig.EventStream && route.Resumable {
@@ -120,6 +123,13 @@
 	}
 }
 
+// reserveParts reserves the memory of the parts of a prompt. Without memory it returns false, and the request is forwarded
+// to a worker that is selected without them.
+func (req *request) reserveParts(value string) bool {
+	parts := strings.Count(value, ",") + 1
+	return req.memory.Grow(int64(parts)*promptPartBytes) == nil
+}
+
 // timeRemaining returns the time until the deadline; it is negative after the deadline.
 func (req *request) timeRemaining() time.Duration {
 	return req.deadline - req.server.process.Clock.Now()
