Refuse and close no request that was read completely

A byte behind a complete request, read by net/http before the handler runs, was taken for a header: without memory its client would get 503 although the request then runs, a false promise. A connection that is chosen to close for a new one at the moment at which its last byte is read would pass its request on and end without an answer.

Cause: the read of net/http that notices a client's leaving can't be told from one of a header by the phase of the connection alone; and the choice of a connection and the end of its reading used two locks.

Change: reads of a single byte aren't taken into account. FinishReading first asks the listener, and returns false if the connection was closed for another one; the request is then not passed on.

TestEvictedConnectionsDoNotFinish and TestBackgroundReadsAreNotRefused fail before and pass now.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -24,6 +24,11 @@
 // readBufferBytes is the size of net/http's read buffer: as many bytes behind a header may be read with it.
 const readBufferBytes = 4 << 10
 
+// backgroundReadBytes is the size of the reads by which net/http notices that a client has left while a handler runs. Such a
+// read may begin before the handler does, and mustn't be taken for one of a header: the request is complete, and a refusal
+// would be a false promise.
+const backgroundReadBytes = 1
+
 // refusalWriteTimeout bounds the writing of a refusal. It is short because the send buffer of the connection is empty.
 const refusalWriteTimeout = 100 * time.Millisecond
 
@@ -84,21 +89,24 @@
 // exceeded, it answers with a refusal and returns io.EOF.
 //
 // Example: n, err := conn.Read(buffer)
-func (c *Conn) Read(buffer []byte) (n int, err error) {
+func (c *Conn) Read(buffer []byte) (received int, err error) {
+	if len(buffer) == backgroundReadBytes {
+		return c.Conn.Read(buffer)
+	}
 	if !c.prepareRead() {
 		return 0, io.EOF
 	}
-	n, err = c.Conn.Read(buffer)
-	if n == 0 {
+	received, err = c.Conn.Read(buffer)
+	if received == 0 {
 		c.refuseAbortedHeader()
-		return n, err
+		return received, err
 	}
-	if status := c.account(buffer[:n]); status != 0 {
+	if status := c.account(buffer[:received]); status != 0 {
 		c.listener.refused.Add(1)
 		writeRefusal(c.Conn, status)
 		return 0, io.EOF
 	}
-	return n, err
+	return received, err
 }
 
 // refuseAbortedHeader answers a client whose header was aborted.
@@ -199,16 +207,15 @@
 //
 // Example: if !conn.FinishReading() { reject() }
 func (c *Conn) FinishReading() bool {
-	if !c.reservation.FinishReading() {
+	if !c.listener.stopWaiting(c) || !c.reservation.FinishReading() {
 		return false
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.phase = serving
 	if c.listener.config.BodyTimeout > 0 && !c.aborted {
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
-	c.mu.Unlock()
-	c.listener.stopWaiting(c)
 	return true
 }
 
--- a/internal/clientlimit/listener.go
+++ b/internal/clientlimit/listener.go
@@ -171,10 +171,18 @@
 	l.waiting.MoveToBack(conn.position)
 }
 
-// stopWaiting records that a connection doesn't wait for its client any more.
-func (l *Listener) stopWaiting(conn *Conn) {
+// stopWaiting records that a connection doesn't wait for its client any more. It returns false if the connection was closed
+// for another one.
+func (l *Listener) stopWaiting(conn *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.forgetWaiting(conn)
+	_, isOpen := l.open[conn]
+	return isOpen
+}
+
+// forgetWaiting removes a connection from those that wait. Listener.mu must be locked.
+func (l *Listener) forgetWaiting(conn *Conn) {
 	if conn.position != nil {
 		l.waiting.Remove(conn.position)
 		conn.position = nil
@@ -190,8 +198,5 @@
 
 func (l *Listener) removeLocked(conn *Conn) {
 	delete(l.open, conn)
-	if conn.position != nil {
-		l.waiting.Remove(conn.position)
-		conn.position = nil
-	}
+	l.forgetWaiting(conn)
 }
--- a/internal/clientlimit/listener_test.go
+++ b/internal/clientlimit/listener_test.go
@@ -274,3 +274,61 @@
 		}
 	})
 }
+
+// newTestListener returns a listener for one connection, and a function that connects to it and accepts the connection.
+func newTestListener(t *testing.T, budget int64) (*Listener, func() (client net.Conn, accepted *Conn)) {
+	t.Helper()
+	network, clk := pipes.NewNetwork(), clock.Synctest()
+	inner, err := network.Listen(testAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := NewListener(inner, Config{Clock: clk, MaxConnections: 1, Budget: NewBudget(clk, budget), Header: func() HeaderLimits { return testHeaderLimits }})
+	return listener, func() (net.Conn, *Conn) {
+		clients := make(chan net.Conn, 1)
+		go func() {
+			client, _ := network.Dial(context.Background(), "tcp", testAddr)
+			clients <- client
+		}()
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return <-clients, accepted.(*Conn)
+	}
+}
+
+// A request whose connection was closed for another one at the moment at which its last byte was read isn't passed on.
+func TestEvictedConnectionsDoNotFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, connect := newTestListener(t, testLimit)
+		_, first := connect()
+		first.startRequest()
+		_, second := connect()
+		if first.FinishReading() {
+			t.Error("the request of an evicted connection was read completely")
+		}
+		second.startRequest()
+		if !second.FinishReading() {
+			t.Error("the request of an open connection wasn't read completely")
+		}
+	})
+}
+
+// net/http reads a single byte while a handler runs, and may begin before the handler does. Such a read isn't refused, though
+// no memory is left: the request before it is served.
+func TestBackgroundReadsAreNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, connect := newTestListener(t, 0)
+		client, accepted := connect()
+		go func() { _, _ = io.WriteString(client, "GET") }()
+		if n, err := accepted.Read(make([]byte, backgroundReadBytes)); n != 1 || err != nil {
+			t.Errorf("background read: %d bytes, error %v; want one byte", n, err)
+		}
+		go func() { _, _ = io.Copy(io.Discard, client) }()
+		if n, err := accepted.Read(make([]byte, readBufferBytes)); n != 0 || err != io.EOF {
+			t.Errorf("read of a header without memory: %d bytes, error %v; want io.EOF", n, err)
+		}
+		_ = client.Close()
+	})
+}
